A leader under a lease of the store orders models and adapters

Change: core/gateway leadership (steady clock, quiet time before the first order), orders (one expected count, doubt settled by reports), planner (missing models, adapters, copies by demand), load rate; control/leader, campaign, fleet-wide demand from heartbeats, placement told ahead of the registry. The first build planned while servers were still registering and evicted copies that were not spare; it now waits until no server is new.

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -4,6 +4,11 @@
 
 pub mod admission;
 pub mod configuration;
+pub mod demand;
+pub mod leadership;
+pub mod load_rate;
+pub mod orders;
+pub mod planner;
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
--- a/crates/cometmoor-core/src/gateway/retry_budget.rs
+++ b/crates/cometmoor-core/src/gateway/retry_budget.rs
@@ -63,11 +63,8 @@
     /// Repeats allowed in the window that ends now.
     pub fn allowed(&self, now: Timestamp, nodes: usize) -> f64 {
         let share = self.requests.len() as f64 * self.bounds.ratio;
-        let extra = if now >= self.extra_from {
-            self.bounds.extra / nodes.max(1) as f64
-        } else {
-            0.0
-        };
+        let extra =
+            if now >= self.extra_from { self.bounds.extra / nodes.max(1) as f64 } else { 0.0 };
         (share + extra) * USED_PART
     }
 
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/demand.rs
@@ -0,0 +1,52 @@
+//! Demand over the whole fleet, from the counters of all nodes.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use cometmoor_core::gateway::demand::DemandMeter;
+use cometmoor_core::time::Timestamp;
+
+use crate::gossip::Heartbeat;
+use crate::load::{ModelDemand, ModelKey};
+
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+
+/// The process of a node that a counter belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Source {
+    node: SocketAddrV4,
+    incarnation: u64,
+}
+
+/// Demand over the whole fleet.
+#[derive(Clone, Debug, Default)]
+pub struct FleetDemandMeter {
+    last: HashMap<(Source, ModelKey), ModelDemand>,
+    work: DemandMeter<ModelKey>,
+    requests: DemandMeter<ModelKey>,
+}
+
+impl FleetDemandMeter {
+    /// Takes a heartbeat's counters.
+    pub fn receive(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+        let source = Source { node: heartbeat.peer_address, incarnation: heartbeat.incarnation };
+        for (key, demand) in &heartbeat.demand {
+            let last = self.last.insert((source, *key), *demand).unwrap_or_default();
+            let requests = demand.requests.saturating_sub(last.requests);
+            let work = demand.work_micros.saturating_sub(last.work_micros);
+            self.requests.record(*key, requests as f64, now);
+            self.work.record(*key, work as f64 / MICROS, now);
+        }
+    }
+
+    /// Servers that the work on a model keeps busy.
+    pub fn work(&self, key: ModelKey, now: Timestamp) -> f64 {
+        self.work.rate(key, now)
+    }
+
+    /// Requests a second.
+    pub fn requests(&self, key: ModelKey, now: Timestamp) -> f64 {
+        self.requests.rate(key, now)
+    }
+}
--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -13,12 +13,12 @@
 use spdlog::{error, info, warn};
 
 use super::ControlContext;
+use super::demand::FleetDemandMeter;
 use crate::dialect::WatchEvent;
-use crate::gossip::{Heartbeat, PeerChange, PeerPhase, Peers};
-use crate::load::{ModelDemand, ServerKey, server_key};
+use crate::gossip::{Heartbeat, PeerChange, PeerPhase, Peers, Placement};
 use crate::mirror::{Mirror, MirroredItem};
 use crate::peer::{Subject, fetch_mirror};
-use crate::published::{ClientNode, Phase, Published};
+use crate::published::{ClientNode, Phase, PlacementView, Published};
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
@@ -45,7 +45,9 @@
     configuration: ConfigurationInForce,
     servers: HashMap<Arc<str>, (u64, Arc<ServerRecord>)>,
     peers: Peers,
-    most_sharing: usize,
+    demand: FleetDemandMeter,
+    placement: Option<Placement>,
+    leader_heard: Option<Instant>,
     sequence: u64,
     generation: u64,
 }
@@ -67,7 +69,9 @@
             configuration: ConfigurationInForce::default(),
             servers: HashMap::new(),
             peers,
-            most_sharing: 0,
+            demand: FleetDemandMeter::default(),
+            placement: None,
+            leader_heard: None,
             sequence: 0,
             generation: 0,
         }
@@ -158,7 +162,6 @@
 
     fn publish(&mut self) {
         let now = self.now();
-        self.most_sharing = self.most_sharing.max(self.peers.sharing(now));
         self.generation += 1;
         let copy = self.copy(Subject::Configuration);
         let current = !copy.watch_failing
@@ -170,6 +173,7 @@
             configuration_is_current: current,
             servers: self.servers.values().map(|(_, record)| record.clone()).collect(),
             nodes: self.client_nodes(now),
+            leader_heard: self.leader_heard,
             nodes_seen: self.peers.sharing(now) + 1,
         };
         self.context.board.fleet.store(Arc::new(published));
@@ -216,14 +220,26 @@
             configuration_version: self.configuration.version(),
             servers_revision: self.copies[&Subject::Servers].mirror.at,
             loads: self.context.loads.all(),
-            demand: self.own_demand(),
+            demand: self.context.loads.recent_demand(Instant::now()),
+            placement: self.placement.clone(),
             known: self.peers.known(now),
         }
     }
 
-    fn own_demand(&self) -> Vec<(ServerKey, ModelDemand)> {
-        let demand = self.context.loads.demand();
-        demand.iter().map(|(model, demand)| (server_key(model), *demand)).collect()
+    /// Publishes what the newest leading node tells, this one included.
+    fn publish_placement(&mut self) {
+        let now = self.now();
+        let told = self.peers.placement(now);
+        if told.is_some() || self.placement.is_some() {
+            self.leader_heard = Some(Instant::now());
+        }
+        let newest = told.into_iter().chain(&self.placement).max_by_key(|known| known.token);
+        let view = newest.map_or_else(PlacementView::default, |placement| PlacementView {
+            token: placement.token,
+            added: placement.added.iter().copied().collect(),
+            withdrawn: placement.withdrawn.iter().copied().collect(),
+        });
+        self.context.board.placement.store(Arc::new(view));
     }
 
     /// Asks a peer for its copy where the store does not answer this node and
@@ -264,6 +280,7 @@
         let now = self.now();
         self.peers.forget(now);
         self.context.board.remote_load.store(Arc::new(self.peers.load(now)));
+        self.publish_placement();
         self.publish();
     }
 }
@@ -340,8 +357,7 @@
     fn handle(&mut self, failed: CopyFailed, _: &mut Context<FleetState>) {
         let copy = self.copy(failed.subject);
         if !copy.watch_failing {
-            let age_millis =
-                copy.confirmed.map(|confirmed| confirmed.elapsed().as_millis() as u64);
+            let age_millis = copy.confirmed.map(|confirmed| confirmed.elapsed().as_millis() as u64);
             let what = failed.subject.name();
             warn!("[store] does not answer; peers are asked", kv: { step = "watch", what, reason = failed.reason, age_millis:? });
         }
@@ -391,7 +407,12 @@
         let now = self.now();
         let node = heartbeat.node.clone();
         let phase = heartbeat.phase;
+        self.demand.receive(&heartbeat, now);
+        let leads = heartbeat.placement.is_some();
         let change = self.peers.receive(heartbeat, now);
+        if leads {
+            self.publish_placement();
+        }
         self.context.board.remote_load.store(Arc::new(self.peers.load(now)));
         if change != PeerChange::None {
             info!("[peers] a node is {phase:?}", kv: { node });
@@ -428,6 +449,8 @@
 
     fn handle(&mut self, _: NextHeartbeat, _: &mut Context<FleetState>) -> Self::Result {
         let heartbeat = self.heartbeat();
+        let now = self.now();
+        self.demand.receive(&heartbeat, now);
         MessageResult((heartbeat, self.peers.targets()))
     }
 }
@@ -471,3 +494,40 @@
         MessageResult(self.copy(get.0).mirror.at)
     }
 }
+
+/// Sets what this node tells of the servers' models while it leads.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct SetPlacement(pub Option<Placement>);
+
+impl Handler<SetPlacement> for FleetState {
+    type Result = ();
+
+    fn handle(&mut self, set: SetPlacement, _: &mut Context<FleetState>) {
+        if self.placement != set.0 {
+            self.placement = set.0;
+            self.publish_placement();
+        }
+    }
+}
+
+/// The demand over the fleet, as of a time.
+pub struct DemandView {
+    /// The meter.
+    pub meter: FleetDemandMeter,
+    /// The time that its rates are asked for.
+    pub now: Timestamp,
+}
+
+/// Asks for the demand over the fleet.
+#[derive(Message)]
+#[rtype(result = "DemandView")]
+pub struct GetDemand;
+
+impl Handler<GetDemand> for FleetState {
+    type Result = MessageResult<GetDemand>;
+
+    fn handle(&mut self, _: GetDemand, _: &mut Context<FleetState>) -> Self::Result {
+        MessageResult(DemandView { meter: self.demand.clone(), now: self.now() })
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -0,0 +1,569 @@
+//! Orders the servers while this node leads.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix::Addr;
+use cometmoor_core::gateway::configuration::{EngineProfile, GatewayConfiguration};
+use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes};
+use cometmoor_core::gateway::load_rate::LoadRate;
+use cometmoor_core::gateway::orders::{
+    Action, NextStep, ServerLedger, ServerOrder, ServerReport, Weights,
+};
+use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
+use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::time::Timestamp;
+use spdlog::{info, warn};
+use tokio::sync::Notify;
+
+use super::ControlContext;
+use super::fleet::{FleetState, GetDemand, SetPlacement};
+use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
+use crate::gossip::Placement;
+use crate::http::client::{CallClient, CallError};
+use crate::load::{model_key, server_key};
+
+/// Time that an order may be on its way.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause between two rounds of planning.
+const ROUND: Duration = Duration::from_millis(250);
+/// Pause between two questions to one server.
+const REPORT_PAUSE: Duration = Duration::from_millis(300);
+/// Time between the withdrawal of weights and the order to unload them, in
+/// which all nodes learn of it.
+const WITHDRAWAL: Duration = Duration::from_millis(500);
+/// Time for which an adapter is told to others, until the registry tells it.
+const TOLD_FOR: Duration = Duration::from_secs(5);
+/// Time for which a copy stays after its load.
+const SHORTEST_STAY: Duration = Duration::from_secs(8);
+/// Part of the lease after which it is renewed.
+const RENEWAL_PART: u32 = 3;
+/// Time without a new server after which the fleet counts as known.
+const SETTLED_AFTER: Duration = Duration::from_millis(1800);
+/// Time of leading after which orders do not wait for the fleet to be known.
+const SETTLE_AT_MOST: Duration = Duration::from_secs(6);
+/// More quiet than the bound asks for, between the orders of two nodes.
+const QUIET_SLACK: Duration = Duration::from_millis(400);
+
+/// What the leader keeps of one server.
+struct Engine {
+    record: Arc<ServerRecord>,
+    ledger: ServerLedger,
+    client: Rc<CallClient>,
+    calling: bool,
+    asked: Option<Timestamp>,
+    in_host_memory: BTreeSet<String>,
+    on_disk: BTreeSet<String>,
+    loaded: HashMap<String, Timestamp>,
+    replaced: bool,
+}
+
+impl Engine {
+    fn new(record: Arc<ServerRecord>) -> Engine {
+        let client = Rc::new(CallClient::new(record.address));
+        Engine {
+            record,
+            ledger: ServerLedger::default(),
+            client,
+            calling: false,
+            asked: None,
+            in_host_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
+            loaded: HashMap::new(),
+            replaced: false,
+        }
+    }
+
+    fn take_record(&mut self, record: &Arc<ServerRecord>, now: Timestamp) {
+        self.record = record.clone();
+        let models = record.models.iter().map(|held| held.name.clone()).collect();
+        self.ledger.record_registry(&models, now);
+        if !record.in_host_memory.is_empty() || !record.on_disk.is_empty() {
+            self.in_host_memory = record.in_host_memory.iter().cloned().collect();
+            self.on_disk = record.on_disk.iter().cloned().collect();
+        }
+    }
+}
+
+/// Weights that are about to be taken off a server.
+struct Withdrawal {
+    server: Arc<str>,
+    order: ServerOrder,
+    since: Timestamp,
+}
+
+#[derive(Default)]
+struct LeaderState {
+    engines: HashMap<Arc<str>, Engine>,
+    withdrawals: Vec<Withdrawal>,
+    added: Vec<(Timestamp, Arc<str>, Weights)>,
+    load_rates: HashMap<String, LoadRate>,
+    first_round: Option<Timestamp>,
+    last_new_server: Option<Timestamp>,
+}
+
+impl LeaderState {
+    /// Whether the servers that are known are likely to be all there are.
+    fn is_settled(&self, now: Timestamp) -> bool {
+        let quiet = self.last_new_server.is_some_and(|new| now.since(new) >= SETTLED_AFTER);
+        quiet || self.first_round.is_some_and(|first| now.since(first) >= SETTLE_AT_MOST)
+    }
+}
+
+/// Orders the servers while this node leads.
+pub struct Leader {
+    context: Rc<ControlContext>,
+    fleet: Addr<FleetState>,
+    started: Instant,
+    leadership: RefCell<Leadership>,
+    state: RefCell<LeaderState>,
+    wake: Notify,
+    led: Cell<bool>,
+    no_predecessor: Cell<bool>,
+}
+
+/// Starts the tasks of leadership and ordering.
+pub fn start(context: &Rc<ControlContext>, fleet: &Addr<FleetState>) {
+    let lease = Duration::from_millis(context.settings.bounds.lease_millis);
+    let times = LeadershipTimes { lease, quiet: lease + QUIET_SLACK, order: ORDER_TIMEOUT };
+    let leader = Rc::new(Leader {
+        context: context.clone(),
+        fleet: fleet.clone(),
+        started: Instant::now(),
+        leadership: RefCell::new(Leadership::new(times)),
+        state: RefCell::default(),
+        wake: Notify::new(),
+        led: Cell::new(false),
+        no_predecessor: Cell::new(context.settings.fresh_fleet),
+    });
+    actix_rt::spawn(super::campaign::run(leader.clone(), lease, lease / RENEWAL_PART));
+    actix_rt::spawn(leader.run());
+}
+
+impl Leader {
+    pub(super) fn now(&self) -> Timestamp {
+        Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub(super) fn context(&self) -> &ControlContext {
+        &self.context
+    }
+
+    pub(super) fn leads(&self) -> bool {
+        self.leadership.borrow().leads(self.now())
+    }
+
+    /// Notes that this node got the lease.
+    pub(super) fn acquired(&self, token: u64, lease_sent: Timestamp) {
+        let now = self.now();
+        let first = self.no_predecessor.replace(false);
+        self.leadership.borrow_mut().acquire(token, lease_sent, now, first);
+        *self.state.borrow_mut() = LeaderState::default();
+        info!("[leader] this node leads", kv: { token, at_once = first });
+    }
+
+    /// Notes that another node has led.
+    pub(super) fn saw_predecessor(&self) {
+        self.no_predecessor.set(false);
+    }
+
+    /// Notes that the lease was renewed by a call sent at `sent`.
+    pub(super) fn renewed(&self, sent: Timestamp) {
+        self.leadership.borrow_mut().renew(sent, self.now());
+    }
+
+    /// Notes that the lease is over.
+    pub(super) fn lost(&self) {
+        self.leadership.borrow_mut().resign();
+        self.note_end();
+    }
+
+    fn note_end(&self) {
+        if self.led.replace(false) {
+            warn!("[leader] this node does not lead any more");
+            self.fleet.do_send(SetPlacement(None));
+        }
+    }
+
+    async fn run(self: Rc<Leader>) {
+        loop {
+            self.round().await;
+            let _ = tokio::time::timeout(ROUND, self.wake.notified()).await;
+        }
+    }
+
+    async fn round(self: &Rc<Leader>) {
+        if !self.leads() {
+            return self.note_end();
+        }
+        self.led.set(true);
+        self.tell_placement();
+        let Some(token) = self.leadership.borrow().token(self.now()) else { return };
+        let fleet = self.context.board.fleet.load_full();
+        let Some(configuration) = fleet.configuration.clone() else { return };
+        self.take_servers(&configuration, &fleet.servers);
+        self.continue_orders(token);
+        self.finish_withdrawals(token);
+        for service in configuration.services.values() {
+            if let Some(profile) = &service.engine {
+                self.plan_service(&service.name, profile, token).await;
+            }
+        }
+        self.tell_placement();
+    }
+
+    /// Tells the nodes what the registry will tell later.
+    fn tell_placement(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.added.retain(|(since, _, _)| now.since(*since) < TOLD_FOR);
+        let key = |server: &str, weights: &Weights| {
+            (server_key(server), model_key(&weights.model, weights.adapter.as_deref()))
+        };
+        let added = state.added.iter().map(|(_, server, weights)| key(server, weights)).collect();
+        let open = state.engines.values().filter_map(|engine| {
+            let order = engine.ledger.open_order()?;
+            (order.action == Action::Unload).then(|| key(&engine.record.id, &order.weights))
+        });
+        let withdrawn = state
+            .withdrawals
+            .iter()
+            .map(|withdrawal| key(&withdrawal.server, &withdrawal.order.weights))
+            .chain(open)
+            .collect();
+        let token = self.leadership.borrow().token(now).unwrap_or_default();
+        self.fleet.do_send(SetPlacement(Some(Placement { token, added, withdrawn })));
+    }
+
+    fn take_servers(&self, configuration: &GatewayConfiguration, servers: &[Arc<ServerRecord>]) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_engine = |record: &ServerRecord| {
+            configuration.services.get(&record.service).is_some_and(|known| known.engine.is_some())
+        };
+        let known: BTreeSet<Arc<str>> = servers.iter().map(|record| record.id.clone()).collect();
+        state.engines.retain(|id, _| known.contains(id));
+        state.withdrawals.retain(|withdrawal| known.contains(&withdrawal.server));
+        state.first_round.get_or_insert(now);
+        for record in servers.iter().filter(|record| is_engine(record)) {
+            if !state.engines.contains_key(&record.id) {
+                state.last_new_server = Some(now);
+            }
+            let engine = state
+                .engines
+                .entry(record.id.clone())
+                .or_insert_with(|| Engine::new(record.clone()));
+            engine.take_record(record, now);
+        }
+    }
+
+    /// Asks servers that have to be asked, and repeats orders in doubt.
+    fn continue_orders(self: &Rc<Leader>, token: u64) {
+        let now = self.now();
+        let mut steps = Vec::new();
+        for (id, engine) in &self.state.borrow().engines {
+            if !engine.calling && !engine.replaced {
+                steps.push((id.clone(), engine.ledger.next_step(now), engine.asked));
+            }
+        }
+        for (id, step, asked) in steps {
+            let rested = asked.is_none_or(|asked| now.since(asked) >= REPORT_PAUSE);
+            match step {
+                NextStep::AskForReport if rested => self.spawn_report(id),
+                NextStep::Repeat { order, expected_count } if rested => {
+                    self.spawn_order(id, order, expected_count, token);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn finish_withdrawals(self: &Rc<Leader>, token: u64) {
+        let now = self.now();
+        let mut due = Vec::new();
+        self.state.borrow_mut().withdrawals.retain(|withdrawal| {
+            let over = now.since(withdrawal.since) >= WITHDRAWAL;
+            if over {
+                due.push((withdrawal.server.clone(), withdrawal.order.clone()));
+            }
+            !over
+        });
+        for (server, order) in due {
+            if let Some(expected_count) = self.idle_count(&server) {
+                self.spawn_order(server, order, expected_count, token);
+            }
+        }
+    }
+
+    fn idle_count(&self, server: &str) -> Option<u64> {
+        let state = self.state.borrow();
+        let engine = state.engines.get(server)?;
+        match engine.ledger.next_step(self.now()) {
+            NextStep::Idle { expected_count } if !engine.calling && !engine.replaced => {
+                Some(expected_count)
+            }
+            _ => None,
+        }
+    }
+
+    async fn plan_service(self: &Rc<Leader>, service: &str, profile: &EngineProfile, token: u64) {
+        let Some(demand) = self.demand(profile).await else { return };
+        let servers = self.planned_servers(service);
+        // Until every server has told what it holds, nothing is missing.
+        let all_known = servers.iter().all(|server| server.idle || !server.reserved.is_empty());
+        let settled = self.state.borrow().is_settled(self.now());
+        if servers.is_empty() || !all_known || !settled {
+            return;
+        }
+        let loads_left = self.loads_left(service, profile);
+        for planned in plan(profile, &servers, &demand, loads_left) {
+            let now = self.now();
+            if planned.order.action == Action::Unload {
+                let (server, order) = (planned.server, planned.order);
+                let withdrawal = Withdrawal { server, order, since: now };
+                self.state.borrow_mut().withdrawals.push(withdrawal);
+                continue;
+            }
+            let Some(expected_count) = self.idle_count(&planned.server) else { continue };
+            if planned.from_store
+                && let Some(rate) = self.state.borrow_mut().load_rates.get_mut(service)
+            {
+                rate.record(now);
+            }
+            self.spawn_order(planned.server, planned.order, expected_count, token);
+        }
+    }
+
+    fn loads_left(&self, service: &str, profile: &EngineProfile) -> usize {
+        let now = self.now();
+        let window = Duration::from_secs_f64(self.context.settings.bounds.load_window_seconds);
+        let mut state = self.state.borrow_mut();
+        let rate = state
+            .load_rates
+            .entry(service.to_owned())
+            .or_insert_with(|| LoadRate::new(profile.loads_per_second, window, now, false));
+        rate.left(now)
+    }
+
+    async fn demand(&self, profile: &EngineProfile) -> Option<FleetDemand> {
+        let meter = self.fleet.send(GetDemand).await.ok()?;
+        let now = meter.now;
+        let mut demand = FleetDemand::default();
+        for model in &profile.models {
+            let key = model_key(&model.name, None);
+            demand.models.insert(model.name.clone(), meter.meter.work(key, now));
+            for number in 1..=model.adapters {
+                let adapter = format!("a{number}");
+                let key = model_key(&model.name, Some(&adapter));
+                let weights = Weights { model: model.name.clone(), adapter: Some(adapter) };
+                demand.adapters.insert(weights, meter.meter.requests(key, now));
+            }
+        }
+        Some(demand)
+    }
+
+    fn planned_servers(&self, service: &str) -> Vec<PlannedServer> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let withdrawing =
+            |id: &Arc<str>| state.withdrawals.iter().any(|withdrawal| withdrawal.server == *id);
+        let mut servers: Vec<PlannedServer> = state
+            .engines
+            .values()
+            .filter(|engine| engine.record.service == service && !engine.replaced)
+            .filter(|engine| engine.record.state == ServerState::Ready)
+            .map(|engine| {
+                let id = &engine.record.id;
+                let idle = matches!(engine.ledger.next_step(now), NextStep::Idle { .. });
+                PlannedServer {
+                    id: id.clone(),
+                    idle: idle && !engine.calling && !withdrawing(id),
+                    held: engine.ledger.held().clone(),
+                    reserved: engine.ledger.reserved(),
+                    in_host_memory: engine.in_host_memory.clone(),
+                    on_disk: engine.on_disk.clone(),
+                    fresh: fresh_models(engine, now),
+                }
+            })
+            .collect();
+        servers.sort_by(|left, right| left.id.cmp(&right.id));
+        servers
+    }
+
+    fn spawn_report(self: &Rc<Leader>, id: Arc<str>) {
+        let Some(client) = self.begin_call(&id) else { return };
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            let asked = leader.now();
+            let call = leader.context.dialect.report(&id);
+            let result = client.call(&call, ORDER_TIMEOUT).await;
+            let report = result.map_err(|error| error.to_string()).and_then(|answer| {
+                leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
+            });
+            leader.take_report(&id, report, asked);
+            leader.wake.notify_one();
+        });
+    }
+
+    fn begin_call(&self, id: &Arc<str>) -> Option<Rc<CallClient>> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let engine = state.engines.get_mut(id)?;
+        engine.calling = true;
+        engine.asked = Some(now);
+        Some(engine.client.clone())
+    }
+
+    fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
+        let mut state = self.state.borrow_mut();
+        let Some(engine) = state.engines.get_mut(id) else { return };
+        engine.calling = false;
+        match report {
+            Ok(report) => {
+                engine.in_host_memory = report.in_host_memory.iter().cloned().collect();
+                engine.on_disk = report.on_disk.iter().cloned().collect();
+                engine.ledger.record_report(server_report(&report), asked);
+            }
+            Err(reason) => {
+                let server = &**id;
+                warn!("[leader] a server did not tell its state", kv: { step = "report", server, reason });
+            }
+        }
+    }
+
+    fn spawn_order(
+        self: &Rc<Leader>,
+        id: Arc<str>,
+        order: ServerOrder,
+        expected_count: u64,
+        token: u64,
+    ) {
+        let Some(client) = self.begin_call(&id) else { return };
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(&id) {
+            engine.ledger.record_sent(&order, expected_count, self.now());
+        }
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            let result = leader.send_order(&client, &id, &order, expected_count, token).await;
+            leader.take_order_answer(&id, &order, result, token);
+            leader.wake.notify_one();
+        });
+    }
+
+    async fn send_order(
+        &self,
+        client: &CallClient,
+        id: &str,
+        order: &ServerOrder,
+        expected_count: u64,
+        token: u64,
+    ) -> Result<OrderAnswer, CallError> {
+        let model = ModelName {
+            model: order.weights.model.clone(),
+            adapter: order.weights.adapter.clone(),
+        };
+        let call = self.context.dialect.order(&Order {
+            server: id,
+            kind: match order.action {
+                Action::Load => OrderKind::Load,
+                Action::Unload => OrderKind::Unload,
+            },
+            model: &model,
+            expected_orders: expected_count,
+            holder: &self.context.settings.node,
+            fencing_token: token,
+        });
+        let answer = client.call(&call, ORDER_TIMEOUT).await?;
+        Ok(self.context.dialect.parse_order(&answer))
+    }
+
+    fn take_order_answer(
+        &self,
+        id: &Arc<str>,
+        order: &ServerOrder,
+        result: Result<OrderAnswer, CallError>,
+        token: u64,
+    ) {
+        let now = self.now();
+        log_order(id, order, &result, token);
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let Some(engine) = state.engines.get_mut(id) else { return };
+        engine.calling = false;
+        match result {
+            Ok(OrderAnswer::Accepted) => {
+                engine.ledger.record_accepted(now);
+                note_accepted(engine, order, now);
+                if order.action == Action::Load && order.weights.adapter.is_some() {
+                    state.added.push((now, id.clone(), order.weights.clone()));
+                }
+            }
+            Ok(OrderAnswer::AlreadyDone) => {
+                engine.ledger.record_already_done(now);
+                if order.action == Action::Load && order.weights.adapter.is_some() {
+                    state.added.push((now, id.clone(), order.weights.clone()));
+                }
+            }
+            Ok(OrderAnswer::OtherServer) => engine.replaced = true,
+            Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) | Err(_) => {
+                engine.ledger.record_unclear();
+            }
+        }
+    }
+}
+
+fn note_accepted(engine: &mut Engine, order: &ServerOrder, now: Timestamp) {
+    if order.weights.adapter.is_some() {
+        return;
+    }
+    match order.action {
+        Action::Load => {
+            engine.loaded.insert(order.weights.model.clone(), now);
+            engine.on_disk.insert(order.weights.model.clone());
+        }
+        Action::Unload => {
+            engine.loaded.remove(&order.weights.model);
+        }
+    }
+}
+
+fn fresh_models(engine: &Engine, now: Timestamp) -> BTreeSet<String> {
+    let fresh = engine.loaded.iter().filter(|(_, loaded)| now.since(**loaded) < SHORTEST_STAY);
+    fresh.map(|(model, _)| model.clone()).collect()
+}
+
+fn server_report(report: &EngineReport) -> ServerReport {
+    let mut held = BTreeSet::new();
+    for model in &report.models {
+        held.insert(Weights::model(&model.name));
+        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
+    }
+    for pending in &report.pending_adapters {
+        held.insert(Weights { model: pending.model.clone(), adapter: pending.adapter.clone() });
+    }
+    ServerReport { count: report.orders, busy: report.busy, held }
+}
+
+fn log_order(
+    server: &str,
+    order: &ServerOrder,
+    result: &Result<OrderAnswer, CallError>,
+    token: u64,
+) {
+    let action = format!("{:?}", order.action);
+    let model = &*order.weights.model;
+    let adapter = order.weights.adapter.as_deref().unwrap_or("-");
+    match result {
+        Ok(answer) => {
+            let outcome = format!("{answer:?}");
+            info!("[leader] an order was answered", kv: { server, action, model, adapter, token, outcome });
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            warn!("[leader] an order is in doubt", kv: { step = "order", server, action, model, adapter, token, reason });
+        }
+    }
+}
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -1,7 +1,10 @@
 //! Control thread: the state of the fleet, and the tasks that keep it new.
 
+pub mod campaign;
+pub mod demand;
 pub mod fleet;
 pub mod heartbeat;
+pub mod leader;
 pub mod registration;
 pub mod watcher;
 
@@ -43,5 +46,6 @@
     heartbeat::start(&context, &fleet).await?;
     watcher::start(&context, &fleet);
     registration::start(&context, &fleet);
+    leader::start(&context, &fleet);
     Ok(fleet)
 }
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -182,11 +182,7 @@
     if written == 0 { SendError::NotSent(error) } else { SendError::Broken(error) }
 }
 
-async fn write_counting(
-    stream: &TcpStream,
-    bytes: &[u8],
-    written: &Cell<usize>,
-) -> io::Result<()> {
+async fn write_counting(stream: &TcpStream, bytes: &[u8], written: &Cell<usize>) -> io::Result<()> {
     while written.get() < bytes.len() {
         match stream.try_write(&bytes[written.get()..]) {
             Ok(count) => written.set(written.get() + count),
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -30,6 +30,7 @@
 use crate::dialect::{Dialect, RequestFacts};
 use crate::http::head::RequestHead;
 use crate::load::LoadBoard;
+use crate::pace::PaceTable;
 use crate::published::{Board, Phase};
 use crate::servers::{Server, ServerTable};
 use crate::settings::GatewaySettings;
@@ -55,6 +56,8 @@
     pub servers: RefCell<ServerTable>,
     started: Instant,
     budgets: RefCell<HashMap<String, FleetRetryBudget>>,
+    /// How fast each model reads prompts.
+    pub paces: RefCell<PaceTable>,
 }
 
 impl Traffic {
@@ -73,6 +76,7 @@
             servers: RefCell::default(),
             started: Instant::now(),
             budgets: RefCell::default(),
+            paces: RefCell::default(),
         }
     }
 
@@ -289,11 +293,8 @@
         if !server.takes_work() {
             return Sent::Unreachable;
         }
-        let mut guard = self.traffic.loads.sent(
-            &record.id,
-            self.facts.prompt_tokens,
-            self.facts.output_tokens,
-        );
+        let mut guard =
+            self.traffic.loads.sent(&record.id, self.facts.prompt_tokens, self.facts.output_tokens);
         let before = self.progress.replace(Progress::Sent);
         self.sends.set(self.sends.get() + 1);
         let received = match self.exchange(server, &record, lent, stream).await {
@@ -327,7 +328,7 @@
     fn note_not_run(&self, server: &Server, misdirected: bool) {
         let now = Instant::now();
         match (&self.facts.model, misdirected) {
-            (Some(model), true) => server.note_missing(&model.model, now),
+            (Some(model), true) => server.note_missing(model, now),
             (None, true) => server.note_replaced(),
             (_, false) => {}
         }
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -11,6 +11,7 @@
 use super::relay::StreamState;
 use super::{Forward, WAIT_POLL};
 use crate::load::server_key;
+use crate::published::PlacementView;
 use crate::servers::Server;
 
 impl Forward<'_> {
@@ -40,10 +41,11 @@
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
         let now = Instant::now();
+        let placement = self.traffic.board.placement.load();
         let able: Vec<&Rc<Server>> = table
             .of_service(service)
             .iter()
-            .filter(|server| server.takes_work() && self.is_able(server, now))
+            .filter(|server| server.takes_work() && self.is_able(server, &placement, now))
             .filter(|server| !tried.contains(&server.record().id))
             .collect();
         let reachable: Vec<&Rc<Server>> =
@@ -55,8 +57,8 @@
         Some(servers[index].clone())
     }
 
-    fn is_able(&self, server: &Server, now: Instant) -> bool {
-        self.facts.model.as_ref().is_none_or(|model| server.holds(&model.model, now))
+    fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
+        self.facts.model.as_ref().is_none_or(|model| server.holds(model, placement, now))
     }
 
     fn cost_model(&self) -> &'static CostModel {
@@ -93,19 +95,13 @@
             slots: record.slots,
             cache_tokens_in_use: load.tokens,
             same_zone: record.zone == self.traffic.settings.zone,
-            adapter_at_hand: self.has_adapter(&record),
+            adapter_at_hand: true,
             failure_share: server.failure_share(now),
             affinity: self.affinity(&record.id),
             kept_tokens: 0,
         }
     }
 
-    fn has_adapter(&self, record: &cometmoor_core::gateway::registry::ServerRecord) -> bool {
-        let Some(model) = &self.facts.model else { return true };
-        let Some(adapter) = &model.adapter else { return true };
-        record.held(&model.model).is_some_and(|held| held.adapters.contains(adapter))
-    }
-
     fn affinity(&self, server: &str) -> u64 {
         let mut hash = Xxh3::new();
         hash.update(server.as_bytes());
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -38,7 +38,9 @@
 pub async fn collect(received: &mut Received) -> io::Result<Collected> {
     let mut bytes = Vec::new();
     loop {
-        while let Some(piece) = received.decoder.next(&mut received.buffer).map_err(|_| invalid())? {
+        while let Some(piece) =
+            received.decoder.next(&mut received.buffer).map_err(|_| invalid())?
+        {
             bytes.extend_from_slice(&piece);
         }
         if received.decoder.is_done() {
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -9,11 +9,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::dialect::{ModelName, RequestFacts};
+use crate::dialect::RequestFacts;
 use crate::forward::{Finish, Forward, OwnAnswer, Traffic};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::{closed, prepare, read_some, write_all};
 use crate::http::head::{HeadError, RequestHead, take_request};
+use crate::load::model_key;
 use crate::published::{Phase, Published};
 
 /// Pause after the listener failed.
@@ -136,7 +137,10 @@
         {
             return Err(Some(413));
         }
-        if head.headers.get("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
+        if head
+            .headers
+            .get("expect")
+            .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"))
         {
             let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
             write_all(&self.stream, interim).await.map_err(|_| None)?;
@@ -226,16 +230,21 @@
             answer(traffic, client, own, &facts.id, keep).await
         }
         Decision::Forward(route, service) => {
-            record_demand(traffic, facts.model.as_ref(), &facts);
+            record_demand(traffic, &facts);
             let forward = Forward::new(traffic, client, head, body, facts, route, received);
             forward.serve(&service).await
         }
     }
 }
 
-fn record_demand(traffic: &Traffic, model: Option<&ModelName>, facts: &RequestFacts) {
-    if let Some(model) = model {
-        traffic.loads.record_demand(&model.model, facts.prompt_tokens);
+/// Notes what was asked for, for the placement of models.
+fn record_demand(traffic: &Traffic, facts: &RequestFacts) {
+    let Some(model) = &facts.model else { return };
+    let now = Instant::now();
+    let work = traffic.paces.borrow().work(&model.model, facts.prompt_tokens);
+    traffic.loads.record_demand(model_key(&model.model, None), work, now);
+    if let Some(adapter) = &model.adapter {
+        traffic.loads.record_demand(model_key(&model.model, Some(adapter)), work, now);
     }
 }
 
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -8,10 +8,10 @@
 use cometmoor_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::load::{ModelDemand, ServerKey, ServerLoad};
+use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the heartbeat's format.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 /// Silence after which a node is not offered to clients any more.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1100);
 /// Silence after which a node is forgotten.
@@ -32,6 +32,18 @@
     Leaving,
 }
 
+/// What the node that orders the servers has done lately; the registry tells
+/// it later.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Fencing token of the node's term.
+    pub token: u64,
+    /// Adapters that servers have got.
+    pub added: Vec<(ServerKey, ModelKey)>,
+    /// Models and adapters that are about to be taken away.
+    pub withdrawn: Vec<(ServerKey, ModelKey)>,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -58,7 +70,9 @@
     /// Its load on the servers.
     pub loads: Vec<(ServerKey, ServerLoad)>,
     /// Work that it was asked of each model since its process began.
-    pub demand: Vec<(ServerKey, ModelDemand)>,
+    pub demand: Vec<(ModelKey, ModelDemand)>,
+    /// What the node that orders the servers tells of their models.
+    pub placement: Option<Placement>,
     /// Some other nodes' addresses.
     pub known: Vec<SocketAddrV4>,
 }
@@ -160,6 +174,12 @@
         self.alive(now).map(|peer| peer.heartbeat.peer_address).take(MAX_KNOWN).collect()
     }
 
+    /// What the leading node tells, by the newest term.
+    pub fn placement(&self, now: Timestamp) -> Option<&Placement> {
+        let told = self.alive(now).filter_map(|peer| peer.heartbeat.placement.as_ref());
+        told.max_by_key(|placement| placement.token)
+    }
+
     /// Load of all other nodes by server.
     pub fn load(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
         let mut sum: HashMap<ServerKey, ServerLoad> = HashMap::new();
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod log;
 pub mod mirror;
 pub mod node;
+pub mod pace;
 pub mod peer;
 pub mod pool;
 pub mod published;
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,19 +37,39 @@
     (hash & u64::from(u32::MAX)) as u32
 }
 
-/// Work asked of a model since the process began.
+/// The key of a model, or of an adapter, in messages between nodes.
+pub type ModelKey = u32;
+
+/// The key of a model, or of an adapter of it.
+pub fn model_key(model: &str, adapter: Option<&str>) -> ModelKey {
+    match adapter {
+        Some(adapter) => server_key(&format!("{model}/{adapter}")),
+        None => server_key(model),
+    }
+}
+
+/// Work asked of a model or adapter since the process began.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ModelDemand {
     /// Requests.
     pub requests: u64,
-    /// Tokens of their prompts.
-    pub prompt_tokens: u64,
+    /// Time that a server takes to read their prompts, in microseconds.
+    pub work_micros: u64,
+}
+
+/// How long a change of demand is told to other nodes.
+const DEMAND_TOLD_FOR: Duration = Duration::from_millis(1200);
+
+#[derive(Clone, Copy, Debug)]
+struct NotedDemand {
+    demand: ModelDemand,
+    changed: Instant,
 }
 
 #[derive(Debug, Default)]
 struct Board {
     servers: HashMap<Arc<str>, ServerLoad>,
-    models: HashMap<String, ModelDemand>,
+    models: HashMap<ModelKey, NotedDemand>,
     in_progress: usize,
 }
 
@@ -73,21 +94,24 @@
         self.lock().servers.iter().map(|(id, load)| (server_key(id), *load)).collect()
     }
 
-    /// Work asked of each model, as far as this node was asked.
-    pub fn demand(&self) -> HashMap<String, ModelDemand> {
-        self.lock().models.clone()
+    /// Work asked of models and adapters, where it changed lately.
+    pub fn recent_demand(&self, now: Instant) -> Vec<(ModelKey, ModelDemand)> {
+        let board = self.lock();
+        let recent = board
+            .models
+            .iter()
+            .filter(|(_, noted)| now.saturating_duration_since(noted.changed) < DEMAND_TOLD_FOR);
+        recent.map(|(key, noted)| (*key, noted.demand)).collect()
     }
 
-    /// Notes that a model was asked for.
-    pub fn record_demand(&self, model: &str, prompt_tokens: u64) {
+    /// Notes that a model or adapter was asked for.
+    pub fn record_demand(&self, key: ModelKey, work: Duration, now: Instant) {
+        let fresh = NotedDemand { demand: ModelDemand::default(), changed: now };
         let mut board = self.lock();
-        if !board.models.contains_key(model) {
-            board.models.insert(model.to_owned(), ModelDemand::default());
-        }
-        if let Some(demand) = board.models.get_mut(model) {
-            demand.requests += 1;
-            demand.prompt_tokens += prompt_tokens;
-        }
+        let noted = board.models.entry(key).or_insert(fresh);
+        noted.changed = now;
+        noted.demand.requests += 1;
+        noted.demand.work_micros += u64::try_from(work.as_micros()).unwrap_or(0);
     }
 
     /// Requests of clients that this node works on.
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -144,8 +144,7 @@
         store: Store::new(dialect.clone(), settings.store_address),
         incarnation: new_incarnation(),
     });
-    let failed =
-        |source| StartError::Listen { address: settings.peer_address, source };
+    let failed = |source| StartError::Listen { address: settings.peer_address, source };
     let fleet = start_control(context.clone(), Vec::new()).await.map_err(failed)?;
     spawn_small(settings.ready_address, ready_answer(board, dialect))?;
     spawn_small(settings.directory_address, directory_answer(settings, board, dialect))?;
@@ -226,7 +225,7 @@
 }
 
 /// Waits for the signal to stop; a hang-up reads the settings again.
-async fn wait_for_stop(file: &PathBuf, settings: &GatewaySettings) -> Result<(), StartError> {
+async fn wait_for_stop(file: &Path, settings: &GatewaySettings) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(StartError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
@@ -239,7 +238,7 @@
     }
 }
 
-fn reload(file: &PathBuf, settings: &GatewaySettings) {
+fn reload(file: &Path, settings: &GatewaySettings) {
     match GatewaySettings::read(file) {
         Ok(read) if read == *settings => info!("[node] settings read again; nothing changed"),
         Ok(_) => info!("[node] settings changed; they take effect at the next start"),
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -1,14 +1,15 @@
 //! What the control thread publishes to the others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
 use cometmoor_core::gateway::registry::ServerRecord;
 
-use crate::load::{ServerKey, ServerLoad};
+use crate::load::{ModelKey, ServerKey, ServerLoad};
 
 /// Whether the node takes part.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,10 +49,23 @@
     pub servers: Vec<Arc<ServerRecord>>,
     /// Nodes that take requests, this one included.
     pub nodes: Vec<ClientNode>,
+    /// When the leading node was last heard.
+    pub leader_heard: Option<Instant>,
     /// Most nodes that were seen lately, for shares of a common budget.
     pub nodes_seen: usize,
 }
 
+/// What the leading node told of the servers' models, ahead of the registry.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementView {
+    /// Fencing token of the term that it is from.
+    pub token: u64,
+    /// Adapters that servers have got.
+    pub added: HashSet<(ServerKey, ModelKey)>,
+    /// Models and adapters that are about to be taken away.
+    pub withdrawn: HashSet<(ServerKey, ModelKey)>,
+}
+
 /// The newest state of the fleet, and the load that other nodes put on it.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -59,4 +73,6 @@
     pub fleet: ArcSwap<Published>,
     /// Load of the other nodes by server.
     pub remote_load: ArcSwap<HashMap<ServerKey, ServerLoad>>,
+    /// What the leading node told.
+    pub placement: ArcSwap<PlacementView>,
 }
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -9,8 +9,10 @@
 
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 
+use crate::dialect::ModelName;
+use crate::load::{ModelKey, ServerKey, model_key, server_key};
 use crate::pool::Pool;
-use crate::published::Published;
+use crate::published::{PlacementView, Published};
 
 /// First pause after a server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -33,7 +35,7 @@
     pauses: Cell<u32>,
     failure_share: Cell<f64>,
     failure_noted: Cell<Instant>,
-    missing: RefCell<HashMap<String, Instant>>,
+    missing: RefCell<HashMap<ModelKey, Instant>>,
 }
 
 impl Server {
@@ -106,15 +108,37 @@
         self.pool.close_all();
     }
 
-    /// Notes that the server said it does not hold the model.
-    pub fn note_missing(&self, model: &str, now: Instant) {
-        self.missing.borrow_mut().insert(model.to_owned(), now + MISSING_FOR);
+    /// Notes that the server said it does not hold the model or adapter.
+    pub fn note_missing(&self, model: &ModelName, now: Instant) {
+        let key = model_key(&model.model, model.adapter.as_deref());
+        self.missing.borrow_mut().insert(key, now + MISSING_FOR);
     }
 
-    /// Whether it holds the model, as far as is known.
-    pub fn holds(&self, model: &str, now: Instant) -> bool {
-        let said_missing = self.missing.borrow().get(model).is_some_and(|until| now < *until);
-        !said_missing && self.record.borrow().held(model).is_some()
+    /// Whether it holds the model, and the adapter where one is named, as far
+    /// as is known.
+    pub fn holds(&self, model: &ModelName, placement: &PlacementView, now: Instant) -> bool {
+        let record = self.record.borrow();
+        let Some(held) = record.held(&model.model) else { return false };
+        let server = server_key(&record.id);
+        let base = model_key(&model.model, None);
+        let Some(adapter) = &model.adapter else {
+            return self.has(server, base, placement, now);
+        };
+        let key = model_key(&model.model, Some(adapter));
+        let at_hand = held.adapters.contains(adapter) || placement.added.contains(&(server, key));
+        let base_withdrawn = placement.withdrawn.contains(&(server, base));
+        at_hand && !base_withdrawn && self.has(server, key, placement, now)
+    }
+
+    fn has(
+        &self,
+        server: ServerKey,
+        key: ModelKey,
+        placement: &PlacementView,
+        now: Instant,
+    ) -> bool {
+        let said_missing = self.missing.borrow().get(&key).is_some_and(|until| now < *until);
+        !said_missing && !placement.withdrawn.contains(&(server, key))
     }
 }
 
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -89,9 +89,8 @@
 impl GatewaySettings {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<GatewaySettings, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            SettingsError::Unreadable(format!("{}: {error}", path.display()))
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Unreadable(format!("{}: {error}", path.display())))?;
         GatewaySettings::parse(&text)
     }
 
