--- a/crates/cometmoor-core/src/gateway/admission.rs
+++ b/crates/cometmoor-core/src/gateway/admission.rs
@@ -25,3 +25,24 @@
 pub fn come_back_in(ready_in: Duration, time_left: Duration) -> Duration {
     ready_in.min(time_left / COME_BACK_PART)
 }
+
+/// Time that a server takes for a token of an answer, when it is busy.
+const PER_OUTPUT_TOKEN: Duration = Duration::from_millis(16);
+/// Time for the rest of an answer.
+const FIXED_PART: Duration = Duration::from_millis(600);
+/// Time from the begin of a planned stop within which requests are taken that
+/// may not be finished.
+const STOP_ACCEPTS: Duration = Duration::from_millis(2500);
+
+/// Whether a node that is about to stop takes a request: it must be able to
+/// finish it, unless clients cannot yet know that it is leaving.
+pub fn finishes_before_stop(
+    since_begin: Duration,
+    until_end: Duration,
+    time_left: Duration,
+    output_tokens: u64,
+) -> bool {
+    let tokens = u32::try_from(output_tokens).unwrap_or(u32::MAX);
+    let estimate = PER_OUTPUT_TOKEN.saturating_mul(tokens).saturating_add(FIXED_PART);
+    since_begin < STOP_ACCEPTS || estimate.min(time_left) < until_end
+}
--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -18,7 +18,7 @@
 use crate::gossip::{Heartbeat, PeerChange, PeerPhase, Peers, Placement};
 use crate::mirror::{Mirror, MirroredItem};
 use crate::peer::{Subject, fetch_mirror};
-use crate::published::{ClientNode, Phase, PlacementView, Published};
+use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
@@ -48,6 +48,7 @@
     demand: FleetDemandMeter,
     placement: Option<Placement>,
     leader_heard: Option<Instant>,
+    stop: Option<StopTimes>,
     sequence: u64,
     generation: u64,
 }
@@ -72,6 +73,7 @@
             demand: FleetDemandMeter::default(),
             placement: None,
             leader_heard: None,
+            stop: None,
             sequence: 0,
             generation: 0,
         }
@@ -174,6 +176,7 @@
             servers: self.servers.values().map(|(_, record)| record.clone()).collect(),
             nodes: self.client_nodes(now),
             leader_heard: self.leader_heard,
+            stop: self.stop,
             nodes_seen: self.peers.sharing(now) + 1,
         };
         self.context.board.fleet.store(Arc::new(published));
@@ -455,16 +458,31 @@
     }
 }
 
-/// Changes what the node says of itself.
+/// Begins the planned stop: the node says that it is leaving.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct SetPhase(pub Phase);
+pub struct BeginStop(pub StopTimes);
 
-impl Handler<SetPhase> for FleetState {
+impl Handler<BeginStop> for FleetState {
     type Result = ();
 
-    fn handle(&mut self, set: SetPhase, _: &mut Context<FleetState>) {
-        self.phase = set.0;
+    fn handle(&mut self, begin: BeginStop, _: &mut Context<FleetState>) {
+        self.phase = Phase::Draining;
+        self.stop = Some(begin.0);
+        self.publish();
+    }
+}
+
+/// Ends the taking of requests.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CloseToClients;
+
+impl Handler<CloseToClients> for FleetState {
+    type Result = ();
+
+    fn handle(&mut self, _: CloseToClients, _: &mut Context<FleetState>) {
+        self.phase = Phase::Closing;
         self.publish();
     }
 }
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -26,10 +26,10 @@
 use self::exchange::{Received, SendError};
 pub use self::outcome::{Finish, OwnAnswer};
 use self::outcome::{Progress, Step};
-use self::relay::{RelayError, StreamState};
+use self::relay::{FirstEvent, RelayError, StreamState};
 use crate::dialect::{Dialect, RequestFacts};
 use crate::http::head::RequestHead;
-use crate::load::LoadBoard;
+use crate::load::{LoadBoard, server_key};
 use crate::pace::PaceTable;
 use crate::published::{Board, Phase};
 use crate::servers::{Server, ServerTable};
@@ -39,6 +39,8 @@
 const MAX_UNREACHABLE: usize = 4;
 /// When a refused client should come back.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// Running requests beside which a prompt is read at about full speed.
+const FEW_RUNNING: u32 = 6;
 /// Pause between two looks for a server that can take a waiting request.
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
@@ -102,6 +104,14 @@
         act(budget)
     }
 
+    /// Whether a prompt would wait for no other one at the server.
+    fn is_idle(&self, server: &str) -> bool {
+        let remote = self.board.remote_load.load();
+        let load = self.loads.of(server);
+        let load = load.plus(remote.get(&server_key(server)).copied().unwrap_or_default());
+        load.pending_prompt_tokens == 0 && load.in_flight < FEW_RUNNING
+    }
+
     /// Takes a repeated send out of the fleet's budget.
     fn may_repeat(&self, service: &str) -> bool {
         let nodes = self.board.fleet.load().nodes_seen;
@@ -293,6 +303,7 @@
         if !server.takes_work() {
             return Sent::Unreachable;
         }
+        let sent_at = self.traffic.is_idle(&record.id).then(Instant::now);
         let mut guard =
             self.traffic.loads.sent(&record.id, self.facts.prompt_tokens, self.facts.output_tokens);
         let before = self.progress.replace(Progress::Sent);
@@ -319,7 +330,8 @@
         }
         let success = (200..300).contains(&received.head.status);
         if self.route.repeat.is_stream() && success {
-            return self.relay_stream(server, received, stream, &mut guard).await;
+            let mut meter = FirstEvent { guard: &mut guard, sent_at };
+            return self.relay_stream(server, received, stream, &mut meter).await;
         }
         guard.first_event();
         self.relay_answer(server, received, stream).await
@@ -339,9 +351,9 @@
         server: &Rc<Server>,
         received: Received,
         stream: &mut StreamState,
-        guard: &mut crate::load::Sent,
+        meter: &mut FirstEvent<'_>,
     ) -> Sent {
-        match relay::stream(self, received, stream, guard, &server.pool).await {
+        match relay::stream(self, received, stream, meter, &server.pool).await {
             Ok(finish) => {
                 server.note_success(Instant::now());
                 self.log_answered(&server.record().id, 200);
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -1,6 +1,7 @@
 //! Bodies on their way from a server to a client.
 
 use std::io;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 
@@ -129,12 +130,30 @@
     passed: Option<(Passed, bool)>,
 }
 
+/// Notes the first event of a stream.
+pub struct FirstEvent<'a> {
+    /// The request at the server.
+    pub guard: &'a mut Sent,
+    /// When it was sent, if its prompt waited for no other one.
+    pub sent_at: Option<Instant>,
+}
+
+impl FirstEvent<'_> {
+    fn note(&mut self, forward: &Forward<'_>) {
+        self.guard.first_event();
+        let Some(sent_at) = self.sent_at.take() else { return };
+        let Some(model) = &forward.facts.model else { return };
+        let mut paces = forward.traffic.paces.borrow_mut();
+        paces.record(&model.model, forward.facts.prompt_tokens, sent_at.elapsed());
+    }
+}
+
 /// Passes a stream on, whole events only.
 pub async fn stream(
     forward: &Forward<'_>,
     mut received: Received,
     state: &mut StreamState,
-    guard: &mut Sent,
+    meter: &mut FirstEvent<'_>,
     pool: &Pool,
 ) -> Result<Finish, RelayError> {
     let mut pending = BytesMut::new();
@@ -146,7 +165,7 @@
         let done = received.decoder.is_done();
         let events = take_events(&mut pending, done);
         if !events.is_empty() {
-            guard.first_event();
+            meter.note(forward);
             push_events(forward, &received, state, &events, &mut out);
         }
         if done {
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -1,10 +1,12 @@
 //! Clients' connections.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use cometmoor_core::gateway::configuration::ClientLimits;
+use cometmoor_core::gateway::admission::finishes_before_stop;
+use cometmoor_core::gateway::configuration::{ClientLimits, Route};
 use spdlog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -23,6 +25,8 @@
 const MAX_READ_AHEAD: usize = 64 << 10;
 /// When a client should come back where the node does not serve it.
 const COME_BACK: Duration = Duration::from_millis(500);
+/// When a client should come back to another node.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Time for which what a rejected client still sends is read and dropped.
 const LINGER: Duration = Duration::from_millis(500);
 /// Bytes of a rejected client that are read and dropped.
@@ -203,7 +207,7 @@
 /// What to do with a request.
 enum Decision {
     Answer(OwnAnswer),
-    Forward(std::sync::Arc<cometmoor_core::gateway::configuration::Route>, String),
+    Forward(Arc<Route>, String),
 }
 
 async fn serve_request(
@@ -218,7 +222,7 @@
     };
     let fleet = traffic.board.fleet.load_full();
     let keep = head.keeps_connection() && fleet.phase == Phase::Ready;
-    match decide(&fleet, head) {
+    match decide(&fleet, head, &facts) {
         Decision::Answer(own) => {
             let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
             warn!("[frontend] answered without a server", kv: {
@@ -248,7 +252,7 @@
     }
 }
 
-fn decide(fleet: &Published, head: &RequestHead) -> Decision {
+fn decide(fleet: &Published, head: &RequestHead, facts: &RequestFacts) -> Decision {
     let refusal = Decision::Answer(OwnAnswer::not_run(COME_BACK));
     let Some(configuration) = &fleet.configuration else { return refusal };
     if fleet.phase == Phase::Closing {
@@ -259,12 +263,27 @@
         let unknown = fleet.configuration_is_current;
         return if unknown { Decision::Answer(OwnAnswer::no_route()) } else { refusal };
     };
+    if !finishes_in_time(fleet, route, facts) {
+        return Decision::Answer(OwnAnswer::not_run(COME_BACK_ELSEWHERE));
+    }
     match route.target(rand::random()) {
         Some(service) => Decision::Forward(route.clone(), service.to_owned()),
         None => refusal,
     }
 }
 
+/// Whether the request will be finished before a planned stop ends.
+fn finishes_in_time(fleet: &Published, route: &Route, facts: &RequestFacts) -> bool {
+    let Some(stop) = fleet.stop else { return true };
+    let now = Instant::now();
+    finishes_before_stop(
+        now.saturating_duration_since(stop.began),
+        stop.ends.saturating_duration_since(now),
+        route.timeout.min(facts.deadline.unwrap_or(route.timeout)),
+        facts.output_tokens,
+    )
+}
+
 async fn answer(
     traffic: &Traffic,
     client: &TcpStream,
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::control::fleet::{FleetState, GetCopy, SetPhase};
+use crate::control::fleet::{BeginStop, CloseToClients, FleetState, GetCopy};
 use crate::control::{ControlContext, start as start_control};
 use crate::dialect::Dialect;
 use crate::directory::addresses;
@@ -21,7 +21,7 @@
 use crate::http::head::RequestHead;
 use crate::load::LoadBoard;
 use crate::peer::Subject;
-use crate::published::{Board, Phase};
+use crate::published::{Board, Phase, StopTimes};
 use crate::ready::{SmallAnswer, serve as serve_small};
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::store::Store;
@@ -32,6 +32,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// How many lives of an answer some clients keep it.
 const DIRECTORY_LIVES: u32 = 3;
+/// Time that a client may take to come after it was told an address.
+const DIRECTORY_SLACK: Duration = Duration::from_millis(500);
 /// Time kept free before the process would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Part of the grace after which no new requests are taken.
@@ -254,14 +256,13 @@
 async fn drain(settings: &GatewaySettings, fleet: &Addr<FleetState>, loads: &LoadBoard) {
     let started = Instant::now();
     info!("[node] leaving; clients are sent elsewhere", kv: { in_progress = loads.in_progress() as u64 });
-    let _ = fleet.send(SetPhase(Phase::Draining)).await;
     let grace = settings.grace();
-    let answers_kept = settings.directory_lifetime() * DIRECTORY_LIVES;
-    let last_request = answers_kept.min(grace.mul_f64(LAST_REQUEST_PART));
-    tokio::time::sleep(last_request).await;
-    let _ = fleet.send(SetPhase(Phase::Closing)).await;
-    let end = started + grace.saturating_sub(KILL_MARGIN);
-    while loads.in_progress() > 0 && Instant::now() < end {
+    let ends = started + grace.saturating_sub(KILL_MARGIN);
+    let _ = fleet.send(BeginStop(StopTimes { began: started, ends })).await;
+    let answers_kept = settings.directory_lifetime() * DIRECTORY_LIVES + DIRECTORY_SLACK;
+    tokio::time::sleep(answers_kept.min(grace.mul_f64(LAST_REQUEST_PART))).await;
+    let _ = fleet.send(CloseToClients).await;
+    while loads.in_progress() > 0 && Instant::now() < ends {
         tokio::time::sleep(DRAIN_POLL).await;
     }
     info!("[node] stopped", kv: { cut_off = loads.in_progress() as u64, age_millis = started.elapsed().as_millis() as u64 });
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -25,6 +25,15 @@
     Closing,
 }
 
+/// When a planned stop began, and when the process ends at the latest.
+#[derive(Clone, Copy, Debug)]
+pub struct StopTimes {
+    /// When it began.
+    pub began: Instant,
+    /// When what is left is cut off.
+    pub ends: Instant,
+}
+
 /// A node that clients may use.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientNode {
@@ -51,6 +60,8 @@
     pub nodes: Vec<ClientNode>,
     /// When the leading node was last heard.
     pub leader_heard: Option<Instant>,
+    /// Set while the node is about to stop.
+    pub stop: Option<StopTimes>,
     /// Most nodes that were seen lately, for shares of a common budget.
     pub nodes_seen: usize,
 }
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -83,7 +83,7 @@
 }
 
 fn default_directory_lifetime() -> u64 {
-    2000
+    1000
 }
 
 impl GatewaySettings {
