Requests are sent by the expected time of their first event, or refused

The queue of a server was counted in tokens, though models differ threefold. Change: load is counted in time of reading, with a pace learned for each model; a request is sent where its first event comes first, and refused with a time to come back where that is past its objective. The leader asks servers for reports during its quiet time and reckons the load rate from the moment of the lease. Ruled out: lack of servers as a whole (prompts fill 38% of their time).

--- a/crates/cometmoor-core/src/gateway/admission.rs
+++ b/crates/cometmoor-core/src/gateway/admission.rs
@@ -20,6 +20,20 @@
     wait.min(time_left / 2)
 }
 
+/// Whether a request is worth sending to a server that would give the first
+/// byte after `expected`: not where it would come too late. What waits longer
+/// than its objective holds up others that could still be in time.
+pub fn is_worth_sending(expected: Duration, objective: Duration, time_left: Duration) -> bool {
+    expected <= objective.min(time_left)
+}
+
+/// When a client should come back whose request would have waited `expected`:
+/// when enough of the queue is gone for it to be in time.
+pub fn come_back_after_queue(expected: Duration, objective: Duration) -> Duration {
+    let excess = expected.saturating_sub(objective / 2);
+    excess.clamp(Duration::from_millis(100), Duration::from_secs(2))
+}
+
 /// When a refused client should come back: at `ready_in`, but not later than
 /// it would still come.
 pub fn come_back_in(ready_in: Duration, time_left: Duration) -> Duration {
--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -52,9 +52,7 @@
 }
 
 /// Share of a server that one copy of a model should be kept busy at most.
-const BUSY_PART: f64 = 0.45;
-/// Share below which a copy beyond the first is not worth its place.
-const IDLE_PART: f64 = 0.20;
+const BUSY_PART: f64 = 0.3;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
@@ -217,7 +215,7 @@
     /// Whether a model keeps enough copies without one of them.
     fn is_spare(&self, model: &str) -> bool {
         let copies = self.copies_of(model);
-        let needed = wanted_copies(self.work(model), self.servers.len(), IDLE_PART.max(BUSY_PART));
+        let needed = wanted_copies(self.work(model), self.servers.len(), BUSY_PART);
         copies > needed.max(1)
     }
 
--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -11,8 +11,9 @@
 pub struct Candidate {
     /// Requests at the server, from all nodes.
     pub in_flight: u32,
-    /// Prompt tokens, from all nodes, whose first event has not come.
-    pub pending_prompt_tokens: u64,
+    /// Time that it takes to read the prompts, from all nodes, whose first event
+    /// has not come, in milliseconds.
+    pub pending_millis: f64,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Tokens of running requests, from all nodes.
@@ -25,24 +26,23 @@
     pub failure_share: f64,
     /// Rendezvous hash of the server and the leading parts of the prompt.
     pub affinity: u64,
-    /// Prompt tokens that this node believes the server keeps.
-    pub kept_tokens: u64,
+    /// Time saved by parts of the prompt that the server is believed to keep, in
+    /// milliseconds.
+    pub kept_millis: f64,
 }
 
 /// What a node knows of the request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Tokens of the prompt, 0 for a plain request.
-    pub prompt_tokens: u64,
-    /// Tokens of the leading parts that other requests share.
-    pub shared_tokens: u64,
+    /// Time to read the prompt, in milliseconds; 0 for a plain request.
+    pub reading_millis: f64,
+    /// Part of it for the leading parts that other requests share.
+    pub shared_millis: f64,
 }
 
 /// Figures that costs are reckoned with, in milliseconds unless told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostModel {
-    /// Prompt tokens read in a millisecond.
-    pub prompt_tokens_per_millisecond: f64,
     /// Added by each request that runs.
     pub per_running: f64,
     /// Added by each request beyond the server's slots.
@@ -58,7 +58,6 @@
 impl CostModel {
     /// For model engines.
     pub const ENGINE: CostModel = CostModel {
-        prompt_tokens_per_millisecond: 19.0,
         per_running: 0.6,
         per_waiting: 30.0,
         other_zone: 3.0,
@@ -67,7 +66,6 @@
     };
     /// For plain services.
     pub const PLAIN: CostModel = CostModel {
-        prompt_tokens_per_millisecond: 1.0,
         per_running: 4.0,
         per_waiting: 20.0,
         other_zone: 5.0,
@@ -77,10 +75,9 @@
 
     /// Expected milliseconds until the first byte.
     pub fn cost(&self, candidate: &Candidate, demand: &Demand) -> f64 {
-        let unread = demand.prompt_tokens.saturating_sub(candidate.kept_tokens);
-        let prompt = (candidate.pending_prompt_tokens + unread) as f64;
+        let unread = (demand.reading_millis - candidate.kept_millis).max(0.0);
         let waiting = candidate.in_flight.saturating_sub(candidate.slots);
-        let mut cost = prompt / self.prompt_tokens_per_millisecond;
+        let mut cost = candidate.pending_millis + unread;
         cost += self.per_running * f64::from(candidate.in_flight);
         cost += self.per_waiting * f64::from(waiting);
         if !candidate.same_zone {
@@ -93,20 +90,30 @@
     }
 }
 
-/// Index of the candidate with the least cost. The one with the highest
-/// affinity counts the shared parts as kept; it wins a tie.
-pub fn select(candidates: &[Candidate], demand: &Demand, model: &CostModel) -> Option<usize> {
+/// The server that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Index among the candidates.
+    pub index: usize,
+    /// Expected milliseconds until the first byte.
+    pub cost: f64,
+}
+
+/// The candidate with the least cost. The one with the highest affinity counts
+/// the shared parts as kept; it wins a tie.
+pub fn select(candidates: &[Candidate], demand: &Demand, model: &CostModel) -> Option<Choice> {
     let favourite = (0..candidates.len()).max_by_key(|index| candidates[*index].affinity)?;
     let cost = |index: usize| {
         let mut candidate = candidates[index];
         if index == favourite {
-            candidate.kept_tokens = candidate.kept_tokens.max(demand.shared_tokens);
+            candidate.kept_millis = candidate.kept_millis.max(demand.shared_millis);
         }
         model.cost(&candidate, demand)
     };
-    (0..candidates.len()).min_by(|left, right| {
+    let index = (0..candidates.len()).min_by(|left, right| {
         cost(*left)
             .total_cmp(&cost(*right))
             .then(candidates[*right].affinity.cmp(&candidates[*left].affinity))
-    })
+    })?;
+    Some(Choice { index, cost: cost(index) })
 }
--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -97,6 +97,7 @@
 
 #[derive(Default)]
 struct LeaderState {
+    acquired: Timestamp,
     engines: HashMap<Arc<str>, Engine>,
     withdrawals: Vec<Withdrawal>,
     added: Vec<(Timestamp, Arc<str>, Weights)>,
@@ -123,6 +124,7 @@
     wake: Notify,
     led: Cell<bool>,
     no_predecessor: Cell<bool>,
+    first_of_fleet: Cell<bool>,
 }
 
 /// Starts the tasks of leadership and ordering.
@@ -138,6 +140,7 @@
         wake: Notify::new(),
         led: Cell::new(false),
         no_predecessor: Cell::new(context.settings.fresh_fleet),
+        first_of_fleet: Cell::new(false),
     });
     actix_rt::spawn(super::campaign::run(leader.clone(), lease, lease / RENEWAL_PART));
     actix_rt::spawn(leader.run());
@@ -160,8 +163,9 @@
     pub(super) fn acquired(&self, token: u64, lease_sent: Timestamp) {
         let now = self.now();
         let first = self.no_predecessor.replace(false);
+        self.first_of_fleet.set(first);
         self.leadership.borrow_mut().acquire(token, lease_sent, now, first);
-        *self.state.borrow_mut() = LeaderState::default();
+        *self.state.borrow_mut() = LeaderState { acquired: now, ..LeaderState::default() };
         info!("[leader] this node leads", kv: { token, at_once = first });
     }
 
@@ -201,11 +205,12 @@
         }
         self.led.set(true);
         self.tell_placement();
-        let Some(token) = self.leadership.borrow().token(self.now()) else { return };
         let fleet = self.context.board.fleet.load_full();
         let Some(configuration) = fleet.configuration.clone() else { return };
         self.take_servers(&configuration, &fleet.servers);
+        let token = self.leadership.borrow().token(self.now());
         self.continue_orders(token);
+        let Some(token) = token else { return };
         self.finish_withdrawals(token);
         for service in configuration.services.values() {
             if let Some(profile) = &service.engine {
@@ -261,7 +266,7 @@
     }
 
     /// Asks servers that have to be asked, and repeats orders in doubt.
-    fn continue_orders(self: &Rc<Leader>, token: u64) {
+    fn continue_orders(self: &Rc<Leader>, token: Option<u64>) {
         let now = self.now();
         let mut steps = Vec::new();
         for (id, engine) in &self.state.borrow().engines {
@@ -274,7 +279,9 @@
             match step {
                 NextStep::AskForReport if rested => self.spawn_report(id),
                 NextStep::Repeat { order, expected_count } if rested => {
-                    self.spawn_order(id, order, expected_count, token);
+                    if let Some(token) = token {
+                        self.spawn_order(id, order, expected_count, token);
+                    }
                 }
                 _ => {}
             }
@@ -341,10 +348,12 @@
         let now = self.now();
         let window = Duration::from_secs_f64(self.context.settings.bounds.load_window_seconds);
         let mut state = self.state.borrow_mut();
+        // What another node has ordered, it ordered before this one acquired.
+        let (acquired, first) = (state.acquired, self.first_of_fleet.get());
         let rate = state
             .load_rates
             .entry(service.to_owned())
-            .or_insert_with(|| LoadRate::new(profile.loads_per_second, window, now, false));
+            .or_insert_with(|| LoadRate::new(profile.loads_per_second, window, acquired, first));
         rate.left(now)
     }
 
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cometmoor_core::gateway::admission::{come_back_after_queue, come_back_in};
 use cometmoor_core::gateway::configuration::{Repeat, Route};
 use cometmoor_core::gateway::retry_budget::{FleetRetryBudget, RetryBounds};
 use cometmoor_core::time::Timestamp;
@@ -26,6 +27,7 @@
 use self::exchange::{Received, SendError};
 pub use self::outcome::{Finish, OwnAnswer};
 use self::outcome::{Progress, Step};
+use self::pick::Found;
 use self::relay::{FirstEvent, RelayError, StreamState};
 use crate::dialect::{Dialect, RequestFacts};
 use crate::http::head::RequestHead;
@@ -39,6 +41,9 @@
 const MAX_UNREACHABLE: usize = 4;
 /// When a refused client should come back.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// When a client should come back whose model no server holds; most of the
+/// time is cut to what the client would wait.
+const MODEL_COMES_IN: Duration = Duration::from_secs(3);
 /// Running requests beside which a prompt is read at about full speed.
 const FEW_RUNNING: u32 = 6;
 /// Pause between two looks for a server that can take a waiting request.
@@ -109,7 +114,7 @@
         let remote = self.board.remote_load.load();
         let load = self.loads.of(server);
         let load = load.plus(remote.get(&server_key(server)).copied().unwrap_or_default());
-        load.pending_prompt_tokens == 0 && load.in_flight < FEW_RUNNING
+        load.pending_micros == 0 && load.in_flight < FEW_RUNNING
     }
 
     /// Takes a repeated send out of the fleet's budget.
@@ -209,7 +214,7 @@
         let progress = self.progress.get();
         self.log_failure("out of time", progress.step(), "-", "the time is over");
         match progress {
-            Progress::Waiting => self.refuse(Step::Queue).await,
+            Progress::Waiting => self.refuse(Step::Queue, COME_BACK).await,
             Progress::Sent => self.answer(OwnAnswer::timeout()).await,
             Progress::Answering => Finish::Cut,
         }
@@ -223,8 +228,13 @@
         let mut stream = StreamState::default();
         let mut kept_error = None;
         loop {
-            let Some(server) = self.wait_for_server(service, &tried, &stream).await else {
-                return self.no_server(kept_error, &stream).await;
+            let server = match self.wait_for_server(service, &tried, &stream).await {
+                Found::Server(server) => server,
+                Found::TooBusy(expected) => {
+                    let after = come_back_after_queue(expected, self.route.objective);
+                    return self.no_server(kept_error, &stream, after).await;
+                }
+                Found::Nobody => return self.no_server(kept_error, &stream, MODEL_COMES_IN).await,
             };
             let record = server.record();
             tried.push(record.id.clone());
@@ -233,7 +243,7 @@
                 Sent::Unreachable => {
                     unreachable += 1;
                     if unreachable >= MAX_UNREACHABLE {
-                        return self.no_server(kept_error, &stream).await;
+                        return self.no_server(kept_error, &stream, COME_BACK).await;
                     }
                     continue;
                 }
@@ -242,7 +252,7 @@
                     let request = &*self.facts.id;
                     info!("[forward] the server did not run it", kv: { request, server = id, status, misdirected });
                     if !self.may_send_again(service) {
-                        return self.no_server(kept_error, &stream).await;
+                        return self.no_server(kept_error, &stream, COME_BACK).await;
                     }
                 }
                 Sent::Failed(error) => {
@@ -277,6 +287,7 @@
         &self,
         kept_error: Option<(Box<Received>, Vec<u8>)>,
         stream: &StreamState,
+        come_back: Duration,
     ) -> Finish {
         if stream.head_sent {
             return Finish::Cut;
@@ -285,7 +296,7 @@
             return self.pass_whole(*received, body).await;
         }
         match self.progress.get() {
-            Progress::Waiting => self.refuse(Step::Queue).await,
+            Progress::Waiting => self.refuse(Step::Queue, come_back).await,
             Progress::Sent | Progress::Answering => self.answer(OwnAnswer::bad_gateway()).await,
         }
     }
@@ -304,8 +315,9 @@
             return Sent::Unreachable;
         }
         let sent_at = self.traffic.is_idle(&record.id).then(Instant::now);
+        let tokens = self.facts.prompt_tokens + self.facts.output_tokens;
         let mut guard =
-            self.traffic.loads.sent(&record.id, self.facts.prompt_tokens, self.facts.output_tokens);
+            self.traffic.loads.sent(&record.id, self.reading(self.facts.prompt_tokens), tokens);
         let before = self.progress.replace(Progress::Sent);
         self.sends.set(self.sends.get() + 1);
         let received = match self.exchange(server, &record, lent, stream).await {
@@ -419,10 +431,9 @@
     }
 
     /// Tells the client that the request was not run and when to come back.
-    async fn refuse(&self, step: Step) -> Finish {
+    async fn refuse(&self, step: Step, come_back: Duration) -> Finish {
         self.log_failure("refused", step.name(), "-", "no server can take it now");
-        let after =
-            cometmoor_core::gateway::admission::come_back_in(COME_BACK, self.client_time_left());
+        let after = come_back_in(come_back, self.client_time_left());
         self.answer(OwnAnswer::not_run(after)).await
     }
 
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -2,9 +2,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use cometmoor_core::gateway::admission::longest_wait;
+use cometmoor_core::gateway::admission::{is_worth_sending, longest_wait};
 use cometmoor_core::gateway::selection::{Candidate, CostModel, Demand, select};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -14,6 +14,16 @@
 use crate::published::PlacementView;
 use crate::servers::Server;
 
+/// What was found for a request.
+pub(super) enum Found {
+    /// A server that is expected to answer in time.
+    Server(Rc<Server>),
+    /// Every server would answer too late; the best one after this time.
+    TooBusy(Duration),
+    /// No server can answer.
+    Nobody,
+}
+
 impl Forward<'_> {
     /// The server with the least expected time; waits a little for one.
     pub(super) async fn wait_for_server(
@@ -21,22 +31,21 @@
         service: &str,
         tried: &[Arc<str>],
         stream: &StreamState,
-    ) -> Option<Rc<Server>> {
+    ) -> Found {
         let until = Instant::now() + longest_wait(self.route.objective, self.time_left());
         loop {
-            if let Some(server) = self.pick(service, tried) {
-                return Some(server);
-            }
+            let found = self.pick(service, tried, stream);
             // Where a server has failed already, there is no use in waiting.
             let pointless = !tried.is_empty() && !stream.head_sent;
-            if pointless || Instant::now() >= until {
-                return None;
+            let done = matches!(found, Found::Server(_)) || pointless;
+            if done || Instant::now() >= until {
+                return found;
             }
             tokio::time::sleep(WAIT_POLL).await;
         }
     }
 
-    fn pick(&self, service: &str, tried: &[Arc<str>]) -> Option<Rc<Server>> {
+    fn pick(&self, service: &str, tried: &[Arc<str>], stream: &StreamState) -> Found {
         let fleet = self.traffic.board.fleet.load();
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
@@ -53,8 +62,15 @@
         let servers = if reachable.is_empty() { able } else { reachable };
         let candidates: Vec<Candidate> =
             servers.iter().map(|server| self.candidate(server, now)).collect();
-        let index = select(&candidates, &self.demand(), self.cost_model())?;
-        Some(servers[index].clone())
+        let Some(choice) = select(&candidates, &self.demand(), self.cost_model()) else {
+            return Found::Nobody;
+        };
+        let expected = Duration::from_secs_f64(choice.cost.max(0.0) / 1000.0);
+        let begun = stream.head_sent;
+        if begun || is_worth_sending(expected, self.route.objective, self.time_left()) {
+            return Found::Server(servers[choice.index].clone());
+        }
+        Found::TooBusy(expected)
     }
 
     fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
@@ -69,13 +85,19 @@
     }
 
     fn demand(&self) -> Demand {
-        let shared = self.shared_parts();
+        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
         Demand {
-            prompt_tokens: self.facts.prompt_tokens,
-            shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+            reading_millis: self.reading(self.facts.prompt_tokens).as_secs_f64() * 1000.0,
+            shared_millis: self.reading(shared).as_secs_f64() * 1000.0,
         }
     }
 
+    /// Time that a server takes to read so many tokens of the prompt.
+    pub(super) fn reading(&self, tokens: u64) -> Duration {
+        let Some(model) = &self.facts.model else { return Duration::ZERO };
+        self.traffic.paces.borrow().work(&model.model, tokens)
+    }
+
     /// The leading parts of the prompt, without the request's own one.
     fn shared_parts(&self) -> &[crate::dialect::PromptPart] {
         match self.facts.parts.split_last() {
@@ -91,14 +113,14 @@
         let load = own.plus(remote.get(&server_key(&record.id)).copied().unwrap_or_default());
         Candidate {
             in_flight: load.in_flight,
-            pending_prompt_tokens: load.pending_prompt_tokens,
+            pending_millis: load.pending_micros as f64 / 1000.0,
             slots: record.slots,
             cache_tokens_in_use: load.tokens,
             same_zone: record.zone == self.traffic.settings.zone,
             adapter_at_hand: true,
             failure_share: server.failure_share(now),
             affinity: self.affinity(&record.id),
-            kept_tokens: 0,
+            kept_millis: 0.0,
         }
     }
 
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -11,8 +11,9 @@
 pub struct ServerLoad {
     /// Requests sent and not finished.
     pub in_flight: u32,
-    /// Prompt tokens of those whose first event has not come.
-    pub pending_prompt_tokens: u64,
+    /// Time that the server takes to read the prompts of those whose first event
+    /// has not come, in microseconds.
+    pub pending_micros: u64,
     /// Tokens of all of them.
     pub tokens: u64,
 }
@@ -22,7 +23,7 @@
     pub fn plus(self, other: ServerLoad) -> ServerLoad {
         ServerLoad {
             in_flight: self.in_flight + other.in_flight,
-            pending_prompt_tokens: self.pending_prompt_tokens + other.pending_prompt_tokens,
+            pending_micros: self.pending_micros + other.pending_micros,
             tokens: self.tokens + other.tokens,
         }
     }
@@ -126,14 +127,14 @@
     }
 
     /// Notes a request at a server until the guard is dropped.
-    pub fn sent(&self, server: &Arc<str>, prompt_tokens: u64, output_tokens: u64) -> Sent {
-        let tokens = prompt_tokens + output_tokens;
+    pub fn sent(&self, server: &Arc<str>, reading: Duration, tokens: u64) -> Sent {
+        let pending = u64::try_from(reading.as_micros()).unwrap_or(0);
         let mut board = self.lock();
         let load = board.servers.entry(server.clone()).or_default();
         load.in_flight += 1;
-        load.pending_prompt_tokens += prompt_tokens;
+        load.pending_micros += pending;
         load.tokens += tokens;
-        Sent { board: self.clone(), server: server.clone(), pending: prompt_tokens, tokens }
+        Sent { board: self.clone(), server: server.clone(), pending, tokens }
     }
 }
 
@@ -166,7 +167,7 @@
             return;
         }
         if let Some(load) = self.board.lock().servers.get_mut(&self.server) {
-            load.pending_prompt_tokens -= pending;
+            load.pending_micros -= pending;
         }
     }
 }
@@ -176,7 +177,7 @@
         let mut board = self.board.lock();
         let Some(load) = board.servers.get_mut(&self.server) else { return };
         load.in_flight -= 1;
-        load.pending_prompt_tokens -= self.pending;
+        load.pending_micros -= self.pending;
         load.tokens -= self.tokens;
         if load.in_flight == 0 {
             board.servers.remove(&self.server);
