--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -52,16 +52,30 @@
 }
 
 /// Share of a server that one copy of a model should be kept busy at most.
-const BUSY_PART: f64 = 0.3;
+const BUSY_PART: f64 = 0.25;
+/// Part of the load of a copy that the copies of a victim may come to.
+const VICTIM_PART: f64 = 0.6;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
 const NO_WORK: f64 = 0.01;
+/// Work above which a model should not depend on one server.
+const NEEDS_SECOND: f64 = 0.05;
 
 /// Copies that a model should have.
-fn wanted_copies(work: f64, servers: usize, busy_part: f64) -> usize {
+fn wanted_copies(work: f64, servers: usize) -> usize {
     let most = ((servers as f64 * MOST_COPIES_PART).floor() as usize).max(1);
-    ((work / busy_part).ceil() as usize).clamp(1, most)
+    let least = if work > NEEDS_SECOND { 2 } else { 1 };
+    ((work / BUSY_PART).ceil() as usize).max(least).clamp(1, most)
+}
+
+/// Where weights may be loaded from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sources {
+    /// From a server's own memory or disk only.
+    Warm,
+    /// From the weight store too.
+    All,
 }
 
 struct Planner<'a> {
@@ -125,8 +139,13 @@
         let mut missing: Vec<&ModelProfile> =
             self.profile.models.iter().filter(|model| self.copies_of(&model.name) == 0).collect();
         missing.sort_by(|left, right| self.work(&right.name).total_cmp(&self.work(&left.name)));
-        for model in missing {
-            self.bring(model);
+        // A server that has some of the weights at hand brings those first.
+        for sources in [Sources::Warm, Sources::All] {
+            for model in &missing {
+                if self.copies_of(&model.name) == 0 {
+                    self.bring(model, sources, f64::INFINITY);
+                }
+            }
         }
     }
 
@@ -136,7 +155,7 @@
             .models
             .iter()
             .filter(|model| {
-                let wanted = wanted_copies(self.work(&model.name), self.servers.len(), BUSY_PART);
+                let wanted = wanted_copies(self.work(&model.name), self.servers.len());
                 self.copies_of(&model.name) < wanted
             })
             .map(|model| {
@@ -145,14 +164,14 @@
             })
             .collect();
         short.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (_, model) in short {
-            self.bring(model);
+        for (load, model) in short {
+            self.bring(model, Sources::All, load);
         }
     }
 
     /// Orders the load of a model where it is cheapest, or the unload that
-    /// makes room for it.
-    fn bring(&mut self, model: &'a ModelProfile) {
+    /// makes room for it. `load` is the work on each of its copies now.
+    fn bring(&mut self, model: &'a ModelProfile, sources: Sources, load: f64) {
         let weights = Weights::model(&model.name);
         let mut best: Option<(f64, usize, Option<String>)> = None;
         for (index, server) in self.servers.iter().enumerate() {
@@ -160,10 +179,11 @@
                 continue;
             }
             let from_store = is_from_store(server, &model.name);
-            if from_store && self.loads_left == 0 {
+            let barred = sources == Sources::Warm || self.loads_left == 0;
+            if from_store && barred {
                 continue;
             }
-            let Some(victim) = self.room(server, model) else { continue };
+            let Some(victim) = self.room(server, model, load) else { continue };
             let cost = self.cost(server, model, victim.as_deref());
             if best.as_ref().is_none_or(|(known, _, _)| cost < *known) {
                 best = Some((cost, index, victim));
@@ -173,12 +193,21 @@
         let server = &self.servers[index];
         let order = match victim {
             Some(victim) => {
+                // The load follows when the victim is gone.
+                if let Some(copies) = self.copies.get_mut(model.name.as_str()) {
+                    *copies += 1;
+                }
                 if let Some(copies) = self.copies.get_mut(victim.as_str()) {
                     *copies -= 1;
                 }
                 ServerOrder { action: Action::Unload, weights: Weights::model(&victim) }
             }
-            None => ServerOrder { action: Action::Load, weights },
+            None => {
+                if let Some(copies) = self.copies.get_mut(model.name.as_str()) {
+                    *copies += 1;
+                }
+                ServerOrder { action: Action::Load, weights }
+            }
         };
         self.push(server, order, &model.name);
     }
@@ -195,7 +224,12 @@
 
     /// Whether the model fits on the server: at once (no victim), or after the
     /// unload of a victim.
-    fn room(&self, server: &PlannedServer, model: &ModelProfile) -> Option<Option<String>> {
+    fn room(
+        &self,
+        server: &PlannedServer,
+        model: &ModelProfile,
+        load: f64,
+    ) -> Option<Option<String>> {
         let free = self.profile.weights_megabytes - self.megabytes(&server.reserved);
         if model.weights_megabytes + self.adapter_reserve() <= free {
             return Some(None);
@@ -205,18 +239,24 @@
             .iter()
             .filter(|weights| weights.adapter.is_none())
             .filter(|weights| !server.fresh.contains(&weights.model))
-            .filter(|weights| self.is_spare(&weights.model))
+            .filter(|weights| self.is_spare(&weights.model, load))
             .min_by(|left, right| {
-                self.work_per_copy(&left.model).total_cmp(&self.work_per_copy(&right.model))
+                self.work_without(&left.model).total_cmp(&self.work_without(&right.model))
             })?;
         Some(Some(victim.model.clone()))
     }
 
-    /// Whether a model keeps enough copies without one of them.
-    fn is_spare(&self, model: &str) -> bool {
+    /// Whether a model can do without one of its copies, for the sake of one
+    /// whose copies have to do `load` each.
+    fn is_spare(&self, model: &str, load: f64) -> bool {
         let copies = self.copies_of(model);
-        let needed = wanted_copies(self.work(model), self.servers.len(), BUSY_PART);
-        copies > needed.max(1)
+        let least = if self.work(model) > NEEDS_SECOND && load.is_finite() { 2 } else { 1 };
+        copies > least && self.work_without(model) <= VICTIM_PART * load
+    }
+
+    /// Work on each copy of a model if it had one less.
+    fn work_without(&self, model: &str) -> f64 {
+        self.work(model) / self.copies_of(model).saturating_sub(1).max(1) as f64
     }
 
     fn work_per_copy(&self, model: &str) -> f64 {
--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -23,7 +23,7 @@
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
 /// Age up to which a copy counts as confirmed by the store.
-const CONFIRMED_FOR: Duration = Duration::from_secs(7);
+const CONFIRMED_FOR: Duration = Duration::from_secs(13);
 /// Pause between two requests for a peer's copy.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
@@ -127,7 +127,7 @@
         for (key, item) in items {
             match dialect.parse_server(&key, &item.value) {
                 Ok(record) => {
-                    servers.insert(record.id.clone(), (item.revision, Arc::new(record)));
+                    servers.insert(record.id.clone(), (item.created, Arc::new(record)));
                 }
                 Err(reason) => {
                     let reason = reason.to_string();
@@ -135,13 +135,14 @@
                 }
             }
         }
+        drop_replaced(&mut servers);
         self.log_server_changes(&servers);
         self.servers = servers;
     }
 
     fn log_server_changes(&self, fresh: &HashMap<Arc<str>, (u64, Arc<ServerRecord>)>) {
-        for (id, (revision, record)) in fresh {
-            let revision = *revision;
+        for (id, (created, record)) in fresh {
+            let created = *created;
             let known = self.servers.get(id).map(|(_, known)| known.state);
             if known == Some(record.state) {
                 continue;
@@ -150,10 +151,10 @@
             let service = record.service.as_str();
             match record.state {
                 ServerState::Ready => {
-                    info!("[servers] a server is known", kv: { server = &**id, address, service, revision });
+                    info!("[servers] a server is known", kv: { server = &**id, address, service, created });
                 }
                 ServerState::Draining => {
-                    info!("[servers] a server is leaving", kv: { server = &**id, address, service, revision });
+                    info!("[servers] a server is leaving", kv: { server = &**id, address, service, created });
                 }
             }
         }
@@ -288,6 +289,17 @@
     }
 }
 
+/// Drops servers whose address a later one has: they have ended, though their
+/// entries have not run out yet.
+fn drop_replaced(servers: &mut HashMap<Arc<str>, (u64, Arc<ServerRecord>)>) {
+    let mut newest: HashMap<SocketAddrV4, u64> = HashMap::new();
+    for (created, record) in servers.values() {
+        let latest = newest.entry(record.address).or_default();
+        *latest = (*latest).max(*created);
+    }
+    servers.retain(|_, (created, record)| newest.get(&record.address) == Some(created));
+}
+
 impl Actor for FleetState {
     type Context = Context<FleetState>;
 
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -12,7 +12,11 @@
 use crate::store::StoreError;
 
 /// Time that a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after changes of the servers, so that those that come close together
+/// are told by one answer. It is a small part of the time within which a
+/// leaving server must get no new work.
+const GATHER: Duration = Duration::from_millis(350);
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
@@ -72,7 +76,11 @@
         let after = self.fleet.send(GetRevision(self.subject)).await.unwrap_or_default();
         match self.context.store.watch(self.prefix(), after, WATCH_WAIT).await? {
             Watched::Events { events, at } => {
+                let gathers = self.subject == Subject::Servers && !events.is_empty();
                 self.fleet.do_send(CopyChanged { subject: self.subject, events, at });
+                if gathers {
+                    tokio::time::sleep(GATHER).await;
+                }
                 Ok(false)
             }
             Watched::Forgotten => Ok(true),
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -108,6 +108,8 @@
     pub value: Vec<u8>,
     /// Revision of its last change.
     pub revision: u64,
+    /// Revision at which it was created.
+    pub created: u64,
 }
 
 /// A page of a range.
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -26,7 +26,7 @@
 
 use self::exchange::{Received, SendError};
 pub use self::outcome::{Finish, OwnAnswer};
-use self::outcome::{Progress, Step};
+use self::outcome::{Progress, Refusal};
 use self::pick::Found;
 use self::relay::{FirstEvent, RelayError, StreamState};
 use crate::dialect::{Dialect, RequestFacts};
@@ -145,6 +145,14 @@
     sends: Cell<u32>,
 }
 
+/// When a client should come back that was refused for this reason.
+fn come_back_for(refusal: Refusal) -> Duration {
+    match refusal {
+        Refusal::NoModel => MODEL_COMES_IN,
+        _ => COME_BACK,
+    }
+}
+
 /// What became of one send.
 enum Sent {
     /// The client has its answer, or what there is of it.
@@ -214,7 +222,7 @@
         let progress = self.progress.get();
         self.log_failure("out of time", progress.step(), "-", "the time is over");
         match progress {
-            Progress::Waiting => self.refuse(Step::Queue, COME_BACK).await,
+            Progress::Waiting => self.refuse(Refusal::OutOfTime, COME_BACK).await,
             Progress::Sent => self.answer(OwnAnswer::timeout()).await,
             Progress::Answering => Finish::Cut,
         }
@@ -232,9 +240,12 @@
                 Found::Server(server) => server,
                 Found::TooBusy(expected) => {
                     let after = come_back_after_queue(expected, self.route.objective);
-                    return self.no_server(kept_error, &stream, after).await;
+                    return self.no_server(kept_error, &stream, Refusal::TooBusy, after).await;
+                }
+                Found::Nobody(refusal) => {
+                    let after = come_back_for(refusal);
+                    return self.no_server(kept_error, &stream, refusal, after).await;
                 }
-                Found::Nobody => return self.no_server(kept_error, &stream, MODEL_COMES_IN).await,
             };
             let record = server.record();
             tried.push(record.id.clone());
@@ -243,7 +254,8 @@
                 Sent::Unreachable => {
                     unreachable += 1;
                     if unreachable >= MAX_UNREACHABLE {
-                        return self.no_server(kept_error, &stream, COME_BACK).await;
+                        let refusal = Refusal::NoServer;
+                        return self.no_server(kept_error, &stream, refusal, COME_BACK).await;
                     }
                     continue;
                 }
@@ -252,7 +264,8 @@
                     let request = &*self.facts.id;
                     info!("[forward] the server did not run it", kv: { request, server = id, status, misdirected });
                     if !self.may_send_again(service) {
-                        return self.no_server(kept_error, &stream, COME_BACK).await;
+                        let refusal = Refusal::ServerRefused;
+                        return self.no_server(kept_error, &stream, refusal, COME_BACK).await;
                     }
                 }
                 Sent::Failed(error) => {
@@ -287,6 +300,7 @@
         &self,
         kept_error: Option<(Box<Received>, Vec<u8>)>,
         stream: &StreamState,
+        refusal: Refusal,
         come_back: Duration,
     ) -> Finish {
         if stream.head_sent {
@@ -296,7 +310,7 @@
             return self.pass_whole(*received, body).await;
         }
         match self.progress.get() {
-            Progress::Waiting => self.refuse(Step::Queue, come_back).await,
+            Progress::Waiting => self.refuse(refusal, come_back).await,
             Progress::Sent | Progress::Answering => self.answer(OwnAnswer::bad_gateway()).await,
         }
     }
@@ -431,8 +445,8 @@
     }
 
     /// Tells the client that the request was not run and when to come back.
-    async fn refuse(&self, step: Step, come_back: Duration) -> Finish {
-        self.log_failure("refused", step.name(), "-", "no server can take it now");
+    async fn refuse(&self, refusal: Refusal, come_back: Duration) -> Finish {
+        self.log_failure("refused", "queue", "-", refusal.name());
         let after = come_back_in(come_back, self.client_time_left());
         self.answer(OwnAnswer::not_run(after)).await
     }
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -38,18 +38,33 @@
     }
 }
 
-/// Step at which a request was refused.
+/// Why a request was refused without having run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// It waited for a server.
-    Queue,
+pub enum Refusal {
+    /// No server holds its model.
+    NoModel,
+    /// Servers hold its model, but not the adapter.
+    NoAdapter,
+    /// The service has no server that takes work.
+    NoServer,
+    /// Every server would answer too late.
+    TooBusy,
+    /// A server said that it did not run it, and no other may be tried.
+    ServerRefused,
+    /// Its time was over before a server was found.
+    OutOfTime,
 }
 
-impl Step {
-    /// Name in log lines.
+impl Refusal {
+    /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Step::Queue => "queue",
+            Refusal::NoModel => "no server holds the model",
+            Refusal::NoAdapter => "no server holds the adapter",
+            Refusal::NoServer => "no server takes work",
+            Refusal::TooBusy => "every server would answer too late",
+            Refusal::ServerRefused => "the server refused it",
+            Refusal::OutOfTime => "the time was over",
         }
     }
 }
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -8,8 +8,10 @@
 use cometmoor_core::gateway::selection::{Candidate, CostModel, Demand, select};
 use xxhash_rust::xxh3::Xxh3;
 
+use super::outcome::Refusal;
 use super::relay::StreamState;
 use super::{Forward, WAIT_POLL};
+use crate::dialect::ModelName;
 use crate::load::server_key;
 use crate::published::PlacementView;
 use crate::servers::Server;
@@ -21,7 +23,7 @@
     /// Every server would answer too late; the best one after this time.
     TooBusy(Duration),
     /// No server can answer.
-    Nobody,
+    Nobody(Refusal),
 }
 
 impl Forward<'_> {
@@ -63,7 +65,7 @@
         let candidates: Vec<Candidate> =
             servers.iter().map(|server| self.candidate(server, now)).collect();
         let Some(choice) = select(&candidates, &self.demand(), self.cost_model()) else {
-            return Found::Nobody;
+            return Found::Nobody(self.why_nobody(table.of_service(service), &placement, now));
         };
         let expected = Duration::from_secs_f64(choice.cost.max(0.0) / 1000.0);
         let begun = stream.head_sent;
@@ -73,6 +75,23 @@
         Found::TooBusy(expected)
     }
 
+    fn why_nobody(
+        &self,
+        servers: &[Rc<Server>],
+        placement: &PlacementView,
+        now: Instant,
+    ) -> Refusal {
+        let Some(model) = &self.facts.model else { return Refusal::NoServer };
+        let base = ModelName { model: model.model.clone(), adapter: None };
+        let holds =
+            |server: &Rc<Server>| server.takes_work() && server.holds(&base, placement, now);
+        match servers.iter().any(holds) {
+            true if model.adapter.is_some() => Refusal::NoAdapter,
+            true => Refusal::ServerRefused,
+            false => Refusal::NoModel,
+        }
+    }
+
     fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
         self.facts.model.as_ref().is_none_or(|model| server.holds(model, placement, now))
     }
--- a/crates/cometmoor-gateway/src/mirror.rs
+++ b/crates/cometmoor-gateway/src/mirror.rs
@@ -11,10 +11,18 @@
 pub struct MirroredItem {
     /// Revision of its last change.
     pub revision: u64,
+    /// Revision at which it was created.
+    pub created: u64,
     /// Value.
     pub value: Vec<u8>,
 }
 
+impl From<Item> for MirroredItem {
+    fn from(item: Item) -> MirroredItem {
+        MirroredItem { revision: item.revision, created: item.created, value: item.value }
+    }
+}
+
 /// A copy of the items under a prefix, as of a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mirror {
@@ -27,10 +35,7 @@
 impl Mirror {
     /// A copy from a full read, which holds at least what was there at `at`.
     pub fn from_items(items: Vec<Item>, at: u64) -> Mirror {
-        let items = items
-            .into_iter()
-            .map(|item| (item.key, MirroredItem { revision: item.revision, value: item.value }))
-            .collect();
+        let items = items.into_iter().map(|item| (item.key.clone(), item.into())).collect();
         Mirror { at, items }
     }
 
@@ -61,8 +66,7 @@
                 if known.is_some_and(|known| known.revision >= item.revision) {
                     return false;
                 }
-                let mirrored = MirroredItem { revision: item.revision, value: item.value };
-                self.items.insert(item.key, mirrored);
+                self.items.insert(item.key.clone(), item.into());
                 true
             }
             WatchEvent::Gone { key, revision } => {
