--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -34,6 +34,8 @@
 /// What is asked for.
 #[derive(Clone, Debug, Default)]
 pub struct FleetDemand {
+    /// Whether it was watched for long enough to take copies away by it.
+    pub is_known: bool,
     /// Work asked of each model, in servers that it would keep busy.
     pub models: BTreeMap<String, f64>,
     /// Requests a second for each adapter.
@@ -106,7 +108,9 @@
     };
     planner.bring_missing_models();
     planner.bring_adapters();
-    planner.bring_more_copies();
+    if demand.is_known {
+        planner.bring_more_copies();
+    }
     planner.plan
 }
 
@@ -212,12 +216,15 @@
         self.push(server, order, &model.name);
     }
 
+    /// Notes an order that brings `model`, or makes room for it. Room is made
+    /// only where the load can follow, so both take a load off those left.
     fn push(&mut self, server: &PlannedServer, order: ServerOrder, model: &str) {
-        let loads_model = order.action == Action::Load && order.weights.adapter.is_none();
-        let from_store = loads_model && is_from_store(server, model);
-        if from_store {
-            self.loads_left -= 1;
+        let concerns_model = order.weights.adapter.is_none();
+        let needs_store = concerns_model && is_from_store(server, model);
+        if needs_store {
+            self.loads_left = self.loads_left.saturating_sub(1);
         }
+        let from_store = needs_store && order.action == Action::Load;
         self.used.insert(server.id.clone());
         self.plan.push(PlannedOrder { server: server.id.clone(), order, from_store });
     }
--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -5,6 +5,7 @@
 
 use super::leader::Leader;
 use crate::dialect::{Commit, Committed};
+use crate::peer::renew_through;
 use crate::published::Phase;
 
 /// Key of the leading node.
@@ -77,6 +78,20 @@
     }
 }
 
+/// Renews the lease at the store, or through a peer where the store turns this
+/// node away.
+async fn renew(leader: &Leader, lease_id: u64) -> Result<bool, ()> {
+    if let Ok(goes_on) = leader.context().store.renew_lease(lease_id).await {
+        return Ok(goes_on);
+    }
+    for peer in leader.peers().await {
+        if let Ok(goes_on) = renew_through(peer, lease_id).await {
+            return Ok(goes_on);
+        }
+    }
+    Err(())
+}
+
 /// Renews the lease until it is over or the node leaves.
 async fn keep(leader: &Leader, lease_id: u64, renewal: Duration) {
     let context = leader.context();
@@ -89,7 +104,7 @@
         }
         loop {
             let sent = leader.now();
-            match context.store.renew_lease(lease_id).await {
+            match renew(leader, lease_id).await {
                 Ok(true) => {
                     leader.renewed(sent);
                     break;
--- a/crates/cometmoor-gateway/src/control/demand.rs
+++ b/crates/cometmoor-gateway/src/control/demand.rs
@@ -25,12 +25,16 @@
     last: HashMap<(Source, ModelKey), ModelDemand>,
     work: DemandMeter<ModelKey>,
     requests: DemandMeter<ModelKey>,
+    first: Option<Timestamp>,
 }
 
 impl FleetDemandMeter {
     /// Takes a heartbeat's counters.
     pub fn receive(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
         let source = Source { node: heartbeat.peer_address, incarnation: heartbeat.incarnation };
+        if !heartbeat.demand.is_empty() {
+            self.first.get_or_insert(now);
+        }
         for (key, demand) in &heartbeat.demand {
             let last = self.last.insert((source, *key), *demand).unwrap_or_default();
             let requests = demand.requests.saturating_sub(last.requests);
@@ -40,6 +44,11 @@
         }
     }
 
+    /// When the first request was counted.
+    pub fn first(&self) -> Option<Timestamp> {
+        self.first
+    }
+
     /// Servers that the work on a model keeps busy.
     pub fn work(&self, key: ModelKey, now: Timestamp) -> f64 {
         self.work.rate(key, now)
--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -547,6 +547,8 @@
     pub meter: FleetDemandMeter,
     /// The time that its rates are asked for.
     pub now: Timestamp,
+    /// When the first request was counted.
+    pub first_demand: Option<Timestamp>,
 }
 
 /// Asks for the demand over the fleet.
@@ -558,6 +560,22 @@
     type Result = MessageResult<GetDemand>;
 
     fn handle(&mut self, _: GetDemand, _: &mut Context<FleetState>) -> Self::Result {
-        MessageResult(DemandView { meter: self.demand.clone(), now: self.now() })
+        let meter = self.demand.clone();
+        let first_demand = meter.first();
+        MessageResult(DemandView { meter, now: self.now(), first_demand })
+    }
+}
+
+/// Asks for the peer addresses of the nodes that were heard lately.
+#[derive(Message)]
+#[rtype(result = "Vec<SocketAddrV4>")]
+pub struct GetPeers;
+
+impl Handler<GetPeers> for FleetState {
+    type Result = MessageResult<GetPeers>;
+
+    fn handle(&mut self, _: GetPeers, _: &mut Context<FleetState>) -> Self::Result {
+        let alive = self.peers.alive(self.now());
+        MessageResult(alive.map(|peer| peer.heartbeat.peer_address).collect())
     }
 }
--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,7 +21,7 @@
 use tokio::sync::Notify;
 
 use super::ControlContext;
-use super::fleet::{FleetState, GetDemand, SetPlacement};
+use super::fleet::{FleetState, GetDemand, GetPeers, SetPlacement};
 use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
 use crate::gossip::Placement;
 use crate::http::client::{CallClient, CallError};
@@ -28,6 +29,8 @@
 
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which demand has to be watched before copies are taken away by it.
+const DEMAND_KNOWN: Duration = Duration::from_secs(3);
 /// Pause between two rounds of planning.
 const ROUND: Duration = Duration::from_millis(250);
 /// Pause between two questions to one server.
@@ -159,6 +162,11 @@
         self.leadership.borrow().leads(self.now())
     }
 
+    /// Nodes that were heard lately.
+    pub(super) async fn peers(&self) -> Vec<SocketAddrV4> {
+        self.fleet.send(GetPeers).await.unwrap_or_default()
+    }
+
     /// Notes that this node got the lease.
     pub(super) fn acquired(&self, token: u64, lease_sent: Timestamp) {
         let now = self.now();
@@ -319,10 +327,8 @@
     async fn plan_service(self: &Rc<Leader>, service: &str, profile: &EngineProfile, token: u64) {
         let Some(demand) = self.demand(profile).await else { return };
         let servers = self.planned_servers(service);
-        // Until every server has told what it holds, nothing is missing.
-        let all_known = servers.iter().all(|server| server.idle || !server.reserved.is_empty());
         let settled = self.state.borrow().is_settled(self.now());
-        if servers.is_empty() || !all_known || !settled {
+        if servers.is_empty() || !settled {
             return;
         }
         let loads_left = self.loads_left(service, profile);
@@ -360,7 +366,8 @@
     async fn demand(&self, profile: &EngineProfile) -> Option<FleetDemand> {
         let meter = self.fleet.send(GetDemand).await.ok()?;
         let now = meter.now;
-        let mut demand = FleetDemand::default();
+        let watched = meter.first_demand.is_some_and(|first| now.since(first) >= DEMAND_KNOWN);
+        let mut demand = FleetDemand { is_known: watched, ..FleetDemand::default() };
         for model in &profile.models {
             let key = model_key(&model.name, None);
             demand.models.insert(model.name.clone(), meter.meter.work(key, now));
@@ -387,11 +394,16 @@
             .map(|engine| {
                 let id = &engine.record.id;
                 let idle = matches!(engine.ledger.next_step(now), NextStep::Idle { .. });
+                let (held, reserved) = if engine.ledger.is_known() {
+                    (engine.ledger.held().clone(), engine.ledger.reserved())
+                } else {
+                    (registered_weights(&engine.record), registered_weights(&engine.record))
+                };
                 PlannedServer {
                     id: id.clone(),
                     idle: idle && !engine.calling && !withdrawing(id),
-                    held: engine.ledger.held().clone(),
-                    reserved: engine.ledger.reserved(),
+                    held,
+                    reserved,
                     in_host_memory: engine.in_host_memory.clone(),
                     on_disk: engine.on_disk.clone(),
                     fresh: fresh_models(engine, now),
@@ -544,6 +556,16 @@
     fresh.map(|(model, _)| model.clone()).collect()
 }
 
+/// What the registry tells that a server holds.
+fn registered_weights(record: &ServerRecord) -> BTreeSet<Weights> {
+    let mut held = BTreeSet::new();
+    for model in &record.models {
+        held.insert(Weights::model(&model.name));
+        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
+    }
+    held
+}
+
 fn server_report(report: &EngineReport) -> ServerReport {
     let mut held = BTreeSet::new();
     for model in &report.models {
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -20,7 +20,7 @@
 use crate::frontend;
 use crate::http::head::RequestHead;
 use crate::load::LoadBoard;
-use crate::peer::Subject;
+use crate::peer::{Subject, renewal_from_path};
 use crate::published::{Board, Phase, StopTimes};
 use crate::ready::{SmallAnswer, serve as serve_small};
 use crate::settings::{GatewaySettings, SettingsError};
@@ -40,8 +40,8 @@
 const LAST_REQUEST_PART: f64 = 0.8;
 /// Between two looks for connections that rested too long.
 const POOL_SWEEP: Duration = Duration::from_secs(1);
-/// Life of the file handed to clients that ask for copies.
-const POSTCARD: &str = "application/octet-stream";
+/// Type of the copies that peers get.
+const BINARY: &str = "application/octet-stream";
 
 /// Why a node could not start.
 #[derive(Debug)]
@@ -150,7 +150,7 @@
     let fleet = start_control(context.clone(), Vec::new()).await.map_err(failed)?;
     spawn_small(settings.ready_address, ready_answer(board, dialect))?;
     spawn_small(settings.directory_address, directory_answer(settings, board, dialect))?;
-    spawn_peer_server(settings.peer_address, &fleet)?;
+    spawn_peer_server(settings.peer_address, &fleet, &context)?;
     Ok(fleet)
 }
 
@@ -203,29 +203,49 @@
     })
 }
 
-/// Peers' requests need the actor's state, so each one gets a task.
-fn spawn_peer_server(address: SocketAddrV4, fleet: &Addr<FleetState>) -> Result<(), StartError> {
+/// Answers peers: with copies of the store's items, and by renewing leases for
+/// nodes that the store turns away.
+fn spawn_peer_server(
+    address: SocketAddrV4,
+    fleet: &Addr<FleetState>,
+    context: &Rc<ControlContext>,
+) -> Result<(), StartError> {
     let failed = |source| StartError::Listen { address, source };
     let listener = TcpListener::from_std(listen(address)?).map_err(failed)?;
-    let fleet = fleet.clone();
+    let (fleet, context) = (fleet.clone(), context.clone());
     actix_rt::spawn(crate::ready::serve_waiting(listener, move |head: RequestHead| {
-        let fleet = fleet.clone();
+        let (fleet, context) = (fleet.clone(), context.clone());
         async move {
-            let Some(subject) = Subject::from_path(head.path()) else {
-                return SmallAnswer::status(404);
-            };
-            match fleet.send(GetCopy(subject)).await {
-                Ok(mirror) if mirror.at > 0 => {
-                    let body = postcard::to_stdvec(&mirror).unwrap_or_default();
-                    SmallAnswer { status: 200, content_type: POSTCARD, body }
-                }
-                _ => SmallAnswer::status(503),
+            if let Some(lease) = renewal_from_path(head.path()) {
+                return renewal_answer(&context, lease).await;
+            }
+            match Subject::from_path(head.path()) {
+                Some(subject) => copy_answer(&fleet, subject).await,
+                None => SmallAnswer::status(404),
             }
         }
     }));
     Ok(())
 }
 
+async fn copy_answer(fleet: &Addr<FleetState>, subject: Subject) -> SmallAnswer {
+    match fleet.send(GetCopy(subject)).await {
+        Ok(mirror) if mirror.at > 0 => {
+            let body = postcard::to_stdvec(&mirror).unwrap_or_default();
+            SmallAnswer { status: 200, content_type: BINARY, body }
+        }
+        _ => SmallAnswer::status(503),
+    }
+}
+
+async fn renewal_answer(context: &ControlContext, lease: u64) -> SmallAnswer {
+    match context.store.renew_lease(lease).await {
+        Ok(true) => SmallAnswer::status(200),
+        Ok(false) => SmallAnswer::status(404),
+        Err(_) => SmallAnswer::status(503),
+    }
+}
+
 /// Waits for the signal to stop; a hang-up reads the settings again.
 async fn wait_for_stop(file: &Path, settings: &GatewaySettings) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
--- a/crates/cometmoor-gateway/src/peer.rs
+++ b/crates/cometmoor-gateway/src/peer.rs
@@ -40,6 +40,26 @@
     }
 }
 
+/// Path of the renewals.
+const RENEWAL_PATH: &str = "/peer/renewal/";
+
+/// The lease that a peer asks to have renewed.
+pub fn renewal_from_path(path: &str) -> Option<u64> {
+    path.strip_prefix(RENEWAL_PATH)?.parse().ok()
+}
+
+/// Asks a peer to renew a lease at the store, which turns this node away.
+/// Tells whether the lease goes on.
+pub async fn renew_through(peer: SocketAddrV4, lease: u64) -> Result<bool, PeerError> {
+    let call = Call::new("GET", format!("{RENEWAL_PATH}{lease}"));
+    let answer = CallClient::new(peer).call(&call, CALL_TIMEOUT).await.map_err(PeerError::Call)?;
+    match answer.head.status {
+        200 => Ok(true),
+        404 => Ok(false),
+        _ => Err(PeerError::Format),
+    }
+}
+
 /// Why a peer's copy could not be had.
 #[derive(Debug)]
 pub enum PeerError {
