--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -56,13 +56,13 @@
 /// Share of a server that one copy of a model should be kept busy at most.
 const BUSY_PART: f64 = 0.25;
 /// Part of the load of a copy that the copies of a victim may come to.
-const VICTIM_PART: f64 = 0.6;
+const VICTIM_PART: f64 = 0.35;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
 const NO_WORK: f64 = 0.01;
 /// Work above which a model should not depend on one server.
-const NEEDS_SECOND: f64 = 0.05;
+const NEEDS_SECOND: f64 = 0.2;
 
 /// Copies that a model should have.
 fn wanted_copies(work: f64, servers: usize) -> usize {
