Memory of an answered load stays aside while a duplicate of it may be delivered

An engine without fences that gets an answered load once more after the unload of its artifact holds it beside what was loaded into its place. Change: the record keeps answered loads until the planner has seen them for 10 s; their memory counts. The property now delivers answered orders twice.

--- a/crates/cometmoor-core/src/unfenced.rs
+++ b/crates/cometmoor-core/src/unfenced.rs
@@ -8,7 +8,9 @@
 //! on its way keeps its memory set aside until the engine restarts, because
 //! only a restart ends the connections that could carry it. A load that
 //! another, perhaps paused, planner may yet send survives even that: its memory
-//! stays aside until that planner's process is known to have ended.
+//! stays aside until that planner's process is known to have ended. A load that
+//! was answered may still be delivered once more: its memory stays aside, also
+//! after an unload, until the planner's clock says that no duplicate can come.
 
 use std::collections::BTreeMap;
 
@@ -51,6 +53,15 @@
     pub survived_restart: bool,
 }
 
+/// A load that was answered and of which a duplicate may yet be delivered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredLoad {
+    /// The artifact.
+    pub artifact: Artifact,
+    /// Memory that it occupies, in bytes.
+    pub bytes: u64,
+}
+
 /// Record of one engine's orders, as kept in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRecord {
@@ -60,6 +71,9 @@
     pub open: Option<OpenOrder>,
     /// Loads that keep memory set aside.
     pub late_loads: Vec<LateLoad>,
+    /// Answered loads of which a duplicate may be delivered.
+    #[serde(default)]
+    pub answered_loads: Vec<AnsweredLoad>,
 }
 
 /// Why no order may be written.
@@ -84,7 +98,8 @@
         if self.incarnation == incarnation {
             return self.clone();
         }
-        let mut next = OrderRecord { incarnation, ..OrderRecord::default() };
+        let answered_loads = self.answered_loads.clone();
+        let mut next = OrderRecord { incarnation, answered_loads, ..OrderRecord::default() };
         let may_arrive = |late: &&LateLoad| late.planner.is_some() || !late.survived_restart;
         next.late_loads.extend(self.late_loads.iter().filter(may_arrive).cloned());
         for late in &mut next.late_loads {
@@ -110,6 +125,21 @@
         next
     }
 
+    /// The record after some answered loads can no longer be delivered again.
+    pub fn settle(&self, over: impl Fn(&Artifact) -> bool) -> OrderRecord {
+        let mut next = self.clone();
+        next.answered_loads.retain(|load| !over(&load.artifact));
+        next
+    }
+
+    fn note_answered(&mut self, action: OrderAction) {
+        let OrderAction::Load { artifact, bytes } = action else {
+            return;
+        };
+        self.answered_loads.retain(|load| load.artifact != artifact);
+        self.answered_loads.push(AnsweredLoad { artifact, bytes });
+    }
+
     /// The record after planner `reader` has found another's order open, to be
     /// stored before it repeats the order: from then on either may send it.
     pub fn adopt_open_order(&self, reader: &PlannerId) -> OrderRecord {
@@ -155,6 +185,9 @@
         for late in &self.late_loads {
             count(&late.artifact, late.bytes);
         }
+        for answered in &self.answered_loads {
+            count(&answered.artifact, answered.bytes);
+        }
         if let Some(OpenOrder { action: OrderAction::Load { artifact, bytes }, .. }) = &self.open {
             count(artifact, *bytes);
         }
@@ -200,6 +233,8 @@
             next.keep_aside(open.action, Some(open.planner), false);
         } else if !certain || open.unanswered_copies {
             next.keep_aside(open.action, None, false);
+        } else {
+            next.note_answered(open.action);
         }
         next
     }
--- a/crates/cometmoor-core/tests/unfenced.rs
+++ b/crates/cometmoor-core/tests/unfenced.rs
@@ -83,6 +83,14 @@
     Late {
         index: u8,
     },
+    /// An answered order is delivered once more.
+    Duplicate {
+        index: u8,
+    },
+    /// So much time passes that no answered order is delivered once more.
+    Settle {
+        planner: bool,
+    },
     Restart,
     /// A planner's process is replaced; what it was about to send is gone.
     Replace {
@@ -95,6 +103,7 @@
     store: Store,
     planners: [Planner; 2],
     copies: Vec<(u64, OrderAction)>,
+    duplicates: Vec<(u64, OrderAction)>,
     next_incarnation: u64,
 }
 
@@ -115,6 +124,7 @@
             store: Store::default(),
             planners: [planner(false, 1), planner(true, 1)],
             copies: Vec::new(),
+            duplicates: Vec::new(),
             next_incarnation: 2,
         }
     }
@@ -179,6 +189,7 @@
             return;
         }
         self.engine.deliver(&action);
+        self.duplicates.push((self.engine.incarnation, action));
         planner.to_send = None;
         planner.resident = self.engine.resident.clone();
         let closed = planner.record.close_order(&planner.id, true);
@@ -204,6 +215,19 @@
                     self.engine.deliver(&action.clone());
                 }
             }
+            Step::Duplicate { index } => {
+                let index = usize::from(index) % self.duplicates.len().max(1);
+                if let Some((incarnation, action)) = self.duplicates.get(index)
+                    && *incarnation == self.engine.incarnation
+                {
+                    self.engine.deliver(&action.clone());
+                }
+            }
+            Step::Settle { planner } => {
+                self.duplicates.clear();
+                let settled = self.planners[usize::from(planner)].record.settle(|_| true);
+                self.write(planner, settled);
+            }
             Step::Restart => {
                 let incarnation = self.engine.incarnation + 1;
                 self.engine = Engine { incarnation, ..Engine::default() };
@@ -274,3 +298,24 @@
     let again = open.open_order(unload, &id, CAPACITY, &BTreeMap::new());
     assert_eq!(again, Err(RecordError::OrderOpen));
 }
+
+#[test]
+fn an_answered_load_keeps_its_memory_aside_while_a_duplicate_may_come() {
+    let mut world = World::new();
+    let answered = Step::Send { planner: true, answered: true };
+    world.run(Step::Refresh { planner: true });
+    world.run(Step::Load { planner: true, model: 0, bytes: 6 });
+    world.run(answered);
+    world.run(Step::Unload { planner: true, model: 0 });
+    world.run(answered);
+    world.run(Step::Load { planner: true, model: 1, bytes: 6 });
+    world.run(answered);
+    world.run(Step::Duplicate { index: 0 });
+    assert_eq!(world.engine.used(), 7, "the second load was not sent");
+    world.run(Step::Unload { planner: true, model: 0 });
+    world.run(answered);
+    world.run(Step::Settle { planner: true });
+    world.run(Step::Load { planner: true, model: 1, bytes: 6 });
+    world.run(answered);
+    assert_eq!(world.engine.resident.keys().next(), Some(&artifact(1)));
+}
--- a/crates/cometmoor/src/control/planner/unfenced.rs
+++ b/crates/cometmoor/src/control/planner/unfenced.rs
@@ -3,6 +3,7 @@
 //! See [`cometmoor_core::unfenced`] for why a late order does no harm.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use cometmoor_core::reconcile::EngineState;
 use cometmoor_core::unfenced::{OrderRecord, PlannerId};
@@ -14,6 +15,10 @@
 use crate::engine::http::EngineClient;
 use crate::store::{Compare, ConfigurationStore, StoreError, Transaction, Write};
 
+/// Time after which an answered order is not delivered a second time, counted
+/// from when this planner first saw the answer in the record.
+const DUPLICATE_WINDOW: Duration = Duration::from_secs(10);
+
 /// The record of an engine's orders as it stands in the store.
 struct StoredRecord {
     record: OrderRecord,
@@ -31,6 +36,8 @@
     /// Whether copies of the open order may be on their way of which the
     /// record does not tell, because it could not be written.
     unrecorded_copies: bool,
+    /// When each answered load of the record was first seen.
+    answered_since: BTreeMap<Artifact, Instant>,
 }
 
 impl UnfencedEngine {
@@ -45,6 +52,7 @@
             inventory: None,
             // An earlier tenure of this process may have sent some.
             unrecorded_copies: true,
+            answered_since: BTreeMap::new(),
         }
     }
 
@@ -160,7 +168,17 @@
         let Some(stored) = &self.stored else {
             return Ok(());
         };
-        let mut next = stored.record.clone();
+        let answered: BTreeSet<Artifact> =
+            stored.record.answered_loads.iter().map(|load| load.artifact.clone()).collect();
+        self.answered_since.retain(|artifact, _| answered.contains(artifact));
+        for artifact in answered {
+            self.answered_since.entry(artifact).or_insert_with(Instant::now);
+        }
+        let is_over = |artifact: &Artifact| {
+            let since = self.answered_since.get(artifact);
+            since.is_some_and(|since| since.elapsed() >= DUPLICATE_WINDOW)
+        };
+        let mut next = stored.record.settle(is_over);
         if self.unrecorded_copies {
             next = next.note_unanswered();
         }
