--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -54,21 +54,16 @@
 }
 
 /// Share of a server that one copy of a model should be kept busy at most.
-const BUSY_PART: f64 = 0.25;
-/// Part of the load of a copy that the copies of a victim may come to.
-const VICTIM_PART: f64 = 0.35;
+const BUSY_PART: f64 = 0.3;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
 const NO_WORK: f64 = 0.01;
-/// Work above which a model should not depend on one server.
-const NEEDS_SECOND: f64 = 0.2;
 
 /// Copies that a model should have.
 fn wanted_copies(work: f64, servers: usize) -> usize {
     let most = ((servers as f64 * MOST_COPIES_PART).floor() as usize).max(1);
-    let least = if work > NEEDS_SECOND { 2 } else { 1 };
-    ((work / BUSY_PART).ceil() as usize).max(least).clamp(1, most)
+    ((work / BUSY_PART).ceil() as usize).clamp(1, most)
 }
 
 /// Where weights may be loaded from.
@@ -253,12 +248,12 @@
         Some(Some(victim.model.clone()))
     }
 
-    /// Whether a model can do without one of its copies, for the sake of one
-    /// whose copies have to do `load` each.
+    /// Whether a model can do without one of its copies. For a model that no
+    /// server holds (`load` is infinite) any second copy makes way.
     fn is_spare(&self, model: &str, load: f64) -> bool {
-        let copies = self.copies_of(model);
-        let least = if self.work(model) > NEEDS_SECOND && load.is_finite() { 2 } else { 1 };
-        copies > least && self.work_without(model) <= VICTIM_PART * load
+        let needed =
+            if load.is_finite() { wanted_copies(self.work(model), self.servers.len()) } else { 1 };
+        self.copies_of(model) > needed
     }
 
     /// Work on each copy of a model if it had one less.
--- a/crates/cometmoor-core/tests/gateway_orders.rs
+++ b/crates/cometmoor-core/tests/gateway_orders.rs
@@ -64,11 +64,7 @@
     }
 
     fn report(&self) -> ServerReport {
-        ServerReport {
-            count: self.count,
-            busy: self.under_way.is_some(),
-            held: self.held.clone(),
-        }
+        ServerReport { count: self.count, busy: self.under_way.is_some(), held: self.held.clone() }
     }
 }
 
--- a/crates/cometmoor-core/tests/gateway_retry_budget.rs
+++ b/crates/cometmoor-core/tests/gateway_retry_budget.rs
@@ -18,11 +18,21 @@
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Step {
-    Pass { hundredths: u8 },
-    Requests { node: u8, count: u8 },
-    Repeats { node: u8, count: u8 },
+    Pass {
+        hundredths: u8,
+    },
+    Requests {
+        node: u8,
+        count: u8,
+    },
+    Repeats {
+        node: u8,
+        count: u8,
+    },
     /// A node's process is replaced; it does not know what was spent.
-    Restart { node: u8 },
+    Restart {
+        node: u8,
+    },
 }
 
 struct World {
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -71,26 +71,55 @@
     }
 }
 
-/// Runs a node until it is told to stop, on the current `actix` system, whose
+/// Runs a node until a signal stops it, on the current `actix` system, whose
 /// thread becomes the control thread.
 pub async fn run(settings_file: PathBuf, dialect: Arc<dyn Dialect>) -> Result<(), StartError> {
     let settings = GatewaySettings::read(&settings_file).map_err(StartError::Settings)?;
-    let board = Arc::new(Board::default());
-    let loads = LoadBoard::default();
-    start_traffic(&settings, &dialect, &board, &loads)?;
-    let fleet = start_control_thread(&settings, &dialect, &board, &loads).await?;
-    info!("[node] started", kv: {
-        node = &*settings.node,
-        zone = &*settings.zone,
-        clients = settings.client_address.to_string(),
-        store = settings.store_address.to_string(),
-        version = env!("CARGO_PKG_VERSION"),
-    });
-    wait_for_stop(&settings_file, &settings).await?;
-    drain(&settings, &fleet, &loads).await;
+    let node = Node::start(settings, dialect).await?;
+    wait_for_stop(&settings_file, &node.settings).await?;
+    node.drain().await;
     Ok(())
 }
 
+/// A running node.
+pub struct Node {
+    settings: GatewaySettings,
+    fleet: Addr<FleetState>,
+    board: Arc<Board>,
+    loads: LoadBoard,
+}
+
+impl Node {
+    /// Starts a node on the current `actix` system.
+    pub async fn start(
+        settings: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+    ) -> Result<Node, StartError> {
+        let board = Arc::new(Board::default());
+        let loads = LoadBoard::default();
+        start_traffic(&settings, &dialect, &board, &loads)?;
+        let fleet = start_control_thread(&settings, &dialect, &board, &loads).await?;
+        info!("[node] started", kv: {
+            node = &*settings.node,
+            zone = &*settings.zone,
+            clients = settings.client_address.to_string(),
+            store = settings.store_address.to_string(),
+            version = env!("CARGO_PKG_VERSION"),
+        });
+        Ok(Node { settings, fleet, board, loads })
+    }
+
+    /// What the node believes of the fleet.
+    pub fn board(&self) -> &Arc<Board> {
+        &self.board
+    }
+
+    /// The planned stop.
+    pub async fn drain(&self) {
+        drain(&self.settings, &self.fleet, &self.loads).await;
+    }
+}
+
 fn listen(address: SocketAddrV4) -> Result<std::net::TcpListener, StartError> {
     let failed = |source| StartError::Listen { address, source };
     let socket = TcpSocket::new_v4().map_err(failed)?;
