Tried: room kept for the model it was made for; store loads only above 0.6

Cause: several servers made room for one model before the first could load it. Change: a server that made room expects its model, which counts as a copy.

--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -29,6 +29,8 @@
     pub on_disk: BTreeSet<String>,
     /// Models that it got so lately that they should stay.
     pub fresh: BTreeSet<String>,
+    /// Model for which room was made here; it counts as a copy.
+    pub expecting: Option<String>,
 }
 
 /// What is asked for.
@@ -51,10 +53,15 @@
     pub order: ServerOrder,
     /// Whether the weights come from the weight store.
     pub from_store: bool,
+    /// The model that an unload makes room for.
+    pub makes_room_for: Option<String>,
 }
 
 /// Share of a server that one copy of a model should be kept busy at most.
 const BUSY_PART: f64 = 0.3;
+/// Share of a server that its copies must be kept busy before another copy comes
+/// from the weight store, which takes longer than demand often stays.
+const STORE_FROM: f64 = 0.6;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
@@ -101,6 +108,7 @@
         used: BTreeSet::new(),
         loads_left,
     };
+    planner.bring_expected_models();
     planner.bring_missing_models();
     planner.bring_adapters();
     if demand.is_known {
@@ -112,7 +120,10 @@
 fn copies<'a>(profile: &'a EngineProfile, servers: &[PlannedServer]) -> BTreeMap<&'a str, usize> {
     let count = |name: &str| {
         let weights = Weights::model(name);
-        servers.iter().filter(|server| server.reserved.contains(&weights)).count()
+        let will_hold = |server: &&PlannedServer| {
+            server.reserved.contains(&weights) || server.expecting.as_deref() == Some(name)
+        };
+        servers.iter().filter(will_hold).count()
     };
     profile.models.iter().map(|model| (model.name.as_str(), count(&model.name))).collect()
 }
@@ -134,6 +145,21 @@
         self.profile.models.iter().find(|profile| profile.name == model)
     }
 
+    /// Loads the models for which room was made.
+    fn bring_expected_models(&mut self) {
+        for server in self.servers {
+            let model = server.expecting.as_deref().and_then(|name| self.profile_of(name));
+            let Some(model) = model.filter(|_| self.is_free(server)) else { continue };
+            let allowed = self.loads_left > 0 || !is_from_store(server, &model.name);
+            let weights = Weights::model(&model.name);
+            let fits = self.fits(server, model) && !server.reserved.contains(&weights);
+            if fits && allowed {
+                let order = ServerOrder { action: Action::Load, weights };
+                self.push(server, order, &model.name);
+            }
+        }
+    }
+
     fn bring_missing_models(&mut self) {
         let mut missing: Vec<&ModelProfile> =
             self.profile.models.iter().filter(|model| self.copies_of(&model.name) == 0).collect();
@@ -164,7 +190,9 @@
             .collect();
         short.sort_by(|left, right| right.0.total_cmp(&left.0));
         for (load, model) in short {
-            self.bring(model, Sources::All, load);
+            let worth_store = load > STORE_FROM;
+            let sources = if worth_store { Sources::All } else { Sources::Warm };
+            self.bring(model, sources, load);
         }
     }
 
@@ -220,8 +248,20 @@
             self.loads_left = self.loads_left.saturating_sub(1);
         }
         let from_store = needs_store && order.action == Action::Load;
+        let unloads = concerns_model && order.action == Action::Unload;
+        let makes_room_for = unloads.then(|| model.to_owned());
         self.used.insert(server.id.clone());
-        self.plan.push(PlannedOrder { server: server.id.clone(), order, from_store });
+        self.plan.push(PlannedOrder {
+            server: server.id.clone(),
+            order,
+            from_store,
+            makes_room_for,
+        });
+    }
+
+    fn fits(&self, server: &PlannedServer, model: &ModelProfile) -> bool {
+        let free = self.profile.weights_megabytes - self.megabytes(&server.reserved);
+        model.weights_megabytes + self.adapter_reserve() <= free
     }
 
     /// Whether the model fits on the server: at once (no victim), or after the
@@ -232,8 +272,10 @@
         model: &ModelProfile,
         load: f64,
     ) -> Option<Option<String>> {
-        let free = self.profile.weights_megabytes - self.megabytes(&server.reserved);
-        if model.weights_megabytes + self.adapter_reserve() <= free {
+        if server.expecting.is_some() {
+            return None;
+        }
+        if self.fits(server, model) {
             return Some(None);
         }
         let victim = server
--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -30,7 +30,7 @@
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which demand has to be watched before copies are taken away by it.
-const DEMAND_KNOWN: Duration = Duration::from_secs(3);
+const DEMAND_KNOWN: Duration = Duration::from_secs(2);
 /// Pause between two rounds of planning.
 const ROUND: Duration = Duration::from_millis(250);
 /// Pause between two questions to one server.
@@ -40,6 +40,8 @@
 const WITHDRAWAL: Duration = Duration::from_millis(500);
 /// Time for which an adapter is told to others, until the registry tells it.
 const TOLD_FOR: Duration = Duration::from_secs(5);
+/// Time for which a load is expected after room was made for it.
+const EXPECTED_FOR: Duration = Duration::from_secs(4);
 /// Time for which a copy stays after its load.
 const SHORTEST_STAY: Duration = Duration::from_secs(8);
 /// Part of the lease after which it is renewed.
@@ -62,6 +64,8 @@
     on_disk: BTreeSet<String>,
     loaded: HashMap<String, Timestamp>,
     replaced: bool,
+    /// The model for which room was made, and when.
+    expecting: Option<(String, Timestamp)>,
 }
 
 impl Engine {
@@ -77,6 +81,7 @@
             on_disk: BTreeSet::new(),
             loaded: HashMap::new(),
             replaced: false,
+            expecting: None,
         }
     }
 
@@ -336,6 +341,7 @@
             let now = self.now();
             if planned.order.action == Action::Unload {
                 let (server, order) = (planned.server, planned.order);
+                self.expect(&server, planned.makes_room_for, now);
                 let withdrawal = Withdrawal { server, order, since: now };
                 self.state.borrow_mut().withdrawals.push(withdrawal);
                 continue;
@@ -350,6 +356,13 @@
         }
     }
 
+    /// Notes the model that a server makes room for.
+    fn expect(&self, server: &Arc<str>, model: Option<String>, now: Timestamp) {
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(server) {
+            engine.expecting = model.map(|model| (model, now));
+        }
+    }
+
     fn loads_left(&self, service: &str, profile: &EngineProfile) -> usize {
         let now = self.now();
         let window = Duration::from_secs_f64(self.context.settings.bounds.load_window_seconds);
@@ -407,6 +420,7 @@
                     in_host_memory: engine.in_host_memory.clone(),
                     on_disk: engine.on_disk.clone(),
                     fresh: fresh_models(engine, now),
+                    expecting: expected_model(engine, now),
                 }
             })
             .collect();
@@ -542,6 +556,7 @@
     }
     match order.action {
         Action::Load => {
+            engine.expecting = None;
             engine.loaded.insert(order.weights.model.clone(), now);
             engine.on_disk.insert(order.weights.model.clone());
         }
@@ -551,6 +566,12 @@
     }
 }
 
+/// The model that the server is to load next, while that is worth waiting for.
+fn expected_model(engine: &Engine, now: Timestamp) -> Option<String> {
+    let (model, since) = engine.expecting.as_ref()?;
+    (now.since(*since) < EXPECTED_FOR).then(|| model.clone())
+}
+
 fn fresh_models(engine: &Engine, now: Timestamp) -> BTreeSet<String> {
     let fresh = engine.loaded.iter().filter(|(_, loaded)| now.since(**loaded) < SHORTEST_STAY);
     fresh.map(|(model, _)| model.clone()).collect()
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -16,7 +16,7 @@
 /// Pause after changes of the servers, so that those that come close together
 /// are told by one answer. It is a small part of the time within which a
 /// leaving server must get no new work.
-const GATHER: Duration = Duration::from_millis(50);
+const GATHER: Duration = Duration::from_millis(350);
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -43,7 +43,7 @@
 const COME_BACK: Duration = Duration::from_millis(400);
 /// When a client should come back whose model no server holds; most of the
 /// time is cut to what the client would wait.
-const MODEL_COMES_IN: Duration = Duration::from_secs(3);
+const MODEL_COMES_IN: Duration = Duration::from_millis(400);
 /// Running requests beside which a prompt is read at about full speed.
 const FEW_RUNNING: u32 = 6;
 /// Pause between two looks for a server that can take a waiting request.
