--- a/crates/cometmoor-core/src/gateway/planner.rs
+++ b/crates/cometmoor-core/src/gateway/planner.rs
@@ -29,15 +29,11 @@
     pub on_disk: BTreeSet<String>,
     /// Models that it got so lately that they should stay.
     pub fresh: BTreeSet<String>,
-    /// Model for which room was made here; it counts as a copy.
-    pub expecting: Option<String>,
 }
 
 /// What is asked for.
 #[derive(Clone, Debug, Default)]
 pub struct FleetDemand {
-    /// Whether it was watched for long enough to take copies away by it.
-    pub is_known: bool,
     /// Work asked of each model, in servers that it would keep busy.
     pub models: BTreeMap<String, f64>,
     /// Requests a second for each adapter.
@@ -53,33 +49,19 @@
     pub order: ServerOrder,
     /// Whether the weights come from the weight store.
     pub from_store: bool,
-    /// The model that an unload makes room for.
-    pub makes_room_for: Option<String>,
 }
 
 /// Share of a server that one copy of a model should be kept busy at most.
 const BUSY_PART: f64 = 0.3;
-/// Share of a server that its copies must be kept busy before another copy comes
-/// from the weight store, which takes longer than demand often stays.
-const STORE_FROM: f64 = 0.6;
 /// Most copies, as a share of the servers.
 const MOST_COPIES_PART: f64 = 0.7;
 /// Work below which a model counts as not asked for.
 const NO_WORK: f64 = 0.01;
 
 /// Copies that a model should have.
-fn wanted_copies(work: f64, servers: usize) -> usize {
+fn wanted_copies(work: f64, servers: usize, busy_part: f64) -> usize {
     let most = ((servers as f64 * MOST_COPIES_PART).floor() as usize).max(1);
-    ((work / BUSY_PART).ceil() as usize).clamp(1, most)
-}
-
-/// Where weights may be loaded from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sources {
-    /// From a server's own memory or disk only.
-    Warm,
-    /// From the weight store too.
-    All,
+    ((work / busy_part).ceil() as usize).clamp(1, most)
 }
 
 struct Planner<'a> {
@@ -108,22 +90,16 @@
         used: BTreeSet::new(),
         loads_left,
     };
-    planner.bring_expected_models();
     planner.bring_missing_models();
     planner.bring_adapters();
-    if demand.is_known {
-        planner.bring_more_copies();
-    }
+    planner.bring_more_copies();
     planner.plan
 }
 
 fn copies<'a>(profile: &'a EngineProfile, servers: &[PlannedServer]) -> BTreeMap<&'a str, usize> {
     let count = |name: &str| {
         let weights = Weights::model(name);
-        let will_hold = |server: &&PlannedServer| {
-            server.reserved.contains(&weights) || server.expecting.as_deref() == Some(name)
-        };
-        servers.iter().filter(will_hold).count()
+        servers.iter().filter(|server| server.reserved.contains(&weights)).count()
     };
     profile.models.iter().map(|model| (model.name.as_str(), count(&model.name))).collect()
 }
@@ -145,32 +121,12 @@
         self.profile.models.iter().find(|profile| profile.name == model)
     }
 
-    /// Loads the models for which room was made.
-    fn bring_expected_models(&mut self) {
-        for server in self.servers {
-            let model = server.expecting.as_deref().and_then(|name| self.profile_of(name));
-            let Some(model) = model.filter(|_| self.is_free(server)) else { continue };
-            let allowed = self.loads_left > 0 || !is_from_store(server, &model.name);
-            let weights = Weights::model(&model.name);
-            let fits = self.fits(server, model) && !server.reserved.contains(&weights);
-            if fits && allowed {
-                let order = ServerOrder { action: Action::Load, weights };
-                self.push(server, order, &model.name);
-            }
-        }
-    }
-
     fn bring_missing_models(&mut self) {
         let mut missing: Vec<&ModelProfile> =
             self.profile.models.iter().filter(|model| self.copies_of(&model.name) == 0).collect();
         missing.sort_by(|left, right| self.work(&right.name).total_cmp(&self.work(&left.name)));
-        // A server that has some of the weights at hand brings those first.
-        for sources in [Sources::Warm, Sources::All] {
-            for model in &missing {
-                if self.copies_of(&model.name) == 0 {
-                    self.bring(model, sources, f64::INFINITY);
-                }
-            }
+        for model in missing {
+            self.bring(model);
         }
     }
 
@@ -180,7 +136,7 @@
             .models
             .iter()
             .filter(|model| {
-                let wanted = wanted_copies(self.work(&model.name), self.servers.len());
+                let wanted = wanted_copies(self.work(&model.name), self.servers.len(), BUSY_PART);
                 self.copies_of(&model.name) < wanted
             })
             .map(|model| {
@@ -189,16 +145,14 @@
             })
             .collect();
         short.sort_by(|left, right| right.0.total_cmp(&left.0));
-        for (load, model) in short {
-            let worth_store = load > STORE_FROM;
-            let sources = if worth_store { Sources::All } else { Sources::Warm };
-            self.bring(model, sources, load);
+        for (_, model) in short {
+            self.bring(model);
         }
     }
 
     /// Orders the load of a model where it is cheapest, or the unload that
-    /// makes room for it. `load` is the work on each of its copies now.
-    fn bring(&mut self, model: &'a ModelProfile, sources: Sources, load: f64) {
+    /// makes room for it.
+    fn bring(&mut self, model: &'a ModelProfile) {
         let weights = Weights::model(&model.name);
         let mut best: Option<(f64, usize, Option<String>)> = None;
         for (index, server) in self.servers.iter().enumerate() {
@@ -206,11 +160,10 @@
                 continue;
             }
             let from_store = is_from_store(server, &model.name);
-            let barred = sources == Sources::Warm || self.loads_left == 0;
-            if from_store && barred {
+            if from_store && self.loads_left == 0 {
                 continue;
             }
-            let Some(victim) = self.room(server, model, load) else { continue };
+            let Some(victim) = self.room(server, model) else { continue };
             let cost = self.cost(server, model, victim.as_deref());
             if best.as_ref().is_none_or(|(known, _, _)| cost < *known) {
                 best = Some((cost, index, victim));
@@ -220,62 +173,31 @@
         let server = &self.servers[index];
         let order = match victim {
             Some(victim) => {
-                // The load follows when the victim is gone.
-                if let Some(copies) = self.copies.get_mut(model.name.as_str()) {
-                    *copies += 1;
-                }
                 if let Some(copies) = self.copies.get_mut(victim.as_str()) {
                     *copies -= 1;
                 }
                 ServerOrder { action: Action::Unload, weights: Weights::model(&victim) }
             }
-            None => {
-                if let Some(copies) = self.copies.get_mut(model.name.as_str()) {
-                    *copies += 1;
-                }
-                ServerOrder { action: Action::Load, weights }
-            }
+            None => ServerOrder { action: Action::Load, weights },
         };
         self.push(server, order, &model.name);
     }
 
-    /// Notes an order that brings `model`, or makes room for it. Room is made
-    /// only where the load can follow, so both take a load off those left.
     fn push(&mut self, server: &PlannedServer, order: ServerOrder, model: &str) {
-        let concerns_model = order.weights.adapter.is_none();
-        let needs_store = concerns_model && is_from_store(server, model);
-        if needs_store {
-            self.loads_left = self.loads_left.saturating_sub(1);
+        let loads_model = order.action == Action::Load && order.weights.adapter.is_none();
+        let from_store = loads_model && is_from_store(server, model);
+        if from_store {
+            self.loads_left -= 1;
         }
-        let from_store = needs_store && order.action == Action::Load;
-        let unloads = concerns_model && order.action == Action::Unload;
-        let makes_room_for = unloads.then(|| model.to_owned());
         self.used.insert(server.id.clone());
-        self.plan.push(PlannedOrder {
-            server: server.id.clone(),
-            order,
-            from_store,
-            makes_room_for,
-        });
-    }
-
-    fn fits(&self, server: &PlannedServer, model: &ModelProfile) -> bool {
-        let free = self.profile.weights_megabytes - self.megabytes(&server.reserved);
-        model.weights_megabytes + self.adapter_reserve() <= free
+        self.plan.push(PlannedOrder { server: server.id.clone(), order, from_store });
     }
 
     /// Whether the model fits on the server: at once (no victim), or after the
     /// unload of a victim.
-    fn room(
-        &self,
-        server: &PlannedServer,
-        model: &ModelProfile,
-        load: f64,
-    ) -> Option<Option<String>> {
-        if server.expecting.is_some() {
-            return None;
-        }
-        if self.fits(server, model) {
+    fn room(&self, server: &PlannedServer, model: &ModelProfile) -> Option<Option<String>> {
+        let free = self.profile.weights_megabytes - self.megabytes(&server.reserved);
+        if model.weights_megabytes + self.adapter_reserve() <= free {
             return Some(None);
         }
         let victim = server
@@ -283,24 +205,18 @@
             .iter()
             .filter(|weights| weights.adapter.is_none())
             .filter(|weights| !server.fresh.contains(&weights.model))
-            .filter(|weights| self.is_spare(&weights.model, load))
+            .filter(|weights| self.is_spare(&weights.model))
             .min_by(|left, right| {
-                self.work_without(&left.model).total_cmp(&self.work_without(&right.model))
+                self.work_per_copy(&left.model).total_cmp(&self.work_per_copy(&right.model))
             })?;
         Some(Some(victim.model.clone()))
     }
 
-    /// Whether a model can do without one of its copies. For a model that no
-    /// server holds (`load` is infinite) any second copy makes way.
-    fn is_spare(&self, model: &str, load: f64) -> bool {
-        let needed =
-            if load.is_finite() { wanted_copies(self.work(model), self.servers.len()) } else { 1 };
-        self.copies_of(model) > needed
-    }
-
-    /// Work on each copy of a model if it had one less.
-    fn work_without(&self, model: &str) -> f64 {
-        self.work(model) / self.copies_of(model).saturating_sub(1).max(1) as f64
+    /// Whether a model keeps enough copies without one of them.
+    fn is_spare(&self, model: &str) -> bool {
+        let copies = self.copies_of(model);
+        let needed = wanted_copies(self.work(model), self.servers.len(), BUSY_PART);
+        copies > needed.max(1)
     }
 
     fn work_per_copy(&self, model: &str) -> f64 {
--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -29,8 +29,6 @@
 
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which demand has to be watched before copies are taken away by it.
-const DEMAND_KNOWN: Duration = Duration::from_secs(2);
 /// Pause between two rounds of planning.
 const ROUND: Duration = Duration::from_millis(250);
 /// Pause between two questions to one server.
@@ -40,8 +38,6 @@
 const WITHDRAWAL: Duration = Duration::from_millis(500);
 /// Time for which an adapter is told to others, until the registry tells it.
 const TOLD_FOR: Duration = Duration::from_secs(5);
-/// Time for which a load is expected after room was made for it.
-const EXPECTED_FOR: Duration = Duration::from_secs(4);
 /// Time for which a copy stays after its load.
 const SHORTEST_STAY: Duration = Duration::from_secs(8);
 /// Part of the lease after which it is renewed.
@@ -64,8 +60,6 @@
     on_disk: BTreeSet<String>,
     loaded: HashMap<String, Timestamp>,
     replaced: bool,
-    /// The model for which room was made, and when.
-    expecting: Option<(String, Timestamp)>,
 }
 
 impl Engine {
@@ -81,7 +75,6 @@
             on_disk: BTreeSet::new(),
             loaded: HashMap::new(),
             replaced: false,
-            expecting: None,
         }
     }
 
@@ -332,8 +325,10 @@
     async fn plan_service(self: &Rc<Leader>, service: &str, profile: &EngineProfile, token: u64) {
         let Some(demand) = self.demand(profile).await else { return };
         let servers = self.planned_servers(service);
+        // Until every server has told what it holds, nothing is missing.
+        let all_known = servers.iter().all(|server| server.idle || !server.reserved.is_empty());
         let settled = self.state.borrow().is_settled(self.now());
-        if servers.is_empty() || !settled {
+        if servers.is_empty() || !all_known || !settled {
             return;
         }
         let loads_left = self.loads_left(service, profile);
@@ -341,7 +336,6 @@
             let now = self.now();
             if planned.order.action == Action::Unload {
                 let (server, order) = (planned.server, planned.order);
-                self.expect(&server, planned.makes_room_for, now);
                 let withdrawal = Withdrawal { server, order, since: now };
                 self.state.borrow_mut().withdrawals.push(withdrawal);
                 continue;
@@ -356,13 +350,6 @@
         }
     }
 
-    /// Notes the model that a server makes room for.
-    fn expect(&self, server: &Arc<str>, model: Option<String>, now: Timestamp) {
-        if let Some(engine) = self.state.borrow_mut().engines.get_mut(server) {
-            engine.expecting = model.map(|model| (model, now));
-        }
-    }
-
     fn loads_left(&self, service: &str, profile: &EngineProfile) -> usize {
         let now = self.now();
         let window = Duration::from_secs_f64(self.context.settings.bounds.load_window_seconds);
@@ -379,8 +366,7 @@
     async fn demand(&self, profile: &EngineProfile) -> Option<FleetDemand> {
         let meter = self.fleet.send(GetDemand).await.ok()?;
         let now = meter.now;
-        let watched = meter.first_demand.is_some_and(|first| now.since(first) >= DEMAND_KNOWN);
-        let mut demand = FleetDemand { is_known: watched, ..FleetDemand::default() };
+        let mut demand = FleetDemand::default();
         for model in &profile.models {
             let key = model_key(&model.name, None);
             demand.models.insert(model.name.clone(), meter.meter.work(key, now));
@@ -407,20 +393,14 @@
             .map(|engine| {
                 let id = &engine.record.id;
                 let idle = matches!(engine.ledger.next_step(now), NextStep::Idle { .. });
-                let (held, reserved) = if engine.ledger.is_known() {
-                    (engine.ledger.held().clone(), engine.ledger.reserved())
-                } else {
-                    (registered_weights(&engine.record), registered_weights(&engine.record))
-                };
                 PlannedServer {
                     id: id.clone(),
                     idle: idle && !engine.calling && !withdrawing(id),
-                    held,
-                    reserved,
+                    held: engine.ledger.held().clone(),
+                    reserved: engine.ledger.reserved(),
                     in_host_memory: engine.in_host_memory.clone(),
                     on_disk: engine.on_disk.clone(),
                     fresh: fresh_models(engine, now),
-                    expecting: expected_model(engine, now),
                 }
             })
             .collect();
@@ -556,7 +536,6 @@
     }
     match order.action {
         Action::Load => {
-            engine.expecting = None;
             engine.loaded.insert(order.weights.model.clone(), now);
             engine.on_disk.insert(order.weights.model.clone());
         }
@@ -566,27 +545,11 @@
     }
 }
 
-/// The model that the server is to load next, while that is worth waiting for.
-fn expected_model(engine: &Engine, now: Timestamp) -> Option<String> {
-    let (model, since) = engine.expecting.as_ref()?;
-    (now.since(*since) < EXPECTED_FOR).then(|| model.clone())
-}
-
 fn fresh_models(engine: &Engine, now: Timestamp) -> BTreeSet<String> {
     let fresh = engine.loaded.iter().filter(|(_, loaded)| now.since(**loaded) < SHORTEST_STAY);
     fresh.map(|(model, _)| model.clone()).collect()
 }
 
-/// What the registry tells that a server holds.
-fn registered_weights(record: &ServerRecord) -> BTreeSet<Weights> {
-    let mut held = BTreeSet::new();
-    for model in &record.models {
-        held.insert(Weights::model(&model.name));
-        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
-    }
-    held
-}
-
 fn server_report(report: &EngineReport) -> ServerReport {
     let mut held = BTreeSet::new();
     for model in &report.models {
