--- /dev/null
+++ b/crates/cometmoor-core/tests/gateway_limits.rs
@@ -0,0 +1,116 @@
+//! The weight store's rate, the admission of requests, the choice of servers
+//! and the configuration in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cometmoor_core::gateway::admission::{
+    come_back_after_queue, come_back_in, finishes_before_stop, is_worth_sending, longest_wait,
+};
+use cometmoor_core::gateway::configuration::{
+    ClientLimits, ConfigurationInForce, GatewayConfiguration, Repeat, Route, Target,
+};
+use cometmoor_core::gateway::load_rate::LoadRate;
+use cometmoor_core::gateway::selection::{Candidate, CostModel, Demand, select};
+use cometmoor_core::time::Timestamp;
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+#[test]
+fn loads_in_any_window_stay_below_the_rate() {
+    let mut rate = LoadRate::new(1.4, WINDOW, Timestamp(0), true);
+    let mut begun: Vec<u64> = Vec::new();
+    for now in (0..30_000).step_by(50) {
+        while rate.left(Timestamp(now)) > 0 {
+            rate.record(Timestamp(now));
+            begun.push(now);
+        }
+    }
+    for start in &begun {
+        let inside = begun.iter().filter(|time| **time >= *start && **time < start + 5_000).count();
+        assert!(inside <= 7, "{inside} loads in a window");
+    }
+    assert!(begun.len() >= 40, "the rate is used");
+}
+
+#[test]
+fn a_new_leader_reckons_with_the_loads_of_the_one_before() {
+    let mut rate = LoadRate::new(1.4, WINDOW, Timestamp(1_000), false);
+    assert_eq!(rate.left(Timestamp(5_900)), 0);
+    assert_eq!(rate.left(Timestamp(6_000)), 7);
+}
+
+/// tnpto-ride trouble-2 --seed 478904786106: a stream taken 3.7 s after the
+/// signal to stop needed longer than was left.
+#[test]
+fn a_stopping_node_takes_late_requests_only_if_it_finishes_them() {
+    let since = Duration::from_millis(3744);
+    let left = Duration::from_millis(3856);
+    let deadline = Duration::from_secs(15);
+    assert!(!finishes_before_stop(since, left, deadline, 300));
+    assert!(finishes_before_stop(since, left, deadline, 20));
+    assert!(finishes_before_stop(since, left, Duration::from_millis(800), 300));
+    assert!(finishes_before_stop(Duration::from_secs(1), left, deadline, 300));
+}
+
+#[test]
+fn a_request_that_would_be_late_is_refused_with_a_time_that_it_will_wait_for() {
+    let objective = Duration::from_millis(800);
+    let left = Duration::from_millis(4500);
+    assert!(is_worth_sending(Duration::from_millis(790), objective, left));
+    assert!(!is_worth_sending(Duration::from_millis(810), objective, left));
+    assert!(!is_worth_sending(Duration::from_millis(500), objective, Duration::from_millis(400)));
+    let after = come_back_after_queue(Duration::from_millis(1500), objective);
+    assert_eq!(after, Duration::from_millis(1100));
+    assert_eq!(come_back_in(Duration::from_secs(9), left), left / 3);
+    assert!(longest_wait(objective, left) < objective / 4);
+}
+
+fn candidate() -> Candidate {
+    Candidate { slots: 64, same_zone: true, adapter_at_hand: true, ..Candidate::default() }
+}
+
+#[test]
+fn the_server_with_the_least_expected_time_gets_the_request() {
+    let demand = Demand { reading_millis: 120.0, shared_millis: 30.0 };
+    let busy = Candidate { pending_millis: 400.0, in_flight: 9, affinity: 9, ..candidate() };
+    let favourite = Candidate { affinity: 5, ..candidate() };
+    let other = Candidate { affinity: 1, ..candidate() };
+    let choice = select(&[other, favourite, busy], &demand, &CostModel::ENGINE).unwrap();
+    assert_eq!(choice.index, 1, "a tie goes to the higher affinity");
+    let choice = select(&[busy, other], &demand, &CostModel::ENGINE).unwrap();
+    assert_eq!(choice.index, 1, "load overrules the affinity");
+    let failing = Candidate { failure_share: 0.8, ..candidate() };
+    let choice = select(&[failing, other], &demand, &CostModel::ENGINE).unwrap();
+    assert_eq!(choice.index, 1, "recent failures count");
+    assert_eq!(select(&[], &demand, &CostModel::ENGINE), None);
+}
+
+#[test]
+fn the_longest_prefix_wins_and_versions_only_rise() {
+    let route = |prefix: &str, service: &str| Route {
+        name: prefix.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeat: Repeat::Once,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        attempts: 1,
+        priority: 0,
+        targets: vec![Target { service: service.to_owned(), weight: 1 }],
+    };
+    let routes = vec![route("/a/", "short"), route("/a/b/", "long")];
+    let configuration = |version| {
+        let limits = ClientLimits::default();
+        Arc::new(GatewayConfiguration::new(version, routes.clone(), Vec::new(), limits))
+    };
+    let known = configuration(4);
+    let service = |path| known.route("desk.example", path).and_then(|route| route.target(7));
+    assert_eq!(service("/a/b/c"), Some("long"));
+    assert_eq!(service("/a/c"), Some("short"));
+    assert_eq!(service("/b/"), None);
+    let mut in_force = ConfigurationInForce::default();
+    let offered = [4, 2, 4, 9, 3].map(|version| in_force.offer(configuration(version)));
+    assert_eq!(offered, [true, false, false, true, false]);
+    assert_eq!(in_force.version(), 9);
+}
--- /dev/null
+++ b/crates/cometmoor-core/tests/gateway_planner.rs
@@ -0,0 +1,199 @@
+//! Plans keep every model reachable and never order more than a server holds.
+
+mod schedules;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use cometmoor_core::gateway::configuration::{EngineProfile, ModelProfile};
+use cometmoor_core::gateway::orders::{Action, Weights};
+use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
+
+use schedules::for_each_schedule;
+
+const CASES: u64 = 2_000;
+const MODELS: usize = 6;
+const SERVERS: usize = 4;
+const MODEL_MEGABYTES: f64 = 60.0;
+const SERVER_MEGABYTES: f64 = 200.0;
+const ADAPTER_SLOTS: usize = 4;
+
+fn profile() -> EngineProfile {
+    let model = |index: usize| ModelProfile {
+        name: format!("m{index}"),
+        weights_megabytes: MODEL_MEGABYTES,
+        adapters: if index == 0 { 3 } else { 0 },
+        adapter_megabytes: 1.0,
+        load: Duration::from_secs(9),
+        load_from_disk: Duration::from_secs(2),
+        load_from_memory: Duration::from_secs(1),
+    };
+    EngineProfile {
+        models: (0..MODELS).map(model).collect(),
+        weights_megabytes: SERVER_MEGABYTES,
+        adapter_slots: ADAPTER_SLOTS as u32,
+        batch_slots: 64,
+        cache_tokens: 100_000,
+        loads_per_second: 1.0,
+        host_megabytes: 100.0,
+        disk_megabytes: 400.0,
+    }
+}
+
+fn server(index: usize, models: &[usize]) -> PlannedServer {
+    let held: BTreeSet<Weights> =
+        models.iter().map(|model| Weights::model(&format!("m{model}"))).collect();
+    PlannedServer {
+        id: format!("s{index}").into(),
+        idle: true,
+        reserved: held.clone(),
+        held,
+        ..PlannedServer::default()
+    }
+}
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    /// A round of planning; all orders are carried out, or some stay open.
+    Round {
+        left_open: u8,
+    },
+    Demand {
+        model: u8,
+        tenths: u8,
+    },
+    /// A server is replaced by an empty one.
+    Crash {
+        server: u8,
+    },
+}
+
+struct World {
+    profile: EngineProfile,
+    servers: Vec<PlannedServer>,
+    demand: FleetDemand,
+}
+
+impl World {
+    fn new() -> World {
+        let servers = vec![
+            server(0, &[0, 1, 2]),
+            server(1, &[0, 3, 4]),
+            server(2, &[0, 5]),
+            server(3, &[1, 2]),
+        ];
+        World { profile: profile(), servers, demand: FleetDemand::default() }
+    }
+
+    fn run(&mut self, step: Step) {
+        match step {
+            Step::Round { left_open } => self.round(left_open),
+            Step::Demand { model, tenths } => {
+                let name = format!("m{}", usize::from(model) % MODELS);
+                self.demand.models.insert(name, f64::from(tenths % 30) / 10.0);
+            }
+            Step::Crash { server: index } => {
+                let index = usize::from(index) % SERVERS;
+                self.servers[index] = server(index, &[]);
+            }
+        }
+    }
+
+    fn round(&mut self, left_open: u8) {
+        let orders = plan(&self.profile, &self.servers, &self.demand, 5);
+        for (number, planned) in orders.iter().enumerate() {
+            let server = self.servers.iter_mut().find(|s| s.id == planned.server).unwrap();
+            assert!(server.idle, "{planned:?} to a busy server");
+            match planned.order.action {
+                Action::Load => server.reserved.insert(planned.order.weights.clone()),
+                Action::Unload => {
+                    self.copies_without(planned.server.as_ref(), &planned.order.weights)
+                }
+            };
+            let server = self.servers.iter_mut().find(|s| s.id == planned.server).unwrap();
+            if number % 4 == usize::from(left_open % 4) {
+                server.idle = false;
+                continue;
+            }
+            if planned.order.action == Action::Unload {
+                let weights = &planned.order.weights;
+                let goes = |held: &Weights| match weights.adapter {
+                    Some(_) => held == weights,
+                    None => held.model == weights.model,
+                };
+                server.reserved.retain(|held| !goes(held));
+            }
+            server.held = server.reserved.clone();
+        }
+        for server in &mut self.servers {
+            server.idle = true;
+            server.held = server.reserved.clone();
+        }
+    }
+
+    /// Checks that an unload leaves a copy.
+    fn copies_without(&self, server: &str, weights: &Weights) -> bool {
+        if weights.adapter.is_none() {
+            let others = self
+                .servers
+                .iter()
+                .filter(|other| &*other.id != server && other.held.contains(weights));
+            assert!(others.count() > 0, "the last copy of {weights:?} would go");
+        }
+        true
+    }
+
+    fn check(&self) {
+        for server in &self.servers {
+            let models = server.reserved.iter().filter(|held| held.adapter.is_none()).count();
+            let adapters = server.reserved.len() - models;
+            let megabytes = models as f64 * MODEL_MEGABYTES + adapters as f64;
+            assert!(megabytes <= SERVER_MEGABYTES, "{megabytes} MB on {}", server.id);
+            assert!(adapters <= ADAPTER_SLOTS, "{adapters} adapters on {}", server.id);
+        }
+    }
+}
+
+#[test]
+fn no_plan_overcommits_a_server_or_takes_a_last_copy() {
+    for_each_schedule::<Step>(CASES, |steps| {
+        let mut world = World::new();
+        for step in steps {
+            world.run(*step);
+            world.check();
+        }
+    });
+}
+
+#[test]
+fn models_and_adapters_that_nobody_holds_come_back_after_crashes() {
+    let mut world = World::new();
+    for server in 0..2 {
+        world.run(Step::Crash { server });
+    }
+    for _ in 0..30 {
+        world.round(3);
+    }
+    for model in 0..MODELS {
+        let weights = Weights::model(&format!("m{model}"));
+        assert!(world.servers.iter().any(|server| server.held.contains(&weights)), "{weights:?}");
+    }
+    for adapter in 1..=3 {
+        let weights = Weights::adapter("m0", &format!("a{adapter}"));
+        assert!(world.servers.iter().any(|server| server.held.contains(&weights)), "{weights:?}");
+    }
+}
+
+#[test]
+fn a_model_that_is_asked_for_gets_copies_in_the_place_of_spare_ones() {
+    let mut world = World::new();
+    world.servers[3] = server(3, &[0, 1, 2]);
+    world.demand.models.insert("m5".to_owned(), 0.9);
+    for _ in 0..10 {
+        world.round(3);
+    }
+    let weights = Weights::model("m5");
+    let copies = world.servers.iter().filter(|server| server.held.contains(&weights)).count();
+    assert!(copies >= 2, "{copies} copies");
+}
--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -169,6 +169,7 @@
         let copy = self.copy(Subject::Configuration);
         let current = !copy.watch_failing
             && copy.confirmed.is_some_and(|confirmed| confirmed.elapsed() < CONFIRMED_FOR);
+        let confirmed = copy.confirmed;
         let published = Published {
             generation: self.generation,
             phase: self.phase,
@@ -176,6 +177,8 @@
             configuration_is_current: current,
             servers: self.servers.values().map(|(_, record)| record.clone()).collect(),
             nodes: self.client_nodes(now),
+            confirmed,
+            leads: self.placement.is_some(),
             leader_heard: self.leader_heard,
             stop: self.stop,
             nodes_seen: self.peers.sharing(now) + 1,
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -32,6 +32,7 @@
 use crate::dialect::{Dialect, RequestFacts};
 use crate::http::head::RequestHead;
 use crate::load::{LoadBoard, server_key};
+use crate::metrics::Metrics;
 use crate::pace::PaceTable;
 use crate::published::{Board, Phase};
 use crate::servers::{Server, ServerTable};
@@ -63,6 +64,8 @@
     pub servers: RefCell<ServerTable>,
     started: Instant,
     budgets: RefCell<HashMap<String, FleetRetryBudget>>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
     /// How fast each model reads prompts.
     pub paces: RefCell<PaceTable>,
 }
@@ -74,12 +77,14 @@
         dialect: Arc<dyn Dialect>,
         board: Arc<Board>,
         loads: LoadBoard,
+        metrics: Arc<Metrics>,
     ) -> Traffic {
         Traffic {
             settings,
             dialect,
             board,
             loads,
+            metrics,
             servers: RefCell::default(),
             started: Instant::now(),
             budgets: RefCell::default(),
@@ -143,6 +148,7 @@
     pub received: Instant,
     progress: Cell<Progress>,
     sends: Cell<u32>,
+    expected_millis: Cell<f64>,
 }
 
 /// When a client should come back that was refused for this reason.
@@ -190,6 +196,7 @@
             received,
             progress: Cell::new(Progress::Waiting),
             sends: Cell::new(0),
+            expected_millis: Cell::new(0.0),
         }
     }
 
@@ -221,6 +228,9 @@
     async fn out_of_time(&self) -> Finish {
         let progress = self.progress.get();
         self.log_failure("out of time", progress.step(), "-", "the time is over");
+        if progress != Progress::Waiting {
+            self.traffic.metrics.ended("unknown", progress.step(), "out of time");
+        }
         match progress {
             Progress::Waiting => self.refuse(Refusal::OutOfTime, COME_BACK).await,
             Progress::Sent => self.answer(OwnAnswer::timeout()).await,
@@ -271,6 +281,7 @@
                 Sent::Failed(error) => {
                     self.log_failure("failed", "server", &record.id, &error.to_string());
                     if !self.route.repeat.may_run_again() || !self.may_send_again(service) {
+                        self.traffic.metrics.ended("unknown", "server", "broken after the send");
                         return self.answer(OwnAnswer::bad_gateway()).await;
                     }
                 }
@@ -284,6 +295,7 @@
                     self.log_failure("broken", "stream", &record.id, "the stream broke off");
                     let resumable = self.route.repeat == Repeat::ResumableStream;
                     if !resumable || !self.may_send_again(service) {
+                        self.traffic.metrics.ended("cut", "stream", "the stream broke off");
                         return Finish::Cut;
                     }
                 }
@@ -292,7 +304,11 @@
     }
 
     fn may_send_again(&self, service: &str) -> bool {
-        self.sends.get() < self.route.attempts && self.traffic.may_repeat(service)
+        let allowed = self.sends.get() < self.route.attempts && self.traffic.may_repeat(service);
+        if allowed {
+            self.traffic.metrics.repeats.inc();
+        }
+        allowed
     }
 
     /// The answer where no server is left to try.
@@ -317,7 +333,10 @@
 
     async fn send(&self, server: &Rc<Server>, stream: &mut StreamState) -> Sent {
         let record = server.record();
-        let lent = match server.pool.checkout(self.time_left()).await {
+        let asked = Instant::now();
+        let checkout = server.pool.checkout(self.time_left()).await;
+        self.traffic.metrics.observe(&self.traffic.metrics.connect, asked.elapsed());
+        let lent = match checkout {
             Ok(lent) => lent,
             Err(error) => {
                 server.note_unreachable(Instant::now());
@@ -334,6 +353,7 @@
             self.traffic.loads.sent(&record.id, self.reading(self.facts.prompt_tokens), tokens);
         let before = self.progress.replace(Progress::Sent);
         self.sends.set(self.sends.get() + 1);
+        self.log_sent(&record.id, lent.reused);
         let received = match self.exchange(server, &record, lent, stream).await {
             Ok(received) => received,
             Err(SendError::NotSent(_)) => {
@@ -346,6 +366,7 @@
                 return Sent::Failed(error);
             }
         };
+        self.traffic.metrics.observe(&self.traffic.metrics.first_byte, self.received.elapsed());
         let facts = self.traffic.dialect.answer_facts(&received.head);
         if facts.not_run {
             let (status, misdirected) = (received.head.status, facts.misdirected);
@@ -447,6 +468,7 @@
     /// Tells the client that the request was not run and when to come back.
     async fn refuse(&self, refusal: Refusal, come_back: Duration) -> Finish {
         self.log_failure("refused", "queue", "-", refusal.name());
+        self.traffic.metrics.ended("refused", "queue", refusal.name());
         let after = come_back_in(come_back, self.client_time_left());
         self.answer(OwnAnswer::not_run(after)).await
     }
@@ -462,8 +484,28 @@
         self.write(&bytes, keep).await
     }
 
+    fn log_sent(&self, server: &str, reused: bool) {
+        if !crate::log::may_tell_good(self.traffic.started) {
+            return;
+        }
+        info!("[forward] sent", kv: {
+            request = &*self.facts.id,
+            server,
+            reused,
+            sends = self.sends.get(),
+            expected_millis = self.expected_millis.get(),
+            time_left_millis = self.time_left().as_millis() as u64,
+            age_millis = self.received.elapsed().as_millis() as u64,
+        });
+    }
+
     fn log_answered(&self, server: &str, status: u16) {
-        spdlog::debug!("[forward] answered", kv: {
+        self.traffic.metrics.ended("answered", "server", "-");
+        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+        if !crate::log::may_tell_good(self.traffic.started) {
+            return;
+        }
+        info!("[forward] answered", kv: {
             request = &*self.facts.id,
             route = &*self.route.name,
             server,
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -34,13 +34,15 @@
         tried: &[Arc<str>],
         stream: &StreamState,
     ) -> Found {
-        let until = Instant::now() + longest_wait(self.route.objective, self.time_left());
+        let asked = Instant::now();
+        let until = asked + longest_wait(self.route.objective, self.time_left());
         loop {
             let found = self.pick(service, tried, stream);
             // Where a server has failed already, there is no use in waiting.
             let pointless = !tried.is_empty() && !stream.head_sent;
             let done = matches!(found, Found::Server(_)) || pointless;
             if done || Instant::now() >= until {
+                self.traffic.metrics.observe(&self.traffic.metrics.queue, asked.elapsed());
                 return found;
             }
             tokio::time::sleep(WAIT_POLL).await;
@@ -68,6 +70,7 @@
             return Found::Nobody(self.why_nobody(table.of_service(service), &placement, now));
         };
         let expected = Duration::from_secs_f64(choice.cost.max(0.0) / 1000.0);
+        self.expected_millis.set(choice.cost.round());
         let begun = stream.head_sent;
         if begun || is_worth_sending(expected, self.route.objective, self.time_left()) {
             return Found::Server(servers[choice.index].clone());
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -158,6 +158,7 @@
 ) -> Result<Finish, RelayError> {
     let mut pending = BytesMut::new();
     let mut out = Vec::new();
+    let mut last = Instant::now();
     loop {
         while let Some(piece) = next_piece(&mut received)? {
             pending.extend_from_slice(&piece);
@@ -165,6 +166,11 @@
         let done = received.decoder.is_done();
         let events = take_events(&mut pending, done);
         if !events.is_empty() {
+            forward
+                .traffic
+                .metrics
+                .observe(&forward.traffic.metrics.between_events, last.elapsed());
+            last = Instant::now();
             meter.note(forward);
             push_events(forward, &received, state, &events, &mut out);
         }
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -174,6 +174,7 @@
             biased;
             finish = serving => finish,
             () = closed(&self.stream, &mut self.buffer, MAX_READ_AHEAD) => {
+                self.traffic.metrics.ended("client_left", "client", "-");
                 spdlog::debug!("[frontend] the client left", kv: { age_millis = received.elapsed().as_millis() as u64 });
                 Finish::Cut
             }
@@ -182,6 +183,7 @@
 
     async fn reject(mut self, status: u16) {
         warn!("[frontend] a request was rejected", kv: { status, step = "read" });
+        self.traffic.metrics.ended("rejected", "read", "bad input");
         let answer = OwnAnswer::rejected(status);
         let bytes = answer.encode(&*self.traffic.dialect, "", false);
         if write_all(&self.stream, &bytes).await.is_err() {
@@ -225,6 +227,7 @@
     match decide(&fleet, head, &facts) {
         Decision::Answer(own) => {
             let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
+            traffic.metrics.ended("refused", "route", "no route or not ready");
             warn!("[frontend] answered without a server", kv: {
                 request = &*facts.id,
                 status = own.status(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -9,12 +9,14 @@
 pub mod control;
 pub mod dialect;
 pub mod directory;
+pub mod explain;
 pub mod forward;
 pub mod frontend;
 pub mod gossip;
 pub mod http;
 pub mod load;
 pub mod log;
+pub mod metrics;
 pub mod mirror;
 pub mod node;
 pub mod pace;
--- a/crates/cometmoor-gateway/src/log.rs
+++ b/crates/cometmoor-gateway/src/log.rs
@@ -1,38 +1,109 @@
 //! Log lines: one JSON object a line on standard output.
 //!
-//! Lines go through a bounded queue; when it is full, the oldest lines are
-//! dropped and nobody waits.
+//! Lines go through a bounded queue to a thread of their own. When the queue is
+//! full, new lines are dropped and counted; nobody waits. Lines of requests that
+//! went well are kept to a number a second, so that failures find room.
 
+use std::io::{self, Write};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
 
 use spdlog::formatter::JsonFormatter;
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink};
-use spdlog::{LevelFilter, Logger, ThreadPool};
+use spdlog::sink::WriteSink;
+use spdlog::{LevelFilter, Logger};
 
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4096;
+/// Pause in which lines gather, so that many are written at once.
+const GATHER: Duration = Duration::from_millis(100);
+/// Lines a second of requests that went well.
+const GOOD_LINES_A_SECOND: u64 = 20;
 
-/// Sends log lines of this level and above to standard output.
-pub fn start(level: spdlog::Level) {
-    let Some(logger) = build(level) else { return };
-    spdlog::set_default_logger(Arc::new(logger));
-}
-
-fn build(level: spdlog::Level) -> Option<Logger> {
-    let mut builder = StdStreamSink::builder();
-    builder = builder.formatter(JsonFormatter::new());
-    let console = builder.std_stream(StdStream::Stdout).build().ok()?;
-    let capacity = std::num::NonZeroUsize::new(QUEUE_LINES)?;
-    let pool = ThreadPool::builder().capacity(capacity).build().ok()?;
-    let queue = AsyncPoolSink::builder()
-        .sink(Arc::new(console) as Arc<dyn Sink>)
-        .thread_pool(Arc::new(pool))
-        .overflow_policy(OverflowPolicy::DropIncoming)
-        .build()
-        .ok()?;
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static SKIPPED: AtomicU64 = AtomicU64::new(0);
+static SECOND: AtomicU64 = AtomicU64::new(0);
+static IN_SECOND: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were dropped because the reader was too slow.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Lines of good requests that were left out.
+pub fn skipped_lines() -> u64 {
+    SKIPPED.load(Ordering::Relaxed)
+}
+
+/// Whether a line of a request that goes well may be written now.
+pub fn may_tell_good(started: Instant) -> bool {
+    let second = started.elapsed().as_secs();
+    if SECOND.swap(second, Ordering::Relaxed) != second {
+        IN_SECOND.store(0, Ordering::Relaxed);
+    }
+    let told = IN_SECOND.fetch_add(1, Ordering::Relaxed) < GOOD_LINES_A_SECOND;
+    if !told {
+        SKIPPED.fetch_add(1, Ordering::Relaxed);
+    }
+    told
+}
+
+/// Sends log lines of this level and above to standard output, with the node's
+/// name in each.
+pub fn start(node: &str, level: spdlog::Level) {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    let writer = std::thread::Builder::new().name("log".to_owned());
+    if writer.spawn(move || write_lines(&receiver)).is_err() {
+        return;
+    }
+    if let Some(logger) = build(node, level, QueueWriter { sender }) {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
+fn build(node: &str, level: spdlog::Level, writer: QueueWriter) -> Option<Logger> {
+    let sink =
+        WriteSink::builder().formatter(JsonFormatter::new()).target(writer).build_arc().ok()?;
     Logger::builder()
-        .sink(Arc::new(queue))
+        .name(node)
+        .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
         .build()
         .ok()
 }
+
+/// Puts each line into the queue, or counts it as dropped.
+struct QueueWriter {
+    sender: SyncSender<Vec<u8>>,
+}
+
+impl Write for QueueWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.sender.try_send(line.to_vec()).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(receiver: &Receiver<Vec<u8>>) {
+    let mut output = io::stdout();
+    while let Ok(mut lines) = receiver.recv() {
+        std::thread::sleep(GATHER);
+        while let Ok(line) = receiver.try_recv() {
+            lines.extend_from_slice(&line);
+        }
+        // Nobody can be told that standard output is gone.
+        let _ = output.write_all(&lines).and_then(|()| output.flush());
+    }
+}
+
+/// Gives the last lines time to be written.
+pub fn finish() {
+    std::thread::sleep(GATHER * 2);
+}
--- /dev/null
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -0,0 +1,151 @@
+//! Metrics of a gateway node, in the Prometheus text format.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Buckets from 1 ms to about 16 s.
+const BUCKETS: (f64, f64, u16) = (0.001, 2.0, 15);
+
+/// Labels of an answered request. All values come from the code.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// `answered`, `refused`, `unknown`, `cut`, `client_left` or `rejected`.
+    pub outcome: &'static str,
+    /// Step at which that was decided.
+    pub step: &'static str,
+    /// Why.
+    pub cause: &'static str,
+}
+
+/// Labels of a state.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StateLabels {
+    /// The state.
+    pub state: &'static str,
+}
+
+/// A gauge of a figure that need not be whole.
+pub type Amount = Gauge<f64, AtomicU64>;
+
+/// All metrics.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Sends to servers beyond the first of a request.
+    pub repeats: Counter,
+    /// Time in the queue for a server.
+    pub queue: Histogram,
+    /// Time to get a connection to a server.
+    pub connect: Histogram,
+    /// Time from the request to its first byte of answer.
+    pub first_byte: Histogram,
+    /// Time between the pieces of a stream.
+    pub between_events: Histogram,
+    /// Time of a whole request.
+    pub whole: Histogram,
+    /// Requests in progress.
+    pub in_progress: Gauge,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Age of what the store last confirmed, in seconds.
+    pub store_age: Amount,
+    /// Whether this node leads.
+    pub leads: Gauge,
+    /// Nodes that take requests.
+    pub nodes: Gauge,
+    /// Servers by state.
+    pub servers: Family<StateLabels, Gauge>,
+    /// Log lines that were dropped.
+    pub dropped_lines: Gauge,
+}
+
+fn histogram() -> Histogram {
+    let (start, factor, length) = BUCKETS;
+    Histogram::new(exponential_buckets(start, factor, length))
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("cometmoor"),
+            requests: Family::default(),
+            repeats: Counter::default(),
+            queue: histogram(),
+            connect: histogram(),
+            first_byte: histogram(),
+            between_events: histogram(),
+            whole: histogram(),
+            in_progress: Gauge::default(),
+            configuration_version: Gauge::default(),
+            store_age: Amount::default(),
+            leads: Gauge::default(),
+            nodes: Gauge::default(),
+            servers: Family::default(),
+            dropped_lines: Gauge::default(),
+        };
+        metrics.register_requests();
+        metrics.register_state();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by how they ended", self.requests.clone());
+        registry.register("repeats", "Sends beyond a request's first", self.repeats.clone());
+        let times = [
+            ("queue_seconds", "Time in the queue for a server", &self.queue),
+            ("connect_seconds", "Time to get a connection to a server", &self.connect),
+            ("first_byte_seconds", "Time to the first byte of an answer", &self.first_byte),
+            ("between_events_seconds", "Time between pieces of a stream", &self.between_events),
+            ("whole_seconds", "Time of a whole request", &self.whole),
+        ];
+        for (name, help, histogram) in times {
+            registry.register(name, help, histogram.clone());
+        }
+    }
+
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        let gauges = [
+            ("in_progress", "Requests in progress", &self.in_progress),
+            ("configuration_version", "Version in force", &self.configuration_version),
+            ("leads", "Whether this node orders the servers", &self.leads),
+            ("nodes", "Nodes that take requests", &self.nodes),
+            ("dropped_log_lines", "Log lines that were dropped", &self.dropped_lines),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register("store_age_seconds", "Age of the store's view", self.store_age.clone());
+        registry.register("servers", "Servers by state", self.servers.clone());
+    }
+
+    /// Notes how a request ended.
+    pub fn ended(&self, outcome: &'static str, step: &'static str, cause: &'static str) {
+        self.requests.get_or_create(&OutcomeLabels { outcome, step, cause }).inc();
+    }
+
+    /// Notes a time.
+    pub fn observe(&self, histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use actix::Addr;
+use cometmoor_core::gateway::registry::ServerState;
 use spdlog::{error, info, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +21,7 @@
 use crate::frontend;
 use crate::http::head::RequestHead;
 use crate::load::LoadBoard;
+use crate::metrics::{Metrics, StateLabels};
 use crate::peer::{Subject, renewal_from_path};
 use crate::published::{Board, Phase, StopTimes};
 use crate::ready::{SmallAnswer, serve as serve_small};
@@ -73,11 +75,17 @@
 
 /// Runs a node until a signal stops it, on the current `actix` system, whose
 /// thread becomes the control thread.
-pub async fn run(settings_file: PathBuf, dialect: Arc<dyn Dialect>) -> Result<(), StartError> {
+pub async fn run(
+    settings_file: PathBuf,
+    dialect: Arc<dyn Dialect>,
+    level: spdlog::Level,
+) -> Result<(), StartError> {
     let settings = GatewaySettings::read(&settings_file).map_err(StartError::Settings)?;
+    crate::log::start(&settings.node, level);
     let node = Node::start(settings, dialect).await?;
     wait_for_stop(&settings_file, &node.settings).await?;
     node.drain().await;
+    crate::log::finish();
     Ok(())
 }
 
@@ -89,16 +97,25 @@
     loads: LoadBoard,
 }
 
+/// What a node's threads share.
+struct Shared {
+    dialect: Arc<dyn Dialect>,
+    board: Arc<Board>,
+    loads: LoadBoard,
+    metrics: Arc<Metrics>,
+}
+
 impl Node {
     /// Starts a node on the current `actix` system.
     pub async fn start(
         settings: GatewaySettings,
         dialect: Arc<dyn Dialect>,
     ) -> Result<Node, StartError> {
-        let board = Arc::new(Board::default());
-        let loads = LoadBoard::default();
-        start_traffic(&settings, &dialect, &board, &loads)?;
-        let fleet = start_control_thread(&settings, &dialect, &board, &loads).await?;
+        let (board, loads) = (Arc::new(Board::default()), LoadBoard::default());
+        let metrics = Arc::new(Metrics::default());
+        let shared = Shared { dialect, board: board.clone(), loads: loads.clone(), metrics };
+        start_traffic(&settings, &shared)?;
+        let fleet = start_control_thread(&settings, &shared).await?;
         info!("[node] started", kv: {
             node = &*settings.node,
             zone = &*settings.zone,
@@ -129,15 +146,11 @@
     listener.into_std().map_err(failed)
 }
 
-fn start_traffic(
-    settings: &GatewaySettings,
-    dialect: &Arc<dyn Dialect>,
-    board: &Arc<Board>,
-    loads: &LoadBoard,
-) -> Result<(), StartError> {
+fn start_traffic(settings: &GatewaySettings, shared: &Shared) -> Result<(), StartError> {
     let listener = listen(settings.client_address)?;
-    let (settings, dialect) = (settings.clone(), dialect.clone());
-    let (board, loads) = (board.clone(), loads.clone());
+    let (settings, dialect) = (settings.clone(), shared.dialect.clone());
+    let (board, loads) = (shared.board.clone(), shared.loads.clone());
+    let metrics = shared.metrics.clone();
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn_fn(move || {
         let listener = match TcpListener::from_std(listener) {
@@ -147,7 +160,7 @@
                 return;
             }
         };
-        let traffic = Rc::new(Traffic::new(Rc::new(settings), dialect, board, loads));
+        let traffic = Rc::new(Traffic::new(Rc::new(settings), dialect, board, loads, metrics));
         actix_rt::spawn(sweep_pools(traffic.clone()));
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
@@ -163,10 +176,9 @@
 
 async fn start_control_thread(
     settings: &GatewaySettings,
-    dialect: &Arc<dyn Dialect>,
-    board: &Arc<Board>,
-    loads: &LoadBoard,
+    shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
+    let Shared { dialect, board, loads, metrics } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
@@ -179,6 +191,9 @@
     let fleet = start_control(context.clone(), Vec::new()).await.map_err(failed)?;
     spawn_small(settings.ready_address, ready_answer(board, dialect))?;
     spawn_small(settings.directory_address, directory_answer(settings, board, dialect))?;
+    if let Some(address) = settings.metrics_address {
+        spawn_small(address, metrics_answer(board, loads, metrics))?;
+    }
     spawn_peer_server(settings.peer_address, &fleet, &context)?;
     Ok(fleet)
 }
@@ -211,6 +226,28 @@
     })
 }
 
+/// Metrics as text; the states are read when they are asked for.
+fn metrics_answer(board: &Arc<Board>, loads: &LoadBoard, metrics: &Arc<Metrics>) -> Answering {
+    let (board, loads, metrics) = (board.clone(), loads.clone(), metrics.clone());
+    Rc::new(move |_| {
+        let fleet = board.fleet.load();
+        let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
+        metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        metrics.in_progress.set(loads.in_progress() as i64);
+        metrics.nodes.set(fleet.nodes.len() as i64);
+        metrics.leads.set(i64::from(fleet.leads));
+        let age = fleet.confirmed.map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
+        metrics.store_age.set(age);
+        let draining = fleet.servers.iter().filter(|s| s.state == ServerState::Draining).count();
+        let state = |state| metrics.servers.get_or_create(&StateLabels { state });
+        state("draining").set(draining as i64);
+        state("ready").set((fleet.servers.len() - draining) as i64);
+        metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
+        let body = metrics.text().into_bytes();
+        SmallAnswer { status: 200, content_type: "text/plain", body }
+    })
+}
+
 fn directory_answer(
     settings: &GatewaySettings,
     board: &Arc<Board>,
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -58,6 +58,10 @@
     pub servers: Vec<Arc<ServerRecord>>,
     /// Nodes that take requests, this one included.
     pub nodes: Vec<ClientNode>,
+    /// When the store or a peer last confirmed the configuration.
+    pub confirmed: Option<Instant>,
+    /// Whether this node orders the servers.
+    pub leads: bool,
     /// When the leading node was last heard.
     pub leader_heard: Option<Instant>,
     /// Set while the node is about to stop.
--- a/crates/cometmoor/src/cli/flags.rs
+++ b/crates/cometmoor/src/cli/flags.rs
@@ -39,6 +39,13 @@
             /// Least severe log lines: error, warn, info or debug.
             optional --log level: String
         }
+        /// Prints the story of one request from log lines of gateway nodes.
+        cmd explain {
+            /// Identifier of the request.
+            required id: String
+            /// Files with log lines; standard input where none is given.
+            repeated files: PathBuf
+        }
         /// Checks a settings file and prints every mistake.
         cmd check {
             /// Settings file.
--- a/crates/cometmoor/src/cli/mod.rs
+++ b/crates/cometmoor/src/cli/mod.rs
@@ -29,6 +29,7 @@
         CometmoorCmd::Gateway(gateway) => {
             run_gateway::run(&gateway.settings, gateway.log.as_deref())
         }
+        CometmoorCmd::Explain(explain) => run_gateway::explain_request(&explain.id, &explain.files),
         CometmoorCmd::Check(check) => run_node::check(&check.file),
         CometmoorCmd::SettingsSchema(_) => {
             println!("{:#}", Settings::schema());
--- a/crates/cometmoor/src/cli/operate.rs
+++ b/crates/cometmoor/src/cli/operate.rs
@@ -117,6 +117,7 @@
         }
         CometmoorCmd::Node(_)
         | CometmoorCmd::Gateway(_)
+        | CometmoorCmd::Explain(_)
         | CometmoorCmd::Check(_)
         | CometmoorCmd::SettingsSchema(_)
         | CometmoorCmd::Version(_) => Err(CommandError::Usage("not a remote command".to_owned())),
