--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -36,6 +36,23 @@
     fetching: bool,
 }
 
+impl Copy {
+    /// Milliseconds since the store last confirmed it; -1 where it never did.
+    fn age_millis(&self) -> i64 {
+        self.confirmed.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
+    }
+
+    /// Notes that the store has answered.
+    fn confirm(&mut self, subject: Subject) {
+        if self.watch_failing {
+            let (what, age_millis) = (subject.name(), self.age_millis());
+            info!("[store] answers again", kv: { what, age_millis });
+        }
+        self.confirmed = Some(Instant::now());
+        self.watch_failing = false;
+    }
+}
+
 /// The actor that holds the state of the fleet.
 pub struct FleetState {
     context: Rc<ControlContext>,
@@ -326,8 +343,7 @@
 
     fn handle(&mut self, read: CopyRead, _: &mut Context<FleetState>) {
         let copy = self.copy(read.subject);
-        copy.confirmed = Some(Instant::now());
-        copy.watch_failing = false;
+        copy.confirm(read.subject);
         if copy.mirror.offer(read.mirror) {
             self.take_in(read.subject);
         }
@@ -351,8 +367,7 @@
 
     fn handle(&mut self, changed: CopyChanged, _: &mut Context<FleetState>) {
         let copy = self.copy(changed.subject);
-        copy.confirmed = Some(Instant::now());
-        copy.watch_failing = false;
+        copy.confirm(changed.subject);
         if copy.mirror.apply(changed.events, changed.at) {
             self.take_in(changed.subject);
         }
--- a/crates/cometmoor-gateway/src/explain.rs
+++ b/crates/cometmoor-gateway/src/explain.rs
@@ -55,6 +55,9 @@
 
 /// What a line that tells no request is about.
 fn subject(line: &Line) -> Option<String> {
+    if line.kv.contains_key("request") {
+        return None;
+    }
     if let Some(server) = line.kv.get("server").and_then(Value::as_str) {
         return Some(format!("server {server}"));
     }
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -490,6 +490,8 @@
         }
         info!("[forward] sent", kv: {
             request = &*self.facts.id,
+            route = &*self.route.name,
+            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
             server,
             reused,
             sends = self.sends.get(),
