--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -390,9 +390,9 @@
     fn handle(&mut self, failed: CopyFailed, _: &mut Context<FleetState>) {
         let copy = self.copy(failed.subject);
         if !copy.watch_failing {
-            let age_millis = copy.confirmed.map(|confirmed| confirmed.elapsed().as_millis() as u64);
+            let age_millis = copy.age_millis();
             let what = failed.subject.name();
-            warn!("[store] does not answer; peers are asked", kv: { step = "watch", what, reason = failed.reason, age_millis:? });
+            warn!("[store] does not answer; peers are asked", kv: { step = "watch", what, reason = failed.reason, age_millis });
         }
         copy.watch_failing = true;
     }
@@ -442,6 +442,10 @@
         let phase = heartbeat.phase;
         self.demand.receive(&heartbeat, now);
         let leads = heartbeat.placement.is_some();
+        if !leads && self.peers.leads(heartbeat.peer_address) {
+            // It says itself that it has stopped; nobody need wait for its silence.
+            self.leader_heard = None;
+        }
         let change = self.peers.receive(heartbeat, now);
         if leads {
             self.publish_placement();
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -174,6 +174,11 @@
         self.alive(now).map(|peer| peer.heartbeat.peer_address).take(MAX_KNOWN).collect()
     }
 
+    /// Whether the node led when it was last heard.
+    pub fn leads(&self, address: SocketAddrV4) -> bool {
+        self.peers.get(&address).is_some_and(|peer| peer.heartbeat.placement.is_some())
+    }
+
     /// What the leading node tells, by the newest term.
     pub fn placement(&self, now: Timestamp) -> Option<&Placement> {
         let told = self.alive(now).filter_map(|peer| peer.heartbeat.placement.as_ref());
