Plans do not wait for servers that are busy with the former leader's orders

Cause: a new leader made no plan until each server had told what it holds; one that loads for the leader before is busy for up to 9 s.

--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader.rs
@@ -327,10 +327,8 @@
     async fn plan_service(self: &Rc<Leader>, service: &str, profile: &EngineProfile, token: u64) {
         let Some(demand) = self.demand(profile).await else { return };
         let servers = self.planned_servers(service);
-        // Until every server has told what it holds, nothing is missing.
-        let all_known = servers.iter().all(|server| server.idle || !server.reserved.is_empty());
         let settled = self.state.borrow().is_settled(self.now());
-        if servers.is_empty() || !all_known || !settled {
+        if servers.is_empty() || !settled {
             return;
         }
         let loads_left = self.loads_left(service, profile);
@@ -396,11 +394,12 @@
             .map(|engine| {
                 let id = &engine.record.id;
                 let idle = matches!(engine.ledger.next_step(now), NextStep::Idle { .. });
+                let (held, reserved) = believed_weights(engine);
                 PlannedServer {
                     id: id.clone(),
                     idle: idle && !engine.calling && !withdrawing(id),
-                    held: engine.ledger.held().clone(),
-                    reserved: engine.ledger.reserved(),
+                    held,
+                    reserved,
                     in_host_memory: engine.in_host_memory.clone(),
                     on_disk: engine.on_disk.clone(),
                     fresh: fresh_models(engine, now),
@@ -561,6 +560,20 @@
     fresh.map(|(model, _)| model.clone()).collect()
 }
 
+/// What the server holds, and what it holds or may come to hold. Of one that is
+/// busy with the orders of the leader before, the registry tells.
+fn believed_weights(engine: &Engine) -> (BTreeSet<Weights>, BTreeSet<Weights>) {
+    if engine.ledger.is_known() {
+        return (engine.ledger.held().clone(), engine.ledger.reserved());
+    }
+    let mut held = BTreeSet::new();
+    for model in &engine.record.models {
+        held.insert(Weights::model(&model.name));
+        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
+    }
+    (held.clone(), held)
+}
+
 fn server_report(report: &EngineReport) -> ServerReport {
     let mut held = BTreeSet::new();
     for model in &report.models {
