Twelve nodes read the store, the others learn from them by changes

Ruled out: fewer adapters ordered (most calls are watches that return together). Change: the first twelve nodes by the hash of their addresses watch; the others fetch what changed from any reader whose heartbeat tells a newer revision. A copy remembers keys that are gone, so that a peer asks for changes only. In a fleet of up to twelve nodes all read, as before.

--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet.rs
@@ -16,14 +16,17 @@
 use super::demand::FleetDemandMeter;
 use crate::dialect::WatchEvent;
 use crate::gossip::{Heartbeat, PeerChange, PeerPhase, Peers, Placement};
-use crate::mirror::{Mirror, MirroredItem};
-use crate::peer::{Subject, fetch_mirror};
+use crate::mirror::{Mirror, MirrorUpdate, MirroredItem};
+use crate::peer::{Subject, fetch_update};
 use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
 /// Age up to which a copy counts as confirmed by the store.
 const CONFIRMED_FOR: Duration = Duration::from_secs(13);
+/// Nodes that read the store themselves; the others learn from them. In a fleet
+/// of up to this size all do.
+const READERS: usize = 12;
 /// Pause between two requests for a peer's copy.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
@@ -100,6 +103,10 @@
         Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
 
+    fn is_reader(&self) -> bool {
+        self.peers.is_reader(self.context.settings.peer_address, READERS, self.now())
+    }
+
     fn copy(&mut self, subject: Subject) -> &mut Copy {
         self.copies.entry(subject).or_default()
     }
@@ -243,6 +250,7 @@
             },
             configuration_version: self.configuration.version(),
             servers_revision: self.copies[&Subject::Servers].mirror.at,
+            reads_store: self.is_reader() && !self.copies.values().any(|copy| copy.watch_failing),
             loads: self.context.loads.all(),
             demand: self.context.loads.recent_demand(Instant::now()),
             placement: self.placement.clone(),
@@ -279,9 +287,14 @@
                 heartbeat.servers_revision > self.copies[&Subject::Servers].mirror.at,
             ),
         ];
+        let learns = !self.is_reader();
         for (subject, newer) in newer {
             let copy = self.copy(subject);
-            let lagging = copy.watch_failing || copy.confirmed.is_none();
+            if learns && heartbeat.reads_store && !newer {
+                copy.confirmed = Some(Instant::now());
+                copy.watch_failing = false;
+            }
+            let lagging = learns || copy.watch_failing || copy.confirmed.is_none();
             if newer && lagging && !copy.fetching {
                 copy.fetching = true;
                 self.fetch(subject, heartbeat.peer_address, context);
@@ -291,12 +304,13 @@
 
     fn fetch(&self, subject: Subject, peer: SocketAddrV4, context: &mut Context<FleetState>) {
         let fleet = context.address();
+        let after = self.copies[&subject].mirror.at;
         actix_rt::spawn(async move {
-            let result = fetch_mirror(peer, subject).await;
+            let result = fetch_update(peer, subject, after).await;
             if result.is_err() {
                 tokio::time::sleep(FETCH_PAUSE).await;
             }
-            fleet.do_send(PeerCopy { subject, peer, mirror: result.ok() });
+            fleet.do_send(PeerCopy { subject, peer, update: result.ok() });
         });
     }
 
@@ -404,7 +418,7 @@
 struct PeerCopy {
     subject: Subject,
     peer: SocketAddrV4,
-    mirror: Option<Mirror>,
+    update: Option<MirrorUpdate>,
 }
 
 impl Handler<PeerCopy> for FleetState {
@@ -413,10 +427,9 @@
     fn handle(&mut self, answer: PeerCopy, _: &mut Context<FleetState>) {
         let copy = self.copy(answer.subject);
         copy.fetching = false;
-        let Some(mirror) = answer.mirror else { return };
-        let revision = mirror.at;
-        if copy.mirror.offer(mirror) {
-            let what = answer.subject.name();
+        let Some(update) = answer.update else { return };
+        if copy.mirror.update(update) {
+            let (what, revision) = (answer.subject.name(), copy.mirror.at);
             info!("[peers] a newer copy was taken", kv: { what, peer = answer.peer.to_string(), revision });
             self.take_in(answer.subject);
         }
@@ -521,29 +534,46 @@
     }
 }
 
-/// Asks for a copy, for a peer or for a watch to go on from.
+/// Asks for what a copy has beyond a revision; none where nothing was read.
 #[derive(Message)]
-#[rtype(result = "Mirror")]
-pub struct GetCopy(pub Subject);
+#[rtype(result = "Option<MirrorUpdate>")]
+pub struct GetUpdate {
+    /// Which prefix.
+    pub subject: Subject,
+    /// The revision.
+    pub after: u64,
+}
 
-impl Handler<GetCopy> for FleetState {
-    type Result = MessageResult<GetCopy>;
+impl Handler<GetUpdate> for FleetState {
+    type Result = MessageResult<GetUpdate>;
 
-    fn handle(&mut self, get: GetCopy, _: &mut Context<FleetState>) -> Self::Result {
-        MessageResult(self.copy(get.0).mirror.clone())
+    fn handle(&mut self, get: GetUpdate, _: &mut Context<FleetState>) -> Self::Result {
+        let mirror = &self.copy(get.subject).mirror;
+        MessageResult((mirror.at > 0).then(|| mirror.since(get.after)))
     }
 }
 
-/// Asks for the revision of a copy.
+/// What a watch is to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchPlan {
+    /// Wait for changes after this revision.
+    WatchAfter(u64),
+    /// Leave the store alone: other nodes read it.
+    LeaveToReaders,
+}
+
+/// Asks what the watch of a prefix is to do next.
 #[derive(Message)]
-#[rtype(result = "u64")]
-pub struct GetRevision(pub Subject);
+#[rtype(result = "WatchPlan")]
+pub struct GetWatchPlan(pub Subject);
 
-impl Handler<GetRevision> for FleetState {
-    type Result = MessageResult<GetRevision>;
+impl Handler<GetWatchPlan> for FleetState {
+    type Result = MessageResult<GetWatchPlan>;
 
-    fn handle(&mut self, get: GetRevision, _: &mut Context<FleetState>) -> Self::Result {
-        MessageResult(self.copy(get.0).mirror.at)
+    fn handle(&mut self, get: GetWatchPlan, _: &mut Context<FleetState>) -> Self::Result {
+        let at = self.copies[&get.0].mirror.at;
+        let leave = at > 0 && !self.is_reader();
+        MessageResult(if leave { WatchPlan::LeaveToReaders } else { WatchPlan::WatchAfter(at) })
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/registration.rs
+++ b/crates/cometmoor-gateway/src/control/registration.rs
@@ -18,6 +18,8 @@
 const LIFETIME: Duration = Duration::from_secs(45);
 /// Pause between renewals.
 const INTERVAL: Duration = Duration::from_secs(12);
+/// Nodes beyond which others are found by heartbeats alone.
+const WELL_CONNECTED: usize = 12;
 /// Pause after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -55,6 +57,9 @@
         context.store.commit(&Commit { conditions: Vec::new(), puts }).await?;
         *lease = Some(granted);
     }
+    if context.board.fleet.load().nodes_seen > WELL_CONNECTED {
+        return Ok(());
+    }
     let nodes = context.store.read(NODES_PREFIX).await?;
     let addresses = nodes.items.values().filter_map(|item| parse_address(&item.value)).collect();
     fleet.do_send(ContactsFound(addresses));
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -6,7 +6,7 @@
 use actix::Addr;
 
 use super::ControlContext;
-use super::fleet::{CopyChanged, CopyFailed, CopyRead, FleetState, GetRevision};
+use super::fleet::{CopyChanged, CopyFailed, CopyRead, FleetState, GetWatchPlan, WatchPlan};
 use crate::dialect::Watched;
 use crate::peer::Subject;
 use crate::store::StoreError;
@@ -17,6 +17,8 @@
 /// are told by one answer. It is a small part of the time within which a
 /// leaving server must get no new work.
 const GATHER: Duration = Duration::from_millis(350);
+/// Pause of a node that learns from others before it looks whether it still does.
+const LEFT_TO_READERS: Duration = Duration::from_millis(250);
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
@@ -73,7 +75,11 @@
             return Ok(false);
         }
         // The actor ends only with the process.
-        let after = self.fleet.send(GetRevision(self.subject)).await.unwrap_or_default();
+        let plan = self.fleet.send(GetWatchPlan(self.subject)).await;
+        let Ok(WatchPlan::WatchAfter(after)) = plan else {
+            tokio::time::sleep(LEFT_TO_READERS).await;
+            return Ok(false);
+        };
         match self.context.store.watch(self.prefix(), after, WATCH_WAIT).await? {
             Watched::Events { events, at } => {
                 let gathers = self.subject == Subject::Servers && !events.is_empty();
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the heartbeat's format.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 /// Silence after which a node is not offered to clients any more.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1100);
 /// Silence after which a node is forgotten.
@@ -67,6 +67,8 @@
     pub configuration_version: u64,
     /// Revision of its copy of the servers.
     pub servers_revision: u64,
+    /// Whether it reads the store itself, and the store answers.
+    pub reads_store: bool,
     /// Its load on the servers.
     pub loads: Vec<(ServerKey, ServerLoad)>,
     /// Work that it was asked of each model since its process began.
@@ -174,6 +176,19 @@
         self.alive(now).map(|peer| peer.heartbeat.peer_address).take(MAX_KNOWN).collect()
     }
 
+    /// Whether the node with this address is among the readers of the store: the
+    /// first so many by the hash of their addresses, among those heard lately
+    /// and itself.
+    pub fn is_reader(&self, own: SocketAddrV4, readers: usize, now: Timestamp) -> bool {
+        let rank = |address: SocketAddrV4| {
+            let text = address.to_string();
+            (xxhash_rust::xxh3::xxh3_64(text.as_bytes()), address)
+        };
+        let own = rank(own);
+        let ahead = self.alive(now).filter(|peer| rank(peer.heartbeat.peer_address) < own);
+        ahead.count() < readers
+    }
+
     /// Whether the node led when it was last heard.
     pub fn leads(&self, address: SocketAddrV4) -> bool {
         self.peers.get(&address).is_some_and(|peer| peer.heartbeat.placement.is_some())
--- a/crates/cometmoor-gateway/src/mirror.rs
+++ b/crates/cometmoor-gateway/src/mirror.rs
@@ -30,13 +30,71 @@
     pub at: u64,
     /// Items by key.
     pub items: BTreeMap<String, MirroredItem>,
+    /// Keys that are gone, with the revision of their end, as far back as is
+    /// remembered.
+    gone: BTreeMap<String, u64>,
+    /// Changes up to this revision are not remembered one by one.
+    forgotten: u64,
+}
+
+/// Keys that are gone and still remembered.
+const MAX_GONE: usize = 256;
+
+/// What changed in a copy since a revision, for a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MirrorUpdate {
+    /// The changes.
+    Changes {
+        /// Items that were written.
+        written: Vec<(String, MirroredItem)>,
+        /// Keys that are gone, with the revision of their end.
+        gone: Vec<(String, u64)>,
+        /// Revision that the changes lead to.
+        at: u64,
+    },
+    /// Everything, because changes so far back are not remembered.
+    Whole(Mirror),
 }
 
 impl Mirror {
     /// A copy from a full read, which holds at least what was there at `at`.
     pub fn from_items(items: Vec<Item>, at: u64) -> Mirror {
         let items = items.into_iter().map(|item| (item.key.clone(), item.into())).collect();
-        Mirror { at, items }
+        Mirror { at, items, gone: BTreeMap::new(), forgotten: at }
+    }
+
+    /// What a copy of revision `after` lacks.
+    pub fn since(&self, after: u64) -> MirrorUpdate {
+        if after < self.forgotten {
+            return MirrorUpdate::Whole(self.clone());
+        }
+        let written = self.items.iter().filter(|(_, item)| item.revision > after);
+        let gone = self.gone.iter().filter(|(_, revision)| **revision > after);
+        MirrorUpdate::Changes {
+            written: written.map(|(key, item)| (key.clone(), item.clone())).collect(),
+            gone: gone.map(|(key, revision)| (key.clone(), *revision)).collect(),
+            at: self.at,
+        }
+    }
+
+    /// Takes what a peer's copy had beyond this one; tells whether an item
+    /// changed.
+    pub fn update(&mut self, update: MirrorUpdate) -> bool {
+        match update {
+            MirrorUpdate::Whole(mirror) => self.offer(mirror),
+            MirrorUpdate::Changes { at, .. } if at <= self.at => false,
+            MirrorUpdate::Changes { written, gone, at } => {
+                let mut changed = false;
+                for (key, item) in written {
+                    changed |= self.write(key, item);
+                }
+                for (key, revision) in gone {
+                    changed |= self.remove(key, revision);
+                }
+                self.at = at;
+                changed
+            }
+        }
     }
 
     /// Takes another copy if it is newer; tells whether it was taken.
@@ -61,22 +119,41 @@
 
     fn apply_one(&mut self, event: WatchEvent) -> bool {
         match event {
-            WatchEvent::Written(item) => {
-                let known = self.items.get(&item.key);
-                if known.is_some_and(|known| known.revision >= item.revision) {
-                    return false;
-                }
-                self.items.insert(item.key.clone(), item.into());
-                true
-            }
-            WatchEvent::Gone { key, revision } => {
-                let known = self.items.get(&key);
-                if known.is_none_or(|known| known.revision > revision) {
-                    return false;
-                }
-                self.items.remove(&key);
-                true
-            }
+            WatchEvent::Written(item) => self.write(item.key.clone(), item.into()),
+            WatchEvent::Gone { key, revision } => self.remove(key, revision),
+        }
+    }
+
+    fn write(&mut self, key: String, item: MirroredItem) -> bool {
+        let known = self.items.get(&key).map(|known| known.revision);
+        let ended = self.gone.get(&key).copied();
+        if known.max(ended).is_some_and(|known| known >= item.revision) {
+            return false;
+        }
+        self.gone.remove(&key);
+        self.items.insert(key, item);
+        true
+    }
+
+    fn remove(&mut self, key: String, revision: u64) -> bool {
+        let known = self.items.get(&key);
+        if known.is_none_or(|known| known.revision > revision) {
+            return false;
+        }
+        self.items.remove(&key);
+        self.gone.insert(key, revision);
+        self.forget_oldest();
+        true
+    }
+
+    fn forget_oldest(&mut self) {
+        if self.gone.len() <= MAX_GONE {
+            return;
+        }
+        let oldest = self.gone.iter().min_by_key(|(_, revision)| **revision);
+        if let Some((key, revision)) = oldest.map(|(key, revision)| (key.clone(), *revision)) {
+            self.gone.remove(&key);
+            self.forgotten = self.forgotten.max(revision);
         }
     }
 }
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::control::fleet::{BeginStop, CloseToClients, FleetState, GetCopy};
+use crate::control::fleet::{BeginStop, CloseToClients, FleetState, GetUpdate};
 use crate::control::{ControlContext, start as start_control};
 use crate::dialect::Dialect;
 use crate::directory::addresses;
@@ -286,7 +286,7 @@
                 return renewal_answer(&context, lease).await;
             }
             match Subject::from_path(head.path()) {
-                Some(subject) => copy_answer(&fleet, subject).await,
+                Some((subject, after)) => copy_answer(&fleet, subject, after).await,
                 None => SmallAnswer::status(404),
             }
         }
@@ -294,10 +294,10 @@
     Ok(())
 }
 
-async fn copy_answer(fleet: &Addr<FleetState>, subject: Subject) -> SmallAnswer {
-    match fleet.send(GetCopy(subject)).await {
-        Ok(mirror) if mirror.at > 0 => {
-            let body = postcard::to_stdvec(&mirror).unwrap_or_default();
+async fn copy_answer(fleet: &Addr<FleetState>, subject: Subject, after: u64) -> SmallAnswer {
+    match fleet.send(GetUpdate { subject, after }).await {
+        Ok(Some(update)) => {
+            let body = postcard::to_stdvec(&update).unwrap_or_default();
             SmallAnswer { status: 200, content_type: BINARY, body }
         }
         _ => SmallAnswer::status(503),
--- a/crates/cometmoor-gateway/src/peer.rs
+++ b/crates/cometmoor-gateway/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::http::client::{Call, CallClient, CallError};
-use crate::mirror::Mirror;
+use crate::mirror::MirrorUpdate;
 
 /// Time for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -33,10 +33,11 @@
         }
     }
 
-    /// The subject of a peer's request.
-    pub fn from_path(path: &str) -> Option<Subject> {
-        let name = path.strip_prefix(MIRROR_PATH)?;
-        Subject::ALL.into_iter().find(|subject| subject.name() == name)
+    /// The subject of a peer's request, and the revision that the peer has.
+    pub fn from_path(path: &str) -> Option<(Subject, u64)> {
+        let (name, after) = path.strip_prefix(MIRROR_PATH)?.split_once('/')?;
+        let subject = Subject::ALL.into_iter().find(|subject| subject.name() == name)?;
+        Some((subject, after.parse().ok()?))
     }
 }
 
@@ -69,9 +70,13 @@
     Format,
 }
 
-/// Asks a peer for its copy.
-pub async fn fetch_mirror(peer: SocketAddrV4, subject: Subject) -> Result<Mirror, PeerError> {
-    let call = Call::new("GET", format!("{MIRROR_PATH}{}", subject.name()));
+/// Asks a peer for what its copy has beyond a revision.
+pub async fn fetch_update(
+    peer: SocketAddrV4,
+    subject: Subject,
+    after: u64,
+) -> Result<MirrorUpdate, PeerError> {
+    let call = Call::new("GET", format!("{MIRROR_PATH}{}/{after}", subject.name()));
     let answer = CallClient::new(peer).call(&call, CALL_TIMEOUT).await.map_err(PeerError::Call)?;
     if answer.head.status != 200 {
         return Err(PeerError::Format);
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/mirror.rs
@@ -0,0 +1,57 @@
+//! A copy that learns from a peer's copy comes to the same as one that watches.
+
+use cometmoor_gateway::dialect::{Item, WatchEvent};
+use cometmoor_gateway::mirror::{Mirror, MirrorUpdate};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SEEDS: u64 = 200;
+const STEPS: u64 = 120;
+const KEYS: u32 = 6;
+
+fn written(key: u32, revision: u64) -> WatchEvent {
+    let value = revision.to_string().into_bytes();
+    WatchEvent::Written(Item { key: format!("k{key}"), value, revision, created: revision })
+}
+
+#[test]
+fn learning_from_a_peer_leads_to_the_same_items() {
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut watching = Mirror::from_items(Vec::new(), 1);
+        let mut learning = Mirror::from_items(Vec::new(), 1);
+        for revision in 2..STEPS {
+            let key = random.random_range(0..KEYS);
+            let event = if random.random_bool(0.3) {
+                WatchEvent::Gone { key: format!("k{key}"), revision }
+            } else {
+                written(key, revision)
+            };
+            watching.apply(vec![event], revision);
+            if random.random_bool(0.2) {
+                learning.update(watching.since(learning.at));
+                assert_eq!(learning.items, watching.items, "seed {seed}, revision {revision}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_older_update_changes_nothing_and_a_far_one_is_whole() {
+    let mut mirror = Mirror::from_items(Vec::new(), 10);
+    mirror.apply(vec![written(1, 12)], 12);
+    let old = Mirror::from_items(Vec::new(), 11);
+    assert!(!mirror.update(MirrorUpdate::Whole(old)));
+    assert_eq!(mirror.items.len(), 1);
+    assert!(matches!(mirror.since(9), MirrorUpdate::Whole(_)));
+    assert!(matches!(mirror.since(10), MirrorUpdate::Changes { .. }));
+}
+
+#[test]
+fn a_key_that_is_gone_does_not_come_back_by_an_older_write() {
+    let mut mirror = Mirror::from_items(Vec::new(), 1);
+    mirror.apply(vec![written(1, 2)], 2);
+    mirror.apply(vec![WatchEvent::Gone { key: "k1".to_owned(), revision: 5 }], 5);
+    assert!(!mirror.apply(vec![written(1, 3)], 5));
+    assert!(mirror.items.is_empty());
+    assert!(mirror.apply(vec![written(1, 6)], 6));
+}
