--- a/crates/cometmoor-gateway/src/control/fleet.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -1,22 +1,29 @@
 //! State of the fleet as this node believes it.
 
+mod messages;
+
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult};
+use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::time::Timestamp;
-use spdlog::{error, info, warn};
-
+use spdlog::{error, info};
+
+use self::messages::PeerCopy;
+pub use self::messages::{
+    BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
+    GetDemand, GetPeers, GetUpdate, GetWatchPlan, HeartbeatReceived, NextHeartbeat, SetPlacement,
+    WatchPlan,
+};
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
-use crate::dialect::WatchEvent;
-use crate::gossip::{Heartbeat, PeerChange, PeerPhase, Peers, Placement};
-use crate::mirror::{Mirror, MirrorUpdate, MirroredItem};
+use crate::gossip::{Heartbeat, PeerPhase, Peers, Placement};
+use crate::mirror::{Mirror, MirroredItem};
 use crate::peer::{Subject, fetch_update};
 use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
 
@@ -341,293 +348,3 @@
         context.run_interval(TICK, |fleet, _| fleet.tick());
     }
 }
-
-/// A full read of a prefix.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyRead {
-    /// Which prefix.
-    pub subject: Subject,
-    /// What was read.
-    pub mirror: Mirror,
-}
-
-impl Handler<CopyRead> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, read: CopyRead, _: &mut Context<FleetState>) {
-        let copy = self.copy(read.subject);
-        copy.confirm(read.subject);
-        if copy.mirror.offer(read.mirror) {
-            self.take_in(read.subject);
-        }
-    }
-}
-
-/// Changes that a watch told.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyChanged {
-    /// Which prefix.
-    pub subject: Subject,
-    /// Changes in order.
-    pub events: Vec<WatchEvent>,
-    /// Revision that they lead to.
-    pub at: u64,
-}
-
-impl Handler<CopyChanged> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, changed: CopyChanged, _: &mut Context<FleetState>) {
-        let copy = self.copy(changed.subject);
-        copy.confirm(changed.subject);
-        if copy.mirror.apply(changed.events, changed.at) {
-            self.take_in(changed.subject);
-        }
-    }
-}
-
-/// The store did not answer a watch or a read.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CopyFailed {
-    /// Which prefix.
-    pub subject: Subject,
-    /// What happened.
-    pub reason: String,
-}
-
-impl Handler<CopyFailed> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, failed: CopyFailed, _: &mut Context<FleetState>) {
-        let copy = self.copy(failed.subject);
-        if !copy.watch_failing {
-            let age_millis = copy.age_millis();
-            let what = failed.subject.name();
-            warn!("[store] does not answer; peers are asked", kv: { step = "watch", what, reason = failed.reason, age_millis });
-        }
-        copy.watch_failing = true;
-    }
-}
-
-/// A peer's copy, or none where it did not answer.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct PeerCopy {
-    subject: Subject,
-    peer: SocketAddrV4,
-    update: Option<MirrorUpdate>,
-}
-
-impl Handler<PeerCopy> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, answer: PeerCopy, _: &mut Context<FleetState>) {
-        let copy = self.copy(answer.subject);
-        copy.fetching = false;
-        let Some(update) = answer.update else { return };
-        if copy.mirror.update(update) {
-            let (what, revision) = (answer.subject.name(), copy.mirror.at);
-            info!("[peers] a newer copy was taken", kv: { what, peer = answer.peer.to_string(), revision });
-            self.take_in(answer.subject);
-        }
-    }
-}
-
-/// A heartbeat of another node.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct HeartbeatReceived(pub Heartbeat);
-
-impl Handler<HeartbeatReceived> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, received: HeartbeatReceived, context: &mut Context<FleetState>) {
-        let heartbeat = received.0;
-        if heartbeat.peer_address == self.context.settings.peer_address {
-            return;
-        }
-        self.catch_up(&heartbeat, context);
-        let now = self.now();
-        let node = heartbeat.node.clone();
-        let phase = heartbeat.phase;
-        self.demand.receive(&heartbeat, now);
-        let leads = heartbeat.placement.is_some();
-        if !leads && self.peers.leads(heartbeat.peer_address) {
-            // It says itself that it has stopped; nobody need wait for its silence.
-            self.leader_heard = None;
-        }
-        let change = self.peers.receive(heartbeat, now);
-        if leads {
-            self.publish_placement();
-        }
-        self.context.board.remote_load.store(Arc::new(self.peers.load(now)));
-        if change != PeerChange::None {
-            info!("[peers] a node is {phase:?}", kv: { node });
-            self.publish();
-        }
-    }
-}
-
-/// Addresses at which nodes may be.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct ContactsFound(pub Vec<SocketAddrV4>);
-
-impl Handler<ContactsFound> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, found: ContactsFound, _: &mut Context<FleetState>) {
-        let now = self.now();
-        for address in found.0 {
-            if address != self.context.settings.peer_address {
-                self.peers.add_contact(address, now);
-            }
-        }
-    }
-}
-
-/// Asks for the next heartbeat and where it goes.
-#[derive(Message)]
-#[rtype(result = "(Heartbeat, Vec<SocketAddrV4>)")]
-pub struct NextHeartbeat;
-
-impl Handler<NextHeartbeat> for FleetState {
-    type Result = MessageResult<NextHeartbeat>;
-
-    fn handle(&mut self, _: NextHeartbeat, _: &mut Context<FleetState>) -> Self::Result {
-        let heartbeat = self.heartbeat();
-        let now = self.now();
-        self.demand.receive(&heartbeat, now);
-        MessageResult((heartbeat, self.peers.targets()))
-    }
-}
-
-/// Begins the planned stop: the node says that it is leaving.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct BeginStop(pub StopTimes);
-
-impl Handler<BeginStop> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, begin: BeginStop, _: &mut Context<FleetState>) {
-        self.phase = Phase::Draining;
-        self.stop = Some(begin.0);
-        self.publish();
-    }
-}
-
-/// Ends the taking of requests.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CloseToClients;
-
-impl Handler<CloseToClients> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, _: CloseToClients, _: &mut Context<FleetState>) {
-        self.phase = Phase::Closing;
-        self.publish();
-    }
-}
-
-/// Asks for what a copy has beyond a revision; none where nothing was read.
-#[derive(Message)]
-#[rtype(result = "Option<MirrorUpdate>")]
-pub struct GetUpdate {
-    /// Which prefix.
-    pub subject: Subject,
-    /// The revision.
-    pub after: u64,
-}
-
-impl Handler<GetUpdate> for FleetState {
-    type Result = MessageResult<GetUpdate>;
-
-    fn handle(&mut self, get: GetUpdate, _: &mut Context<FleetState>) -> Self::Result {
-        let mirror = &self.copy(get.subject).mirror;
-        MessageResult((mirror.at > 0).then(|| mirror.since(get.after)))
-    }
-}
-
-/// What a watch is to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WatchPlan {
-    /// Wait for changes after this revision.
-    WatchAfter(u64),
-    /// Leave the store alone: other nodes read it.
-    LeaveToReaders,
-}
-
-/// Asks what the watch of a prefix is to do next.
-#[derive(Message)]
-#[rtype(result = "WatchPlan")]
-pub struct GetWatchPlan(pub Subject);
-
-impl Handler<GetWatchPlan> for FleetState {
-    type Result = MessageResult<GetWatchPlan>;
-
-    fn handle(&mut self, get: GetWatchPlan, _: &mut Context<FleetState>) -> Self::Result {
-        let at = self.copies[&get.0].mirror.at;
-        let leave = at > 0 && !self.is_reader();
-        MessageResult(if leave { WatchPlan::LeaveToReaders } else { WatchPlan::WatchAfter(at) })
-    }
-}
-
-/// Sets what this node tells of the servers' models while it leads.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct SetPlacement(pub Option<Placement>);
-
-impl Handler<SetPlacement> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, set: SetPlacement, _: &mut Context<FleetState>) {
-        if self.placement != set.0 {
-            self.placement = set.0;
-            self.publish_placement();
-        }
-    }
-}
-
-/// The demand over the fleet, as of a time.
-pub struct DemandView {
-    /// The meter.
-    pub meter: FleetDemandMeter,
-    /// The time that its rates are asked for.
-    pub now: Timestamp,
-    /// When the first request was counted.
-    pub first_demand: Option<Timestamp>,
-}
-
-/// Asks for the demand over the fleet.
-#[derive(Message)]
-#[rtype(result = "DemandView")]
-pub struct GetDemand;
-
-impl Handler<GetDemand> for FleetState {
-    type Result = MessageResult<GetDemand>;
-
-    fn handle(&mut self, _: GetDemand, _: &mut Context<FleetState>) -> Self::Result {
-        let meter = self.demand.clone();
-        let first_demand = meter.first();
-        MessageResult(DemandView { meter, now: self.now(), first_demand })
-    }
-}
-
-/// Asks for the peer addresses of the nodes that were heard lately.
-#[derive(Message)]
-#[rtype(result = "Vec<SocketAddrV4>")]
-pub struct GetPeers;
-
-impl Handler<GetPeers> for FleetState {
-    type Result = MessageResult<GetPeers>;
-
-    fn handle(&mut self, _: GetPeers, _: &mut Context<FleetState>) -> Self::Result {
-        let alive = self.peers.alive(self.now());
-        MessageResult(alive.map(|peer| peer.heartbeat.peer_address).collect())
-    }
-}
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -0,0 +1,159 @@
+//! Reports and orders on their way to servers.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cometmoor_core::gateway::orders::{Action, ServerOrder};
+use cometmoor_core::time::Timestamp;
+use spdlog::{info, warn};
+
+use super::engine::{note_accepted, server_report};
+use super::{Leader, ORDER_TIMEOUT};
+use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
+use crate::http::client::{CallClient, CallError};
+
+impl Leader {
+    /// Asks a server for its state.
+    pub(super) fn spawn_report(self: &Rc<Leader>, id: Arc<str>) {
+        let Some(client) = self.begin_call(&id) else { return };
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            let asked = leader.now();
+            let call = leader.context.dialect.report(&id);
+            let result = client.call(&call, ORDER_TIMEOUT).await;
+            let report = result.map_err(|error| error.to_string()).and_then(|answer| {
+                leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
+            });
+            leader.take_report(&id, report, asked);
+            leader.wake.notify_one();
+        });
+    }
+
+    fn begin_call(&self, id: &Arc<str>) -> Option<Rc<CallClient>> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let engine = state.engines.get_mut(id)?;
+        engine.calling = true;
+        engine.asked = Some(now);
+        Some(engine.client.clone())
+    }
+
+    fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
+        let mut state = self.state.borrow_mut();
+        let Some(engine) = state.engines.get_mut(id) else { return };
+        engine.calling = false;
+        match report {
+            Ok(report) => {
+                engine.in_host_memory = report.in_host_memory.iter().cloned().collect();
+                engine.on_disk = report.on_disk.iter().cloned().collect();
+                engine.ledger.record_report(server_report(&report), asked);
+            }
+            Err(reason) => {
+                let server = &**id;
+                warn!("[leader] a server did not tell its state", kv: { step = "report", server, reason });
+            }
+        }
+    }
+
+    /// Sends an order.
+    pub(super) fn spawn_order(
+        self: &Rc<Leader>,
+        id: Arc<str>,
+        order: ServerOrder,
+        expected_count: u64,
+        token: u64,
+    ) {
+        let Some(client) = self.begin_call(&id) else { return };
+        if let Some(engine) = self.state.borrow_mut().engines.get_mut(&id) {
+            engine.ledger.record_sent(&order, expected_count, self.now());
+        }
+        let leader = self.clone();
+        actix_rt::spawn(async move {
+            let result = leader.send_order(&client, &id, &order, expected_count, token).await;
+            leader.take_order_answer(&id, &order, result, token);
+            leader.wake.notify_one();
+        });
+    }
+
+    async fn send_order(
+        &self,
+        client: &CallClient,
+        id: &str,
+        order: &ServerOrder,
+        expected_count: u64,
+        token: u64,
+    ) -> Result<OrderAnswer, CallError> {
+        let model = ModelName {
+            model: order.weights.model.clone(),
+            adapter: order.weights.adapter.clone(),
+        };
+        let call = self.context.dialect.order(&Order {
+            server: id,
+            kind: match order.action {
+                Action::Load => OrderKind::Load,
+                Action::Unload => OrderKind::Unload,
+            },
+            model: &model,
+            expected_orders: expected_count,
+            holder: &self.context.settings.node,
+            fencing_token: token,
+        });
+        let answer = client.call(&call, ORDER_TIMEOUT).await?;
+        Ok(self.context.dialect.parse_order(&answer))
+    }
+
+    fn take_order_answer(
+        &self,
+        id: &Arc<str>,
+        order: &ServerOrder,
+        result: Result<OrderAnswer, CallError>,
+        token: u64,
+    ) {
+        let now = self.now();
+        log_order(id, order, &result, token);
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let Some(engine) = state.engines.get_mut(id) else { return };
+        engine.calling = false;
+        match result {
+            Ok(OrderAnswer::Accepted) => {
+                engine.ledger.record_accepted(now);
+                note_accepted(engine, order, now);
+                if order.action == Action::Load && order.weights.adapter.is_some() {
+                    state.added.push((now, id.clone(), order.weights.clone()));
+                }
+            }
+            Ok(OrderAnswer::AlreadyDone) => {
+                engine.ledger.record_already_done(now);
+                if order.action == Action::Load && order.weights.adapter.is_some() {
+                    state.added.push((now, id.clone(), order.weights.clone()));
+                }
+            }
+            Ok(OrderAnswer::OtherServer) => engine.replaced = true,
+            Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) | Err(_) => {
+                engine.ledger.record_unclear();
+            }
+        }
+    }
+}
+
+fn log_order(
+    server: &str,
+    order: &ServerOrder,
+    result: &Result<OrderAnswer, CallError>,
+    token: u64,
+) {
+    let action = format!("{:?}", order.action);
+    let model = &*order.weights.model;
+    let adapter = order.weights.adapter.as_deref().unwrap_or("-");
+    match result {
+        Ok(answer) => {
+            let outcome = format!("{answer:?}");
+            info!("[leader] an order was answered", kv: { server, action, model, adapter, token, outcome });
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            warn!("[leader] an order is in doubt", kv: { step = "order", server, action, model, adapter, token, reason });
+        }
+    }
+}
--- a/crates/cometmoor-gateway/src/control/leader.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -1,5 +1,8 @@
 //! Orders the servers while this node leads.
 
+mod calls;
+mod engine;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -11,20 +14,17 @@
 use cometmoor_core::gateway::configuration::{EngineProfile, GatewayConfiguration};
 use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes};
 use cometmoor_core::gateway::load_rate::LoadRate;
-use cometmoor_core::gateway::orders::{
-    Action, NextStep, ServerLedger, ServerOrder, ServerReport, Weights,
-};
+use cometmoor_core::gateway::orders::{Action, NextStep, Weights};
 use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 
+use self::engine::{Engine, Withdrawal, believed_weights, fresh_models, leaving_weights};
 use super::ControlContext;
 use super::fleet::{FleetState, GetDemand, GetPeers, SetPlacement};
-use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
 use crate::gossip::Placement;
-use crate::http::client::{CallClient, CallError};
 use crate::load::{model_key, server_key};
 
 /// Time that an order may be on its way.
@@ -40,8 +40,6 @@
 const WITHDRAWAL: Duration = Duration::from_millis(500);
 /// Time for which an adapter is told to others, until the registry tells it.
 const TOLD_FOR: Duration = Duration::from_secs(5);
-/// Time for which a copy stays after its load.
-const SHORTEST_STAY: Duration = Duration::from_secs(8);
 /// Part of the lease after which it is renewed.
 const RENEWAL_PART: u32 = 3;
 /// Time without a new server after which the fleet counts as known.
@@ -51,53 +49,6 @@
 /// More quiet than the bound asks for, between the orders of two nodes.
 const QUIET_SLACK: Duration = Duration::from_millis(400);
 
-/// What the leader keeps of one server.
-struct Engine {
-    record: Arc<ServerRecord>,
-    ledger: ServerLedger,
-    client: Rc<CallClient>,
-    calling: bool,
-    asked: Option<Timestamp>,
-    in_host_memory: BTreeSet<String>,
-    on_disk: BTreeSet<String>,
-    loaded: HashMap<String, Timestamp>,
-    replaced: bool,
-}
-
-impl Engine {
-    fn new(record: Arc<ServerRecord>) -> Engine {
-        let client = Rc::new(CallClient::new(record.address));
-        Engine {
-            record,
-            ledger: ServerLedger::default(),
-            client,
-            calling: false,
-            asked: None,
-            in_host_memory: BTreeSet::new(),
-            on_disk: BTreeSet::new(),
-            loaded: HashMap::new(),
-            replaced: false,
-        }
-    }
-
-    fn take_record(&mut self, record: &Arc<ServerRecord>, now: Timestamp) {
-        self.record = record.clone();
-        let models = record.models.iter().map(|held| held.name.clone()).collect();
-        self.ledger.record_registry(&models, now);
-        if !record.in_host_memory.is_empty() || !record.on_disk.is_empty() {
-            self.in_host_memory = record.in_host_memory.iter().cloned().collect();
-            self.on_disk = record.on_disk.iter().cloned().collect();
-        }
-    }
-}
-
-/// Weights that are about to be taken off a server.
-struct Withdrawal {
-    server: Arc<str>,
-    order: ServerOrder,
-    since: Timestamp,
-}
-
 #[derive(Default)]
 struct LeaderState {
     acquired: Timestamp,
@@ -410,199 +361,4 @@
         servers.sort_by(|left, right| left.id.cmp(&right.id));
         servers
     }
-
-    fn spawn_report(self: &Rc<Leader>, id: Arc<str>) {
-        let Some(client) = self.begin_call(&id) else { return };
-        let leader = self.clone();
-        actix_rt::spawn(async move {
-            let asked = leader.now();
-            let call = leader.context.dialect.report(&id);
-            let result = client.call(&call, ORDER_TIMEOUT).await;
-            let report = result.map_err(|error| error.to_string()).and_then(|answer| {
-                leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
-            });
-            leader.take_report(&id, report, asked);
-            leader.wake.notify_one();
-        });
-    }
-
-    fn begin_call(&self, id: &Arc<str>) -> Option<Rc<CallClient>> {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let engine = state.engines.get_mut(id)?;
-        engine.calling = true;
-        engine.asked = Some(now);
-        Some(engine.client.clone())
-    }
-
-    fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
-        let mut state = self.state.borrow_mut();
-        let Some(engine) = state.engines.get_mut(id) else { return };
-        engine.calling = false;
-        match report {
-            Ok(report) => {
-                engine.in_host_memory = report.in_host_memory.iter().cloned().collect();
-                engine.on_disk = report.on_disk.iter().cloned().collect();
-                engine.ledger.record_report(server_report(&report), asked);
-            }
-            Err(reason) => {
-                let server = &**id;
-                warn!("[leader] a server did not tell its state", kv: { step = "report", server, reason });
-            }
-        }
-    }
-
-    fn spawn_order(
-        self: &Rc<Leader>,
-        id: Arc<str>,
-        order: ServerOrder,
-        expected_count: u64,
-        token: u64,
-    ) {
-        let Some(client) = self.begin_call(&id) else { return };
-        if let Some(engine) = self.state.borrow_mut().engines.get_mut(&id) {
-            engine.ledger.record_sent(&order, expected_count, self.now());
-        }
-        let leader = self.clone();
-        actix_rt::spawn(async move {
-            let result = leader.send_order(&client, &id, &order, expected_count, token).await;
-            leader.take_order_answer(&id, &order, result, token);
-            leader.wake.notify_one();
-        });
-    }
-
-    async fn send_order(
-        &self,
-        client: &CallClient,
-        id: &str,
-        order: &ServerOrder,
-        expected_count: u64,
-        token: u64,
-    ) -> Result<OrderAnswer, CallError> {
-        let model = ModelName {
-            model: order.weights.model.clone(),
-            adapter: order.weights.adapter.clone(),
-        };
-        let call = self.context.dialect.order(&Order {
-            server: id,
-            kind: match order.action {
-                Action::Load => OrderKind::Load,
-                Action::Unload => OrderKind::Unload,
-            },
-            model: &model,
-            expected_orders: expected_count,
-            holder: &self.context.settings.node,
-            fencing_token: token,
-        });
-        let answer = client.call(&call, ORDER_TIMEOUT).await?;
-        Ok(self.context.dialect.parse_order(&answer))
-    }
-
-    fn take_order_answer(
-        &self,
-        id: &Arc<str>,
-        order: &ServerOrder,
-        result: Result<OrderAnswer, CallError>,
-        token: u64,
-    ) {
-        let now = self.now();
-        log_order(id, order, &result, token);
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        let Some(engine) = state.engines.get_mut(id) else { return };
-        engine.calling = false;
-        match result {
-            Ok(OrderAnswer::Accepted) => {
-                engine.ledger.record_accepted(now);
-                note_accepted(engine, order, now);
-                if order.action == Action::Load && order.weights.adapter.is_some() {
-                    state.added.push((now, id.clone(), order.weights.clone()));
-                }
-            }
-            Ok(OrderAnswer::AlreadyDone) => {
-                engine.ledger.record_already_done(now);
-                if order.action == Action::Load && order.weights.adapter.is_some() {
-                    state.added.push((now, id.clone(), order.weights.clone()));
-                }
-            }
-            Ok(OrderAnswer::OtherServer) => engine.replaced = true,
-            Ok(OrderAnswer::Conflict | OrderAnswer::Fenced | OrderAnswer::Refused(_)) | Err(_) => {
-                engine.ledger.record_unclear();
-            }
-        }
-    }
-}
-
-fn note_accepted(engine: &mut Engine, order: &ServerOrder, now: Timestamp) {
-    if order.weights.adapter.is_some() {
-        return;
-    }
-    match order.action {
-        Action::Load => {
-            engine.loaded.insert(order.weights.model.clone(), now);
-            engine.on_disk.insert(order.weights.model.clone());
-        }
-        Action::Unload => {
-            engine.loaded.remove(&order.weights.model);
-        }
-    }
-}
-
-/// Weights that are about to be taken off the server, or are being taken off.
-fn leaving_weights(engine: &Engine, withdrawals: &[Withdrawal]) -> Option<Weights> {
-    let announced = withdrawals.iter().find(|known| known.server == engine.record.id);
-    let order = announced.map(|known| &known.order).or_else(|| engine.ledger.open_order())?;
-    (order.action == Action::Unload).then(|| order.weights.clone())
-}
-
-fn fresh_models(engine: &Engine, now: Timestamp) -> BTreeSet<String> {
-    let fresh = engine.loaded.iter().filter(|(_, loaded)| now.since(**loaded) < SHORTEST_STAY);
-    fresh.map(|(model, _)| model.clone()).collect()
-}
-
-/// What the server holds, and what it holds or may come to hold. Of one that is
-/// busy with the orders of the leader before, the registry tells.
-fn believed_weights(engine: &Engine) -> (BTreeSet<Weights>, BTreeSet<Weights>) {
-    if engine.ledger.is_known() {
-        return (engine.ledger.held().clone(), engine.ledger.reserved());
-    }
-    let mut held = BTreeSet::new();
-    for model in &engine.record.models {
-        held.insert(Weights::model(&model.name));
-        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
-    }
-    (held.clone(), held)
-}
-
-fn server_report(report: &EngineReport) -> ServerReport {
-    let mut held = BTreeSet::new();
-    for model in &report.models {
-        held.insert(Weights::model(&model.name));
-        held.extend(model.adapters.iter().map(|name| Weights::adapter(&model.name, name)));
-    }
-    for pending in &report.pending_adapters {
-        held.insert(Weights { model: pending.model.clone(), adapter: pending.adapter.clone() });
-    }
-    ServerReport { count: report.orders, busy: report.busy, held }
-}
-
-fn log_order(
-    server: &str,
-    order: &ServerOrder,
-    result: &Result<OrderAnswer, CallError>,
-    token: u64,
-) {
-    let action = format!("{:?}", order.action);
-    let model = &*order.weights.model;
-    let adapter = order.weights.adapter.as_deref().unwrap_or("-");
-    match result {
-        Ok(answer) => {
-            let outcome = format!("{answer:?}");
-            info!("[leader] an order was answered", kv: { server, action, model, adapter, token, outcome });
-        }
-        Err(error) => {
-            let reason = error.to_string();
-            warn!("[leader] an order is in doubt", kv: { step = "order", server, action, model, adapter, token, reason });
-        }
-    }
 }
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -9,9 +9,10 @@
 mod outcome;
 mod pick;
 mod relay;
+mod story;
+mod traffic;
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,9 +20,7 @@
 use bytes::Bytes;
 use cometmoor_core::gateway::admission::{come_back_after_queue, come_back_in};
 use cometmoor_core::gateway::configuration::{Repeat, Route};
-use cometmoor_core::gateway::retry_budget::{FleetRetryBudget, RetryBounds};
-use cometmoor_core::time::Timestamp;
-use spdlog::{info, warn};
+use spdlog::info;
 use tokio::net::TcpStream;
 
 use self::exchange::{Received, SendError};
@@ -29,14 +28,11 @@
 use self::outcome::{Progress, Refusal};
 use self::pick::Found;
 use self::relay::{FirstEvent, RelayError, StreamState};
-use crate::dialect::{Dialect, RequestFacts};
+pub use self::traffic::Traffic;
+use crate::dialect::RequestFacts;
 use crate::http::head::RequestHead;
-use crate::load::{LoadBoard, server_key};
-use crate::metrics::Metrics;
-use crate::pace::PaceTable;
-use crate::published::{Board, Phase};
-use crate::servers::{Server, ServerTable};
-use crate::settings::GatewaySettings;
+use crate::published::Phase;
+use crate::servers::Server;
 
 /// Servers that are tried one after another when they cannot be reached.
 const MAX_UNREACHABLE: usize = 4;
@@ -50,86 +46,6 @@
 /// Pause between two looks for a server that can take a waiting request.
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
-/// What the traffic thread's requests share.
-pub struct Traffic {
-    /// Settings.
-    pub settings: Rc<GatewaySettings>,
-    /// The platform's formats.
-    pub dialect: Arc<dyn Dialect>,
-    /// What the control thread publishes.
-    pub board: Arc<Board>,
-    /// What this node does.
-    pub loads: LoadBoard,
-    /// The servers.
-    pub servers: RefCell<ServerTable>,
-    started: Instant,
-    budgets: RefCell<HashMap<String, FleetRetryBudget>>,
-    /// Metrics.
-    pub metrics: Arc<Metrics>,
-    /// How fast each model reads prompts.
-    pub paces: RefCell<PaceTable>,
-}
-
-impl Traffic {
-    /// The traffic thread's state.
-    pub fn new(
-        settings: Rc<GatewaySettings>,
-        dialect: Arc<dyn Dialect>,
-        board: Arc<Board>,
-        loads: LoadBoard,
-        metrics: Arc<Metrics>,
-    ) -> Traffic {
-        Traffic {
-            settings,
-            dialect,
-            board,
-            loads,
-            metrics,
-            servers: RefCell::default(),
-            started: Instant::now(),
-            budgets: RefCell::default(),
-            paces: RefCell::default(),
-        }
-    }
-
-    fn now(&self) -> Timestamp {
-        Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
-    }
-
-    fn with_budget<Result>(
-        &self,
-        service: &str,
-        act: impl FnOnce(&mut FleetRetryBudget) -> Result,
-    ) -> Result {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
-            let bounds = RetryBounds {
-                ratio: self.settings.bounds.retry_ratio,
-                window: self.settings.retry_window(),
-                extra: self.settings.bounds.retry_extra,
-            };
-            let fresh = self.settings.fresh_fleet;
-            FleetRetryBudget::new(bounds, Timestamp(0), fresh)
-        });
-        act(budget)
-    }
-
-    /// Whether a prompt would wait for no other one at the server.
-    fn is_idle(&self, server: &str) -> bool {
-        let remote = self.board.remote_load.load();
-        let load = self.loads.of(server);
-        let load = load.plus(remote.get(&server_key(server)).copied().unwrap_or_default());
-        load.pending_micros == 0 && load.in_flight < FEW_RUNNING
-    }
-
-    /// Takes a repeated send out of the fleet's budget.
-    fn may_repeat(&self, service: &str) -> bool {
-        let nodes = self.board.fleet.load().nodes_seen;
-        let now = self.now();
-        self.with_budget(service, |budget| budget.try_repeat(now, nodes))
-    }
-}
-
 /// A client's request on its way.
 pub struct Forward<'a> {
     /// What requests share.
@@ -483,53 +399,4 @@
         let bytes = answer.encode(&*self.traffic.dialect, &self.facts.id, keep);
         self.write(&bytes, keep).await
     }
-
-    fn log_sent(&self, server: &str, reused: bool) {
-        if !crate::log::may_tell_good(self.traffic.started) {
-            return;
-        }
-        info!("[forward] sent", kv: {
-            request = &*self.facts.id,
-            route = &*self.route.name,
-            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
-            server,
-            reused,
-            sends = self.sends.get(),
-            expected_millis = self.expected_millis.get(),
-            time_left_millis = self.time_left().as_millis() as u64,
-            age_millis = self.received.elapsed().as_millis() as u64,
-        });
-    }
-
-    fn log_answered(&self, server: &str, status: u16) {
-        self.traffic.metrics.ended("answered", "server", "-");
-        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
-        if !crate::log::may_tell_good(self.traffic.started) {
-            return;
-        }
-        info!("[forward] answered", kv: {
-            request = &*self.facts.id,
-            route = &*self.route.name,
-            server,
-            status,
-            age_millis = self.received.elapsed().as_millis() as u64,
-        });
-    }
-
-    fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
-        let fleet = self.traffic.board.fleet.load();
-        let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
-        warn!("[forward] {what}", kv: {
-            request = &*self.facts.id,
-            route = &*self.route.name,
-            step,
-            server,
-            reason,
-            sends = self.sends.get(),
-            age_millis = self.received.elapsed().as_millis() as u64,
-            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
-            configuration = version,
-            servers = fleet.servers.len() as u64,
-        });
-    }
 }
--- /dev/null
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -0,0 +1,56 @@
+//! Log lines that tell a request's story.
+
+use spdlog::{info, warn};
+
+use super::Forward;
+
+impl Forward<'_> {
+    pub(super) fn log_sent(&self, server: &str, reused: bool) {
+        if !crate::log::may_tell_good(self.traffic.started) {
+            return;
+        }
+        info!("[forward] sent", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
+            server,
+            reused,
+            sends = self.sends.get(),
+            expected_millis = self.expected_millis.get(),
+            time_left_millis = self.time_left().as_millis() as u64,
+            age_millis = self.received.elapsed().as_millis() as u64,
+        });
+    }
+
+    pub(super) fn log_answered(&self, server: &str, status: u16) {
+        self.traffic.metrics.ended("answered", "server", "-");
+        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+        if !crate::log::may_tell_good(self.traffic.started) {
+            return;
+        }
+        info!("[forward] answered", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            server,
+            status,
+            age_millis = self.received.elapsed().as_millis() as u64,
+        });
+    }
+
+    pub(super) fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
+        let fleet = self.traffic.board.fleet.load();
+        let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
+        warn!("[forward] {what}", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            step,
+            server,
+            reason,
+            sends = self.sends.get(),
+            age_millis = self.received.elapsed().as_millis() as u64,
+            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
+            configuration = version,
+            servers = fleet.servers.len() as u64,
+        });
+    }
+}
