--- a/crates/cometmoor-core/tests/gateway_planner.rs
+++ b/crates/cometmoor-core/tests/gateway_planner.rs
@@ -208,6 +208,7 @@
 fn a_copy_that_leaves_or_is_on_its_way_does_not_make_another_one_spare() {
     let mut world = World::new();
     world.demand.models.insert("m5".to_owned(), 2.0);
+    world.profile.models[0].adapters = 0;
     for (leaving, loading) in [(true, false), (false, true)] {
         let mut servers = vec![server(0, &[0, 1, 2]), server(1, &[0, 3, 4]), server(2, &[5])];
         let weights = Weights::model("m0");
