Dead parts out, the log level parsed in one place

Cause: read of the whole change. The core's Registry did what Mirror does and was used by nobody; candidates carried a constant and a field that nothing read; the control thread took contacts that were always none; two commands parsed the log level alike. Ruled out: merging the stop of both kinds of node, and the test harness's loops; they differ in what they check.

--- a/crates/cometmoor-core/src/gateway/registry.rs
+++ b/crates/cometmoor-core/src/gateway/registry.rs
@@ -1,6 +1,5 @@
 //! Servers of the fleet, as the registry in the store tells of them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,75 +53,3 @@
         self.models.iter().find(|held| held.name == model)
     }
 }
-
-/// What changed in the registry.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RegistryChange {
-    /// A server was written.
-    Written(Arc<ServerRecord>),
-    /// A server's entry is gone.
-    Gone(Arc<str>),
-}
-
-/// Servers by identifier, with the store's revision of each entry.
-#[derive(Clone, Debug, Default)]
-pub struct Registry {
-    servers: BTreeMap<Arc<str>, (u64, Arc<ServerRecord>)>,
-}
-
-impl Registry {
-    /// Takes a change with the revision that the store gave it; an older one
-    /// than the entry's is left out. Tells whether anything changed.
-    pub fn apply(&mut self, revision: u64, change: RegistryChange) -> bool {
-        match change {
-            RegistryChange::Written(record) => {
-                let known = self.servers.get(&record.id);
-                if known.is_some_and(|(known, _)| *known >= revision) {
-                    return false;
-                }
-                self.servers.insert(record.id.clone(), (revision, record));
-                true
-            }
-            RegistryChange::Gone(id) => {
-                let known = self.servers.get(&id);
-                if known.is_none_or(|(known, _)| *known > revision) {
-                    return false;
-                }
-                self.servers.remove(&id);
-                true
-            }
-        }
-    }
-
-    /// Replaces everything by a full read of the store. Tells which servers
-    /// are gone by it.
-    pub fn replace(&mut self, entries: Vec<(u64, Arc<ServerRecord>)>) -> Vec<Arc<str>> {
-        let fresh: BTreeMap<_, _> = entries
-            .into_iter()
-            .map(|(revision, record)| (record.id.clone(), (revision, record)))
-            .collect();
-        let gone = self.servers.keys().filter(|id| !fresh.contains_key(*id)).cloned().collect();
-        self.servers = fresh;
-        gone
-    }
-
-    /// All servers.
-    pub fn servers(&self) -> impl Iterator<Item = &Arc<ServerRecord>> {
-        self.servers.values().map(|(_, record)| record)
-    }
-
-    /// A server by its identifier.
-    pub fn get(&self, id: &str) -> Option<&Arc<ServerRecord>> {
-        self.servers.get(id).map(|(_, record)| record)
-    }
-
-    /// Number of servers.
-    pub fn len(&self) -> usize {
-        self.servers.len()
-    }
-
-    /// Whether no server is known.
-    pub fn is_empty(&self) -> bool {
-        self.servers.is_empty()
-    }
-}
--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -16,12 +16,8 @@
     pub pending_millis: f64,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Tokens of running requests, from all nodes.
-    pub cache_tokens_in_use: u64,
     /// Whether it stands in the node's zone.
     pub same_zone: bool,
-    /// Whether it holds the adapter that the request names.
-    pub adapter_at_hand: bool,
     /// Failures in the recent past, as a share from 0 to 1.
     pub failure_share: f64,
     /// Rendezvous hash of the server and the leading parts of the prompt.
@@ -49,29 +45,17 @@
     pub per_waiting: f64,
     /// Added where the server stands in another zone.
     pub other_zone: f64,
-    /// Added where the adapter has to be brought.
-    pub adapter: f64,
     /// Added by a server all of whose recent answers failed.
     pub failing: f64,
 }
 
 impl CostModel {
     /// For model engines.
-    pub const ENGINE: CostModel = CostModel {
-        per_running: 0.6,
-        per_waiting: 30.0,
-        other_zone: 3.0,
-        adapter: 15.0,
-        failing: 400.0,
-    };
+    pub const ENGINE: CostModel =
+        CostModel { per_running: 0.6, per_waiting: 30.0, other_zone: 3.0, failing: 400.0 };
     /// For plain services.
-    pub const PLAIN: CostModel = CostModel {
-        per_running: 4.0,
-        per_waiting: 20.0,
-        other_zone: 5.0,
-        adapter: 0.0,
-        failing: 150.0,
-    };
+    pub const PLAIN: CostModel =
+        CostModel { per_running: 4.0, per_waiting: 20.0, other_zone: 5.0, failing: 150.0 };
 
     /// Expected milliseconds until the first byte.
     pub fn cost(&self, candidate: &Candidate, demand: &Demand) -> f64 {
@@ -83,9 +67,6 @@
         if !candidate.same_zone {
             cost += self.other_zone;
         }
-        if !candidate.adapter_at_hand {
-            cost += self.adapter;
-        }
         cost + self.failing * candidate.failure_share
     }
 }
--- a/crates/cometmoor-core/tests/gateway_limits.rs
+++ b/crates/cometmoor-core/tests/gateway_limits.rs
@@ -67,7 +67,7 @@
 }
 
 fn candidate() -> Candidate {
-    Candidate { slots: 64, same_zone: true, adapter_at_hand: true, ..Candidate::default() }
+    Candidate { slots: 64, same_zone: true, ..Candidate::default() }
 }
 
 #[test]
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -82,9 +82,9 @@
 
 impl FleetState {
     /// The state of a node that knows nothing yet.
-    pub fn new(context: Rc<ControlContext>, contacts: Vec<SocketAddrV4>) -> FleetState {
+    pub fn new(context: Rc<ControlContext>) -> FleetState {
         let mut peers = Peers::default();
-        for contact in context.settings.seeds.iter().chain(&contacts) {
+        for contact in &context.settings.seeds {
             if *contact != context.settings.peer_address {
                 peers.add_contact(*contact, Timestamp(0));
             }
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -8,7 +8,6 @@
 pub mod registration;
 pub mod watcher;
 
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -38,11 +37,8 @@
 }
 
 /// Starts the control thread's parts on the current `actix` system.
-pub async fn start(
-    context: Rc<ControlContext>,
-    extra_contacts: Vec<SocketAddrV4>,
-) -> std::io::Result<Addr<FleetState>> {
-    let fleet = FleetState::new(context.clone(), extra_contacts).start();
+pub async fn start(context: Rc<ControlContext>) -> std::io::Result<Addr<FleetState>> {
+    let fleet = FleetState::new(context.clone()).start();
     heartbeat::start(&context, &fleet).await?;
     watcher::start(&context, &fleet);
     registration::start(&context, &fleet);
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -188,7 +188,7 @@
         incarnation: new_incarnation(),
     });
     let failed = |source| StartError::Listen { address: settings.peer_address, source };
-    let fleet = start_control(context.clone(), Vec::new()).await.map_err(failed)?;
+    let fleet = start_control(context.clone()).await.map_err(failed)?;
     spawn_small(settings.ready_address, ready_answer(board, dialect))?;
     spawn_small(settings.directory_address, directory_answer(settings, board, dialect))?;
     if let Some(address) = settings.metrics_address {
--- a/crates/cometmoor/src/cli/run_gateway.rs
+++ b/crates/cometmoor/src/cli/run_gateway.rs
@@ -8,18 +8,13 @@
 use cometmoor_platform::PlatformDialect;
 
 use super::exit::Exit;
-
-/// Log level where none is given.
-const DEFAULT_LEVEL: &str = "info";
+use super::run_node::log_level_or_default;
 
 /// Runs a gateway node in the foreground.
 pub fn run(file: &Path, log_level: Option<&str>) -> Exit {
-    let level: spdlog::Level = match log_level.unwrap_or(DEFAULT_LEVEL).parse() {
+    let level = match log_level_or_default(log_level) {
         Ok(level) => level,
-        Err(error) => {
-            eprintln!("--log: {error}");
-            return Exit::Usage;
-        }
+        Err(exit) => return exit,
     };
     let node = cometmoor_gateway::node::run(file.to_owned(), Arc::new(PlatformDialect), level);
     match actix::System::new().block_on(node) {
--- a/crates/cometmoor/src/cli/run_node.rs
+++ b/crates/cometmoor/src/cli/run_node.rs
@@ -27,14 +27,19 @@
 /// Log level where none is given.
 const DEFAULT_LEVEL: &str = "info";
 
+/// The log level of the command line; a wrong one is told and ends the command.
+pub(super) fn log_level_or_default(text: Option<&str>) -> Result<spdlog::Level, Exit> {
+    text.unwrap_or(DEFAULT_LEVEL).parse().map_err(|error| {
+        eprintln!("--log: {error}");
+        Exit::Usage
+    })
+}
+
 /// Runs a node in the foreground.
 pub fn run(file: &Path, log_level: Option<&str>) -> Exit {
-    let level: spdlog::Level = match log_level.unwrap_or(DEFAULT_LEVEL).parse() {
+    let level = match log_level_or_default(log_level) {
         Ok(level) => level,
-        Err(error) => {
-            eprintln!("--log: {error}");
-            return Exit::Usage;
-        }
+        Err(exit) => return exit,
     };
     let settings = match Settings::read(file) {
         Ok(settings) => settings,
