The node that led last leads again at once

Change: the store keeps who led last, written in the commit that writes the leader's key; a node whose own name stands there follows itself, replaces its former process's key and does not wait. Nodes that leave the store to others do not campaign. Whether any node ever led is read from the store, no longer guessed from the settings.

Ruled out: a shorter quiet time for all (two machines could take turns within the bound).

The property of leadership now restarts nodes and follows the store's two keys.

--- a/crates/cometmoor-core/src/gateway/leadership.rs
+++ b/crates/cometmoor-core/src/gateway/leadership.rs
@@ -25,6 +25,42 @@
 /// Part of the lease that is never used, for clocks that drift.
 const UNUSED_PART: u32 = 10;
 
+/// Which node ordered the servers before this term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Predecessor {
+    /// No node ever did.
+    Nobody,
+    /// This node, in an earlier term or as an earlier process: what it sent and
+    /// what it will send come from one sender.
+    SameNode,
+    /// Another node.
+    OtherNode,
+}
+
+/// What the store tells of leadership: who holds the key that lives as long as
+/// its lease, and who held it last, which is kept for ever. Both are written in
+/// one commit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing<'a> {
+    /// Node whose lease has not run out.
+    pub holder: Option<&'a str>,
+    /// Node that led last.
+    pub last: Option<&'a str>,
+}
+
+/// Whether a node may write the leader's key now, and whom it would follow. A
+/// node may follow itself before its own lease has run out: the process that
+/// held it has lost it or has ended.
+pub fn candidacy(own: &str, standing: &Standing<'_>) -> Option<Predecessor> {
+    match (standing.holder, standing.last) {
+        (Some(holder), Some(last)) if holder == own && last == own => Some(Predecessor::SameNode),
+        (Some(_), _) => None,
+        (None, Some(last)) if last == own => Some(Predecessor::SameNode),
+        (None, Some(_)) => Some(Predecessor::OtherNode),
+        (None, None) => Some(Predecessor::Nobody),
+    }
+}
+
 /// A term of leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Term {
@@ -52,16 +88,19 @@
 
     /// Notes that the key was written under a lease whose grant was sent at
     /// `lease_sent`. `acquired` is when the store's answer came; `token` is the
-    /// revision of the write. Where no other node can have led, the first
-    /// order need not wait.
+    /// revision of the write. Only after another node's orders does the first
+    /// order have to wait.
     pub fn acquire(
         &mut self,
         token: u64,
         lease_sent: Timestamp,
         acquired: Timestamp,
-        no_predecessor: bool,
+        predecessor: Predecessor,
     ) {
-        let wait = if no_predecessor { Duration::ZERO } else { self.times.quiet };
+        let wait = match predecessor {
+            Predecessor::Nobody | Predecessor::SameNode => Duration::ZERO,
+            Predecessor::OtherNode => self.times.quiet,
+        };
         self.term = Some(Term {
             token,
             first_order: acquired + wait,
--- a/crates/cometmoor-core/tests/gateway_leadership.rs
+++ b/crates/cometmoor-core/tests/gateway_leadership.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bolero::TypeGenerator;
-use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes};
+use cometmoor_core::gateway::leadership::{
+    Leadership, LeadershipTimes, Predecessor, Standing, candidacy,
+};
 use cometmoor_core::time::Timestamp;
 
 use schedules::for_each_schedule;
@@ -25,6 +27,8 @@
     Pass { tenths: u8 },
     /// A node campaigns; its calls take a while to reach the store.
     Campaign { node: u8, on_the_way: u8 },
+    /// The node's process ends; another one starts, which knows nothing.
+    Restart { node: u8 },
     /// A node renews; the call may be slow, or its answer lost.
     Renew { node: u8, on_the_way: u8, answered: bool },
     /// A node orders a server; the order arrives after a while.
@@ -35,9 +39,12 @@
 #[derive(Default)]
 struct Store {
     holder: Option<(usize, u64)>,
+    last: Option<usize>,
     revision: u64,
 }
 
+const NAMES: [&str; NODES] = ["a", "b", "c"];
+
 struct World {
     now: u64,
     store: Store,
@@ -71,16 +78,22 @@
             Step::Campaign { node: index, on_the_way } => {
                 let sent = self.now;
                 self.now += way(on_the_way);
-                if self.holder().is_some() {
-                    return;
-                }
+                let standing = Standing {
+                    holder: self.holder().map(|holder| NAMES[holder]),
+                    last: self.store.last.map(|last| NAMES[last]),
+                };
+                let Some(predecessor) = candidacy(NAMES[node(index)], &standing) else { return };
+                self.store.last = Some(node(index));
                 self.store.revision += 1;
                 let until = self.now + TIMES.lease.as_millis() as u64;
                 self.store.holder = Some((node(index), until));
                 self.now += way(on_the_way);
                 let (sent, now) = (Timestamp(sent), Timestamp(self.now));
                 let token = self.store.revision;
-                self.nodes[node(index)].acquire(token, sent, now, token == 1);
+                self.nodes[node(index)].acquire(token, sent, now, predecessor);
+            }
+            Step::Restart { node: index } => {
+                self.nodes[node(index)] = Leadership::new(TIMES);
             }
             Step::Renew { node: index, on_the_way, answered } => {
                 let sent = self.now;
@@ -133,7 +146,7 @@
 #[test]
 fn a_node_that_was_paused_past_its_lease_does_not_order() {
     let mut leader = Leadership::new(TIMES);
-    leader.acquire(7, Timestamp(0), Timestamp(10), true);
+    leader.acquire(7, Timestamp(0), Timestamp(10), Predecessor::Nobody);
     assert_eq!(leader.token(Timestamp(100)), Some(7));
     assert_eq!(leader.token(Timestamp(2000)), None, "the order could arrive after the lease");
     assert!(!leader.leads(Timestamp(2700)), "a tenth of the lease stays unused");
@@ -144,10 +157,20 @@
 #[test]
 fn a_successor_waits_before_its_first_order() {
     let mut successor = Leadership::new(TIMES);
-    successor.acquire(8, Timestamp(0), Timestamp(20), false);
+    successor.acquire(8, Timestamp(0), Timestamp(20), Predecessor::OtherNode);
     assert!(successor.leads(Timestamp(30)));
     assert_eq!(successor.token(Timestamp(1000)), None);
     successor.renew(Timestamp(1500), Timestamp(1510));
     successor.renew(Timestamp(3000), Timestamp(3010));
     assert_eq!(successor.token(Timestamp(3421)), Some(8));
 }
+
+#[test]
+fn only_a_node_that_led_last_may_lead_again_before_its_lease_is_over() {
+    let standing = |holder, last| Standing { holder, last };
+    assert_eq!(candidacy("a", &standing(None, None)), Some(Predecessor::Nobody));
+    assert_eq!(candidacy("a", &standing(None, Some("b"))), Some(Predecessor::OtherNode));
+    assert_eq!(candidacy("a", &standing(None, Some("a"))), Some(Predecessor::SameNode));
+    assert_eq!(candidacy("a", &standing(Some("a"), Some("a"))), Some(Predecessor::SameNode));
+    assert_eq!(candidacy("a", &standing(Some("b"), Some("b"))), None);
+}
--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -3,13 +3,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cometmoor_core::gateway::leadership::{Predecessor, Standing, candidacy};
+
 use super::leader::Leader;
 use crate::dialect::{Commit, Committed};
+use crate::mirror::MirroredItem;
 use crate::peer::renew_through;
 use crate::published::Phase;
 
-/// Key of the leading node.
-const LEADER_KEY: &str = "cometmoor/leader";
+/// Prefix of both keys.
+const LEADERSHIP_PREFIX: &str = "cometmoor/leadership/";
+/// Key of the leading node, which goes with its lease.
+const HOLDER_KEY: &str = "cometmoor/leadership/holder";
+/// Key of the node that led last, which stays.
+const LAST_KEY: &str = "cometmoor/leadership/last";
 /// Silence of the leading node after which others try.
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Pause between two looks.
@@ -19,62 +26,95 @@
 /// Pause before a renewal that failed is tried again.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// Campaigns, renews, and campaigns again.
+/// Campaigns, renews, and campaigns again. The first try of a process is made
+/// at once, for this node may have led until a moment ago.
 pub async fn run(leader: Rc<Leader>, lease: Duration, renewal: Duration) {
+    while leader.context().board.fleet.load().phase != Phase::Ready {
+        tokio::time::sleep(LOOK / 4).await;
+    }
+    let mut only_own = true;
     loop {
-        tokio::time::sleep(LOOK).await;
-        if !should_try(&leader) {
+        if !only_own && !is_time(&leader).await {
             continue;
         }
-        let jitter = rand::random_range(0..MOST_JITTER_MILLIS);
-        tokio::time::sleep(Duration::from_millis(jitter)).await;
-        if !should_try(&leader) {
-            continue;
-        }
-        if let Some(lease_id) = acquire(&leader, lease).await {
+        if let Some(lease_id) = campaign(&leader, lease, only_own).await {
             keep(&leader, lease_id, renewal).await;
             leader.lost();
         }
+        only_own = false;
     }
 }
 
-fn should_try(leader: &Leader) -> bool {
-    let fleet = leader.context().board.fleet.load();
-    if fleet.phase != Phase::Ready {
+/// Waits a moment; whether this node should try to lead then.
+async fn is_time(leader: &Leader) -> bool {
+    tokio::time::sleep(LOOK).await;
+    if !should_try(leader) {
         return false;
     }
-    let heard = fleet.leader_heard;
-    if heard.is_some() {
-        leader.saw_predecessor();
+    let jitter = rand::random_range(0..MOST_JITTER_MILLIS);
+    tokio::time::sleep(Duration::from_millis(jitter)).await;
+    should_try(leader)
+}
+
+fn should_try(leader: &Leader) -> bool {
+    let fleet = leader.context().board.fleet.load();
+    fleet.phase == Phase::Ready
+        && fleet.reads_store
+        && fleet.leader_heard.is_none_or(|heard| heard.elapsed() > SILENCE)
+}
+
+/// Looks who led last and writes the leader's keys under a new lease, if this
+/// node may. Returns the lease.
+async fn campaign(leader: &Leader, lifetime: Duration, only_own: bool) -> Option<u64> {
+    let keys = leader.context().store.read(LEADERSHIP_PREFIX).await.ok()?;
+    let holder = keys.items.get(HOLDER_KEY);
+    let last = keys.items.get(LAST_KEY);
+    let name = |item: Option<&MirroredItem>| {
+        item.map(|item| String::from_utf8_lossy(&item.value).into_owned())
+    };
+    let (holder_name, last_name) = (name(holder), name(last));
+    let standing = Standing { holder: holder_name.as_deref(), last: last_name.as_deref() };
+    let predecessor = candidacy(&identity(leader), &standing)?;
+    if only_own && predecessor != Predecessor::SameNode {
+        return None;
     }
-    heard.is_none_or(|heard| heard.elapsed() > SILENCE)
+    let revision = |item: Option<&MirroredItem>| item.map_or(0, |item| item.revision);
+    let conditions =
+        vec![(HOLDER_KEY.to_owned(), revision(holder)), (LAST_KEY.to_owned(), revision(last))];
+    acquire(leader, lifetime, conditions, predecessor).await
 }
 
-/// Writes the key under a new lease, if nobody holds it.
-async fn acquire(leader: &Leader, lifetime: Duration) -> Option<u64> {
+/// What tells this machine apart from all others; its processes share it.
+fn identity(leader: &Leader) -> String {
+    let settings = &leader.context().settings;
+    format!("{} {}", settings.node, settings.peer_address)
+}
+
+async fn acquire(
+    leader: &Leader,
+    lifetime: Duration,
+    conditions: Vec<(String, u64)>,
+    predecessor: Predecessor,
+) -> Option<u64> {
     let context = leader.context();
     let sent = leader.now();
     let lease = context.store.grant_lease(lifetime).await.ok()?;
-    let value = format!("{} {}", context.settings.node, context.incarnation).into_bytes();
-    let commit = Commit {
-        conditions: vec![(LEADER_KEY.to_owned(), 0)],
-        puts: vec![(LEADER_KEY.to_owned(), value, lease.id)],
-    };
-    match context.store.commit(&commit).await {
+    let identity = identity(leader).into_bytes();
+    let puts = vec![
+        (HOLDER_KEY.to_owned(), identity.clone(), lease.id),
+        (LAST_KEY.to_owned(), identity, 0),
+    ];
+    match context.store.commit(&Commit { conditions, puts }).await {
         Ok(Committed::Done(token)) => {
-            leader.acquired(token, sent);
+            leader.acquired(token, sent, predecessor);
             Some(lease.id)
         }
         Ok(Committed::Conflict | Committed::LeaseOver) => {
-            leader.saw_predecessor();
             let _ = context.store.end_lease(lease.id).await;
             None
         }
-        // Whether the key was written is not known; the lease runs out.
-        Err(_) => {
-            leader.saw_predecessor();
-            None
-        }
+        // Whether the keys were written is not known; the lease runs out.
+        Err(_) => None,
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -209,6 +209,7 @@
             servers: self.servers.values().map(|(_, record)| record.clone()).collect(),
             nodes: self.client_nodes(now),
             confirmed,
+            reads_store: self.is_reader(),
             leads: self.placement.is_some(),
             leader_heard: self.leader_heard,
             stop: self.stop,
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -12,7 +12,7 @@
 
 use actix::Addr;
 use cometmoor_core::gateway::configuration::{EngineProfile, GatewayConfiguration};
-use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes};
+use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes, Predecessor};
 use cometmoor_core::gateway::load_rate::LoadRate;
 use cometmoor_core::gateway::orders::{Action, NextStep, Weights};
 use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
@@ -44,6 +44,8 @@
 const RENEWAL_PART: u32 = 3;
 /// Time without a new server after which the fleet counts as known.
 const SETTLED_AFTER: Duration = Duration::from_millis(1800);
+/// The same in a fleet that was led before.
+const SETTLED_AGAIN_AFTER: Duration = Duration::from_millis(500);
 /// Time of leading after which orders do not wait for the fleet to be known.
 const SETTLE_AT_MOST: Duration = Duration::from_secs(6);
 /// More quiet than the bound asks for, between the orders of two nodes.
@@ -61,9 +63,14 @@
 }
 
 impl LeaderState {
-    /// Whether the servers that are known are likely to be all there are.
-    fn is_settled(&self, now: Timestamp) -> bool {
-        let quiet = self.last_new_server.is_some_and(|new| now.since(new) >= SETTLED_AFTER);
+    /// Whether the servers that are known are likely to be all there are. In a
+    /// fleet that was led before, they have registered long ago.
+    fn is_settled(&self, predecessor: Predecessor, now: Timestamp) -> bool {
+        let rest = match predecessor {
+            Predecessor::Nobody => SETTLED_AFTER,
+            Predecessor::SameNode | Predecessor::OtherNode => SETTLED_AGAIN_AFTER,
+        };
+        let quiet = self.last_new_server.is_some_and(|new| now.since(new) >= rest);
         quiet || self.first_round.is_some_and(|first| now.since(first) >= SETTLE_AT_MOST)
     }
 }
@@ -77,8 +84,7 @@
     state: RefCell<LeaderState>,
     wake: Notify,
     led: Cell<bool>,
-    no_predecessor: Cell<bool>,
-    first_of_fleet: Cell<bool>,
+    predecessor: Cell<Predecessor>,
 }
 
 /// Starts the tasks of leadership and ordering.
@@ -93,8 +99,7 @@
         state: RefCell::default(),
         wake: Notify::new(),
         led: Cell::new(false),
-        no_predecessor: Cell::new(context.settings.fresh_fleet),
-        first_of_fleet: Cell::new(false),
+        predecessor: Cell::new(Predecessor::OtherNode),
     });
     actix_rt::spawn(super::campaign::run(leader.clone(), lease, lease / RENEWAL_PART));
     actix_rt::spawn(leader.run());
@@ -119,18 +124,13 @@
     }
 
     /// Notes that this node got the lease.
-    pub(super) fn acquired(&self, token: u64, lease_sent: Timestamp) {
+    pub(super) fn acquired(&self, token: u64, lease_sent: Timestamp, predecessor: Predecessor) {
         let now = self.now();
-        let first = self.no_predecessor.replace(false);
-        self.first_of_fleet.set(first);
-        self.leadership.borrow_mut().acquire(token, lease_sent, now, first);
+        self.predecessor.set(predecessor);
+        self.leadership.borrow_mut().acquire(token, lease_sent, now, predecessor);
         *self.state.borrow_mut() = LeaderState { acquired: now, ..LeaderState::default() };
-        info!("[leader] this node leads", kv: { token, at_once = first });
-    }
-
-    /// Notes that another node has led.
-    pub(super) fn saw_predecessor(&self) {
-        self.no_predecessor.set(false);
+        let follows = format!("{predecessor:?}");
+        info!("[leader] this node leads", kv: { token, follows });
     }
 
     /// Notes that the lease was renewed by a call sent at `sent`.
@@ -278,7 +278,7 @@
     async fn plan_service(self: &Rc<Leader>, service: &str, profile: &EngineProfile, token: u64) {
         let Some(demand) = self.demand(profile).await else { return };
         let servers = self.planned_servers(service);
-        let settled = self.state.borrow().is_settled(self.now());
+        let settled = self.state.borrow().is_settled(self.predecessor.get(), self.now());
         if servers.is_empty() || !settled {
             return;
         }
@@ -305,8 +305,9 @@
         let now = self.now();
         let window = Duration::from_secs_f64(self.context.settings.bounds.load_window_seconds);
         let mut state = self.state.borrow_mut();
-        // What another node has ordered, it ordered before this one acquired.
-        let (acquired, first) = (state.acquired, self.first_of_fleet.get());
+        // What was ordered in earlier terms was ordered before this one began.
+        let acquired = state.acquired;
+        let first = self.predecessor.get() == Predecessor::Nobody;
         let rate = state
             .load_rates
             .entry(service.to_owned())
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -60,6 +60,8 @@
     pub nodes: Vec<ClientNode>,
     /// When the store or a peer last confirmed the configuration.
     pub confirmed: Option<Instant>,
+    /// Whether this node is among those that read the store themselves.
+    pub reads_store: bool,
     /// Whether this node orders the servers.
     pub leads: bool,
     /// When the leading node was last heard.
