Only prompts as urgent as a request count as ahead of it

Change: pending prompts are told by rank of urgency; the expected first event of a request counts those that go before it.

--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -31,6 +31,7 @@
 pub use self::traffic::Traffic;
 use crate::dialect::RequestFacts;
 use crate::http::head::RequestHead;
+use crate::load::PendingWork;
 use crate::published::Phase;
 use crate::servers::Server;
 
@@ -265,8 +266,9 @@
         }
         let sent_at = self.traffic.is_idle(&record.id).then(Instant::now);
         let tokens = self.facts.prompt_tokens + self.facts.output_tokens;
-        let mut guard =
-            self.traffic.loads.sent(&record.id, self.reading(self.facts.prompt_tokens), tokens);
+        let reading = self.reading(self.facts.prompt_tokens);
+        let pending = PendingWork::of(reading, self.route.priority);
+        let mut guard = self.traffic.loads.sent(&record.id, pending, tokens);
         let before = self.progress.replace(Progress::Sent);
         self.sends.set(self.sends.get() + 1);
         self.log_sent(&record.id, lent.reused);
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -135,7 +135,7 @@
         let load = own.plus(remote.get(&server_key(&record.id)).copied().unwrap_or_default());
         Candidate {
             in_flight: load.in_flight,
-            pending_millis: load.pending_micros as f64 / 1000.0,
+            pending_millis: load.pending.millis_ahead_of(self.route.priority),
             slots: record.slots,
             same_zone: record.zone == self.traffic.settings.zone,
             failure_share: server.failure_share(now),
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -87,7 +87,7 @@
         let remote = self.board.remote_load.load();
         let load = self.loads.of(server);
         let load = load.plus(remote.get(&server_key(server)).copied().unwrap_or_default());
-        load.pending_micros == 0 && load.in_flight < FEW_RUNNING
+        load.pending.is_none() && load.in_flight < FEW_RUNNING
     }
 
     /// Takes a repeated send out of the fleet's budget.
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -11,7 +11,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the heartbeat's format.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 /// Silence after which a node is not offered to clients any more.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1100);
 /// Silence after which a node is forgotten.
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -6,14 +6,57 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Ranks of urgency that are told apart; what is less urgent counts as the last.
+const RANKS: usize = 3;
+
+/// Time that a server takes to read prompts, in microseconds, by the rank of
+/// the requests: servers admit the more urgent ones first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PendingWork {
+    micros: [u64; RANKS],
+}
+
+impl PendingWork {
+    /// Work of one request.
+    pub fn of(reading: Duration, urgency: u8) -> PendingWork {
+        let mut micros = [0; RANKS];
+        micros[rank(urgency)] = u64::try_from(reading.as_micros()).unwrap_or(0);
+        PendingWork { micros }
+    }
+
+    /// The sum.
+    fn plus(self, other: PendingWork) -> PendingWork {
+        PendingWork { micros: std::array::from_fn(|rank| self.micros[rank] + other.micros[rank]) }
+    }
+
+    /// What is left without a part of it.
+    fn minus(self, part: PendingWork) -> PendingWork {
+        let left = |rank: usize| self.micros[rank].saturating_sub(part.micros[rank]);
+        PendingWork { micros: std::array::from_fn(left) }
+    }
+
+    /// Whether nothing waits.
+    pub fn is_none(self) -> bool {
+        self == PendingWork::default()
+    }
+
+    /// Time before a request of this urgency is read, in milliseconds.
+    pub fn millis_ahead_of(self, urgency: u8) -> f64 {
+        self.micros[..=rank(urgency)].iter().sum::<u64>() as f64 / 1000.0
+    }
+}
+
+fn rank(urgency: u8) -> usize {
+    usize::from(urgency).min(RANKS - 1)
+}
+
 /// Load that one node, or several together, put on a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
     /// Requests sent and not finished.
     pub in_flight: u32,
-    /// Time that the server takes to read the prompts of those whose first event
-    /// has not come, in microseconds.
-    pub pending_micros: u64,
+    /// Prompts of those whose first event has not come.
+    pub pending: PendingWork,
     /// Tokens of all of them.
     pub tokens: u64,
 }
@@ -23,7 +66,7 @@
     pub fn plus(self, other: ServerLoad) -> ServerLoad {
         ServerLoad {
             in_flight: self.in_flight + other.in_flight,
-            pending_micros: self.pending_micros + other.pending_micros,
+            pending: self.pending.plus(other.pending),
             tokens: self.tokens + other.tokens,
         }
     }
@@ -127,12 +170,11 @@
     }
 
     /// Notes a request at a server until the guard is dropped.
-    pub fn sent(&self, server: &Arc<str>, reading: Duration, tokens: u64) -> Sent {
-        let pending = u64::try_from(reading.as_micros()).unwrap_or(0);
+    pub fn sent(&self, server: &Arc<str>, pending: PendingWork, tokens: u64) -> Sent {
         let mut board = self.lock();
         let load = board.servers.entry(server.clone()).or_default();
         load.in_flight += 1;
-        load.pending_micros += pending;
+        load.pending = load.pending.plus(pending);
         load.tokens += tokens;
         Sent { board: self.clone(), server: server.clone(), pending, tokens }
     }
@@ -155,7 +197,7 @@
 pub struct Sent {
     board: LoadBoard,
     server: Arc<str>,
-    pending: u64,
+    pending: PendingWork,
     tokens: u64,
 }
 
@@ -163,11 +205,11 @@
     /// Notes the first event: the prompt was read.
     pub fn first_event(&mut self) {
         let pending = std::mem::take(&mut self.pending);
-        if pending == 0 {
+        if pending.is_none() {
             return;
         }
         if let Some(load) = self.board.lock().servers.get_mut(&self.server) {
-            load.pending_micros -= pending;
+            load.pending = load.pending.minus(pending);
         }
     }
 }
@@ -177,7 +219,7 @@
         let mut board = self.board.lock();
         let Some(load) = board.servers.get_mut(&self.server) else { return };
         load.in_flight -= 1;
-        load.pending_micros -= self.pending;
+        load.pending = load.pending.minus(self.pending);
         load.tokens -= self.tokens;
         if load.in_flight == 0 {
             board.servers.remove(&self.server);
