A node whose open watch says nothing takes a newer configuration from peers

A node that reads the store had a watch open that neither answered nor failed, for up to 10.8 s, and asked peers only after a failure.

Change: a peer's newer configuration is asked for after 0.4 s in which the own copy stood still, servers' entries after 0.9 s, whatever the watch says. After a peer that does not answer the next heartbeat's sender is asked, 50 ms later instead of 300.

--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -35,8 +35,8 @@
 const SMALL_FLEET: usize = 12;
 /// Nodes that read the store in a larger fleet; the others learn from them.
 const READERS: usize = 6;
-/// Pause between two requests for a peer's copy.
-const FETCH_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a peer did not give its copy; another one's heartbeat comes soon.
+const FETCH_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two fetches of a copy of the servers from a node of the same
 /// zone. With the reader's own pause it is a small part of the time within
 /// which a leaving server must get no new work.
@@ -53,6 +53,14 @@
     confirmed: Option<Instant>,
     watch_failing: bool,
     fetching: bool,
+    behind: Option<Behind>,
+}
+
+/// Since when a peer has been known to have more than a copy of this revision.
+#[derive(Clone, Copy)]
+struct Behind {
+    at: u64,
+    since: Instant,
 }
 
 impl Copy {
@@ -61,6 +69,20 @@
         self.confirmed.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
     }
 
+    /// Notes that a peer has a newer copy; whether one has had it for so long
+    /// while this copy stood still. A watch that the store has forgotten, or
+    /// whose answer a partition holds up, does not fail for many seconds.
+    fn is_behind_for(&mut self, span: Duration) -> bool {
+        let (at, now) = (self.mirror.at, Instant::now());
+        match self.behind {
+            Some(behind) if behind.at == at => now.duration_since(behind.since) >= span,
+            _ => {
+                self.behind = Some(Behind { at, since: now });
+                false
+            }
+        }
+    }
+
     /// Notes that the store has answered.
     fn confirm(&mut self, subject: Subject) {
         if self.watch_failing {
@@ -344,9 +366,13 @@
                 copy.confirmed = Some(Instant::now());
                 copy.watch_failing = false;
             }
-            let lagging = learns || copy.watch_failing || copy.confirmed.is_none();
+            if !newer {
+                continue;
+            }
+            let unanswered = copy.watch_failing || copy.confirmed.is_none();
+            let lagging = learns || unanswered || copy.is_behind_for(watch_lead(subject));
             let fetching = copy.fetching;
-            if newer && lagging && !fetching && self.may_fetch(subject, heartbeat) {
+            if lagging && !fetching && self.may_fetch(subject, heartbeat) {
                 self.copy(subject).fetching = true;
                 self.fetch(subject, heartbeat.peer_address, context);
             }
@@ -400,6 +426,14 @@
     }
 }
 
+/// Time that this node's own watch has to bring what a peer already has.
+fn watch_lead(subject: Subject) -> Duration {
+    match subject {
+        Subject::Configuration => Duration::from_millis(400),
+        Subject::Servers => Duration::from_millis(900),
+    }
+}
+
 /// Drops servers whose address a later one has: they have ended, though their
 /// entries have not run out yet.
 fn drop_replaced(servers: &mut HashMap<String, KnownServer>) {
