--- a/crates/cometmoor-gateway/src/log.rs
+++ b/crates/cometmoor-gateway/src/log.rs
@@ -54,17 +54,22 @@
 /// Sends log lines of this level and above to standard output, with the node's
 /// name in each.
 pub fn start(node: &str, level: spdlog::Level) {
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    let writer = std::thread::Builder::new().name("log".to_owned());
-    if writer.spawn(move || write_lines(&receiver)).is_err() {
-        return;
-    }
-    if let Some(logger) = build(node, level, QueueWriter { sender }) {
+    if let Some(logger) = logger_to(node, level, io::stdout()) {
         spdlog::set_default_logger(Arc::new(logger));
     }
 }
 
-fn build(node: &str, level: spdlog::Level, writer: QueueWriter) -> Option<Logger> {
+/// A logger whose lines go through a bounded queue to a thread of their own,
+/// which writes them to the output.
+pub fn logger_to(
+    node: &str,
+    level: spdlog::Level,
+    output: impl Write + Send + 'static,
+) -> Option<Logger> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    let thread = std::thread::Builder::new().name("log".to_owned());
+    thread.spawn(move || write_lines(&receiver, output)).ok()?;
+    let writer = QueueWriter { sender };
     let sink =
         WriteSink::builder().formatter(JsonFormatter::new()).target(writer).build_arc().ok()?;
     Logger::builder()
@@ -93,23 +98,22 @@
     }
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>) {
+fn write_lines(receiver: &Receiver<Vec<u8>>, mut output: impl Write) {
     while let Ok(mut lines) = receiver.recv() {
         std::thread::sleep(GATHER);
         while let Ok(line) = receiver.try_recv() {
             if lines.len() + line.len() > MOST_AT_ONCE {
-                write_out(&lines);
+                write_out(&lines, &mut output);
                 lines.clear();
             }
             lines.extend_from_slice(&line);
         }
-        write_out(&lines);
+        write_out(&lines, &mut output);
     }
 }
 
-fn write_out(lines: &[u8]) {
-    let mut output = io::stdout();
-    // Nobody can be told that standard output is gone.
+fn write_out(lines: &[u8], output: &mut impl Write) {
+    // Nobody can be told that the output is gone.
     let _ = output.write_all(lines).and_then(|()| output.flush());
 }
 
