A node that starts does not wait long for one answer of the store

Change: the first try of a full read has 0.4 s, each next one twice that up to 1.6 s, for a slow store; the look at who led last is repeated until it has an answer; a node without a configuration tells clients to come back in 1 s.

Ruled out: holding requests until the configuration comes (final answers are given at once).

--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -10,6 +10,7 @@
 use crate::mirror::MirroredItem;
 use crate::peer::renew_through;
 use crate::published::Phase;
+use crate::store::StoreError;
 
 /// Prefix of both keys.
 const LEADERSHIP_PREFIX: &str = "cometmoor/leadership/";
@@ -19,6 +20,8 @@
 const LAST_KEY: &str = "cometmoor/leadership/last";
 /// Silence of the leading node after which others try.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// Time for the store to tell who led.
+const READ_TIME: Duration = Duration::from_millis(600);
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(200);
 /// Longest random pause before a try, so that nodes rarely try together.
@@ -40,11 +43,15 @@
         if !only_own && !is_time(&leader).await {
             continue;
         }
-        if let Some(lease_id) = campaign(&leader, lease, only_own).await {
-            keep(&leader, lease_id, lease / RENEWAL_PART).await;
-            leader.lost();
+        match campaign(&leader, lease, only_own).await {
+            Ok(Some(lease_id)) => {
+                keep(&leader, lease_id, lease / RENEWAL_PART).await;
+                leader.lost();
+                only_own = false;
+            }
+            Ok(None) => only_own = false,
+            Err(_) => tokio::time::sleep(LOOK).await,
         }
-        only_own = false;
     }
 }
 
@@ -67,9 +74,13 @@
 }
 
 /// Looks who led last and writes the leader's keys under a new lease, if this
-/// node may. Returns the lease.
-async fn campaign(leader: &Leader, lifetime: Duration, only_own: bool) -> Option<u64> {
-    let keys = leader.context().store.read(LEADERSHIP_PREFIX).await.ok()?;
+/// node may. Returns the lease; an error where the store did not tell.
+async fn campaign(
+    leader: &Leader,
+    lifetime: Duration,
+    only_own: bool,
+) -> Result<Option<u64>, StoreError> {
+    let keys = leader.context().store.read_within(LEADERSHIP_PREFIX, READ_TIME).await?;
     let holder = keys.items.get(HOLDER_KEY);
     let last = keys.items.get(LAST_KEY);
     let name = |item: Option<&MirroredItem>| {
@@ -77,14 +88,14 @@
     };
     let (holder_name, last_name) = (name(holder), name(last));
     let standing = Standing { holder: holder_name.as_deref(), last: last_name.as_deref() };
-    let predecessor = candidacy(&identity(leader), &standing)?;
+    let Some(predecessor) = candidacy(&identity(leader), &standing) else { return Ok(None) };
     if only_own && predecessor != Predecessor::SameNode {
-        return None;
+        return Ok(None);
     }
     let revision = |item: Option<&MirroredItem>| item.map_or(0, |item| item.revision);
     let conditions =
         vec![(HOLDER_KEY.to_owned(), revision(holder)), (LAST_KEY.to_owned(), revision(last))];
-    acquire(leader, lifetime, conditions, predecessor).await
+    Ok(acquire(leader, lifetime, conditions, predecessor).await)
 }
 
 /// What tells this machine apart from all others; its processes share it.
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -23,6 +23,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time for the first try of a full read, far above what an answer takes: a
+/// call on a connection that has lost an answer never gets one.
+const FIRST_READ: Duration = Duration::from_millis(400);
+/// Longest time for a try of a full read, where the store is slow.
+const LONGEST_READ: Duration = Duration::from_millis(1600);
 
 /// Starts a task for each prefix.
 pub fn start(context: &Rc<ControlContext>, fleet: &Addr<FleetState>) {
@@ -49,18 +54,21 @@
 
     async fn run(self) {
         let mut pause = FIRST_PAUSE;
+        let mut read_time = FIRST_READ;
         let mut read_first = true;
         loop {
-            match self.step(read_first).await {
+            match self.step(read_first, read_time).await {
                 Ok(forgotten) => {
                     read_first = forgotten;
                     pause = FIRST_PAUSE;
+                    read_time = FIRST_READ;
                 }
                 Err(error) => {
                     let reason = error.to_string();
                     self.fleet.do_send(CopyFailed { subject: self.subject, reason });
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
+                    read_time = (read_time * 2).min(LONGEST_READ);
                 }
             }
         }
@@ -68,9 +76,9 @@
 
     /// Reads everything, or waits for changes; tells whether everything has
     /// to be read next.
-    async fn step(&self, read_first: bool) -> Result<bool, StoreError> {
+    async fn step(&self, read_first: bool, read_time: Duration) -> Result<bool, StoreError> {
         if read_first {
-            let mirror = self.context.store.read(self.prefix()).await?;
+            let mirror = self.context.store.read_within(self.prefix(), read_time).await?;
             self.fleet.do_send(CopyRead { subject: self.subject, mirror });
             return Ok(false);
         }
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -25,6 +25,9 @@
 const MAX_READ_AHEAD: usize = 64 << 10;
 /// When a client should come back where the node does not serve it.
 const COME_BACK: Duration = Duration::from_millis(500);
+/// When a client should come back that met a node without a configuration: the
+/// store may need as long as one call to it may take.
+const COME_BACK_TO_STARTING: Duration = Duration::from_millis(1000);
 /// When a client should come back to another node.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Time for which what a rejected client still sends is read and dropped.
@@ -257,7 +260,9 @@
 
 fn decide(fleet: &Published, head: &RequestHead, facts: &RequestFacts) -> Decision {
     let refusal = Decision::Answer(OwnAnswer::not_run(COME_BACK));
-    let Some(configuration) = &fleet.configuration else { return refusal };
+    let Some(configuration) = &fleet.configuration else {
+        return Decision::Answer(OwnAnswer::not_run(COME_BACK_TO_STARTING));
+    };
     if fleet.phase == Phase::Closing {
         return refusal;
     }
--- a/crates/cometmoor-gateway/src/store.rs
+++ b/crates/cometmoor-gateway/src/store.rs
@@ -56,17 +56,22 @@
     /// Reads all items under a prefix. The copy is as of the first page: what
     /// later pages bring beyond it is told again by the watch.
     pub async fn read(&self, prefix: &str) -> Result<Mirror, StoreError> {
+        self.read_within(prefix, CALL_TIMEOUT).await
+    }
+
+    /// The same with a time for each page.
+    pub async fn read_within(&self, prefix: &str, page: Duration) -> Result<Mirror, StoreError> {
         let mut items = Vec::new();
         let mut first_at = None;
         loop {
             let after = items.last().map(|item: &crate::dialect::Item| item.key.as_str());
             let call = self.dialect.read_range(prefix, after);
-            let answer = self.call(&call, CALL_TIMEOUT).await?;
-            let page = self.dialect.parse_range(&answer)?;
-            let at = *first_at.get_or_insert(page.at);
-            let empty = page.items.is_empty();
-            items.extend(page.items);
-            if !page.more || empty {
+            let answer = self.call(&call, page).await?;
+            let told = self.dialect.parse_range(&answer)?;
+            let at = *first_at.get_or_insert(told.at);
+            let empty = told.items.is_empty();
+            items.extend(told.items);
+            if !told.more || empty {
                 return Ok(Mirror::from_items(items, at));
             }
         }
