A request whose client leaves has a line that tells where it was

Change: what serves a request tells, when it is dropped before its end, how far the request had come and at which server; so does a client that takes no bytes. Lines of requests out of time name the server.

--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -12,7 +12,7 @@
 mod story;
 mod traffic;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -66,6 +66,21 @@
     pub received: Instant,
     attempts: Cell<Attempts>,
     expected_millis: Cell<f64>,
+    server: RefCell<Option<Arc<str>>>,
+    ended: Cell<bool>,
+}
+
+impl Drop for Forward<'_> {
+    /// The client has left while its request was being served: what serves it
+    /// is dropped, and the server's connection with it.
+    fn drop(&mut self) {
+        if !self.ended.get() {
+            let server = self.server.borrow().clone();
+            let step = self.attempts.get().progress().step();
+            let reason = "the client closed its connection";
+            self.log_failure("client left", step, server.as_deref().unwrap_or("-"), reason);
+        }
+    }
 }
 
 /// When a client should come back that was refused for this reason.
@@ -114,6 +129,8 @@
             received,
             attempts,
             expected_millis: Cell::new(0.0),
+            server: RefCell::default(),
+            ended: Cell::new(false),
         }
     }
 
@@ -136,15 +153,19 @@
     /// Serves the request within its time.
     pub async fn serve(self, service: &str) -> Finish {
         let end = tokio::time::Instant::from_std(self.end());
-        match tokio::time::timeout_at(end, self.run(service)).await {
+        let finish = match tokio::time::timeout_at(end, self.run(service)).await {
             Ok(finish) => finish,
             Err(_) => self.out_of_time().await,
-        }
+        };
+        self.ended.set(true);
+        finish
     }
 
     async fn out_of_time(&self) -> Finish {
         let progress = self.attempts.get().progress();
-        self.log_failure("out of time", progress.step(), "-", "the time is over");
+        let server = self.server.borrow().clone();
+        let server = server.as_deref().unwrap_or("-");
+        self.log_failure("out of time", progress.step(), server, "the time is over");
         if progress != Progress::Waiting {
             self.traffic.metrics.ended("unknown", progress.step(), "out of time");
         }
@@ -275,6 +296,7 @@
         let pending = PendingWork::of(reading, self.route.priority);
         let mut guard = self.traffic.loads.sent(&record.id, pending);
         self.note(Attempts::begin_send);
+        self.server.replace(Some(record.id.clone()));
         self.log_sent(&record.id, lent.reused);
         let received =
             match self.exchange(server, &record, lent, stream.last_event.as_deref()).await {
@@ -328,7 +350,11 @@
                 self.log_answered(&server.record().id, 200);
                 Sent::Finished(finish)
             }
-            Err(RelayError::Client) => Sent::Finished(Finish::Cut),
+            Err(RelayError::Client) => {
+                let reason = "the client takes no more bytes";
+                self.log_failure("client left", "stream", &server.record().id, reason);
+                Sent::Finished(Finish::Cut)
+            }
             Err(RelayError::Server(error)) => {
                 server.note_failure(Instant::now());
                 if stream.head_sent { Sent::Broken } else { Sent::Failed(SendError::Broken(error)) }
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -178,7 +178,6 @@
             finish = serving => finish,
             () = closed(&self.stream, &mut self.buffer, MAX_READ_AHEAD) => {
                 self.traffic.metrics.ended("client_left", "client", "-");
-                spdlog::debug!("[frontend] the client left", kv: { age_millis = received.elapsed().as_millis() as u64 });
                 Finish::Cut
             }
         }
