Lab waits until nodes have in force what was applied

Cause: wait_reachable asked whether the models a node knows are reachable, so a node that had the model's generation and not yet the group's, applied after it, counted as ready; its callers' key was then unknown to it. Ruled out: a node that serves without a configuration (it answers 503), a changed key.

Change: the cluster remembers the newest generation that was applied, and waits for it on every running node.

--- a/crates/cometmoor-lab/src/cluster.rs
+++ b/crates/cometmoor-lab/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use cometmoor::cli::client::ApiClient;
@@ -223,6 +223,8 @@
     pub store: StoreStandIn,
     /// The list of machines.
     pub machines: MachinesStandIn,
+    /// Generation of the newest declaration that was applied.
+    applied: AtomicU64,
 }
 
 impl Cluster {
@@ -243,7 +245,7 @@
             node.start()?;
             nodes.push(node);
         }
-        Ok(Cluster { nodes, store, machines })
+        Ok(Cluster { nodes, store, machines, applied: AtomicU64::new(1) })
     }
 
     /// Callers' addresses of all nodes.
@@ -275,16 +277,18 @@
         })
         .await?;
         for resource in resources {
-            operator
+            let view = operator
                 .apply(resource, false)
                 .await
                 .map_err(|error| format!("{}: {error}", resource.key()))?;
+            self.applied.fetch_max(view.resource.metadata().resource_version, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    /// Waits until every running node reports that all models and adapters
-    /// are reachable, and none is missing replicas.
+    /// Waits until every running node has in force what was applied, and
+    /// reports that all models and adapters are reachable and none is missing
+    /// replicas.
     pub async fn wait_reachable(&self, timeout: Duration) -> Result<(), String> {
         for index in 0..self.nodes.len() {
             if self.nodes[index].running.is_none() {
@@ -292,20 +296,23 @@
             }
             let operator = self.operator_of(index);
             let what = format!("reachable models at {}", self.nodes[index].settings.node);
-            wait_for(&what, timeout, async || all_reachable(&operator).await).await?;
+            let applied = self.applied.load(Ordering::Relaxed);
+            wait_for(&what, timeout, async || all_reachable(&operator, applied).await).await?;
         }
         Ok(())
     }
 }
 
-async fn all_reachable(operator: &ApiClient) -> bool {
+async fn all_reachable(operator: &ApiClient, generation: u64) -> bool {
     use cometmoor_protocol::resource::Kind;
     for kind in [Kind::Model, Kind::ModelVersion, Kind::Adapter] {
         let Ok(list) = operator.list(kind).await else {
             return false;
         };
         let conditions = list.items.iter().flat_map(|view| &view.status.conditions);
-        if list.resource_version == 0 || !conditions.into_iter().all(|condition| condition.status) {
+        if list.resource_version < generation
+            || !conditions.into_iter().all(|condition| condition.status)
+        {
             return false;
         }
     }
