Planner by requests saved; orders asked about when they are due

The leader asks a server for its state when an order should be done, and tells all nodes at once (a heartbeat out of turn) what came and what goes.

--- a/crates/cometmoor-core/src/gateway/configuration.rs
+++ b/crates/cometmoor-core/src/gateway/configuration.rs
@@ -121,6 +121,19 @@
     pub disk_megabytes: f64,
 }
 
+impl EngineProfile {
+    /// A model by its name.
+    pub fn model(&self, name: &str) -> Option<&ModelProfile> {
+        self.models.iter().find(|model| model.name == name)
+    }
+
+    /// Memory on each server that is kept for adapters, in megabytes.
+    pub fn adapter_reserve(&self) -> f64 {
+        let largest = self.models.iter().map(|model| model.adapter_megabytes).fold(0.0, f64::max);
+        largest * f64::from(self.adapter_slots)
+    }
+}
+
 /// A service: servers that answer the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/cometmoor-core/src/gateway/orders.rs
+++ b/crates/cometmoor-core/src/gateway/orders.rs
@@ -56,8 +56,10 @@
 struct Open {
     order: ServerOrder,
     expected_count: u64,
-    sent: Timestamp,
-    accepted: bool,
+    /// How long the server is likely to be busy with it.
+    takes: Duration,
+    /// When an accepted order is likely to be done; none before it is accepted.
+    due: Option<Timestamp>,
 }
 
 /// What a server tells of itself.
@@ -71,11 +73,12 @@
     pub held: BTreeSet<Weights>,
 }
 
-/// Time after which an accepted order that is not seen in what the server
-/// holds is asked about.
-const ASK_AFTER: Duration = Duration::from_secs(3);
-/// Time for which a report may be older than an order's answer.
+/// Time after which what the registry tells must agree with the last answer.
+const REGISTRY_LAG: Duration = Duration::from_secs(3);
+/// Time for which a report or an entry may be older than an order's answer.
 const REPORT_LAG: Duration = Duration::from_millis(700);
+/// Time between two questions about an order that takes longer than expected.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
 
 /// One incarnation of a server, as the leader knows it.
 #[derive(Clone, Debug, Default)]
@@ -117,20 +120,22 @@
         match (&self.open, self.count) {
             (None, None) => NextStep::AskForReport,
             (None, Some(expected_count)) => NextStep::Idle { expected_count },
-            (Some(open), _) if open.accepted && now.since(open.sent) > ASK_AFTER => {
-                NextStep::AskForReport
-            }
-            (Some(open), _) if open.accepted => NextStep::Wait,
-            (Some(open), _) => {
-                NextStep::Repeat { order: open.order.clone(), expected_count: open.expected_count }
-            }
+            (Some(open), _) => match open.due {
+                Some(due) if now >= due => NextStep::AskForReport,
+                Some(_) => NextStep::Wait,
+                None => NextStep::Repeat {
+                    order: open.order.clone(),
+                    expected_count: open.expected_count,
+                },
+            },
         }
     }
 
-    /// Notes that an order is sent.
-    pub fn record_sent(&mut self, order: &ServerOrder, expected_count: u64, now: Timestamp) {
+    /// Notes that an order is sent for the first time. The server is likely to
+    /// be busy with it for as long as it `takes`.
+    pub fn record_sent(&mut self, order: &ServerOrder, expected_count: u64, takes: Duration) {
         let order = order.clone();
-        self.open = Some(Open { order, expected_count, sent: now, accepted: false });
+        self.open = Some(Open { order, expected_count, takes, due: None });
     }
 
     /// Notes that the server took the order. Adapters are there at once, as
@@ -138,7 +143,7 @@
     pub fn record_accepted(&mut self, now: Timestamp) {
         self.last_answer = Some(now);
         let Some(open) = &mut self.open else { return };
-        open.accepted = true;
+        open.due = Some(now + open.takes);
         self.count = Some(open.expected_count + 1);
         if open.order.weights.adapter.is_some() {
             self.finish_open();
@@ -178,11 +183,14 @@
     }
 
     /// Takes a report that was asked for. `asked` is when the question was
-    /// sent: a report that may be older than the last answer is not believed.
+    /// sent: a report that may be older than the last answer is not believed. A
+    /// report with the count that the last answer led to is newer than it.
     pub fn record_report(&mut self, report: ServerReport, asked: Timestamp) {
-        let stale = self.last_answer.is_some_and(|answer| asked.since(answer) < REPORT_LAG);
-        let behind = self.count.is_some_and(|count| report.count < count);
-        if stale || behind {
+        let is_old = match self.count {
+            Some(count) => report.count < count,
+            None => self.last_answer.is_some_and(|answer| asked.since(answer) < REPORT_LAG),
+        };
+        if is_old {
             return;
         }
         let taken = self.open.as_ref().is_some_and(|open| report.count > open.expected_count);
@@ -206,8 +214,7 @@
 
     fn mark_accepted(&mut self, taken: bool, now: Timestamp) {
         if let Some(open) = self.open.as_mut().filter(|_| taken) {
-            open.accepted = true;
-            open.sent = now;
+            open.due = Some(now + ASK_AGAIN_AFTER);
         }
     }
 
@@ -219,13 +226,13 @@
         }
         let finished = self.open.as_ref().is_some_and(|open| {
             let there = models.contains(&open.order.weights.model);
-            open.accepted && there == (open.order.action == Action::Load)
+            open.due.is_some() && there == (open.order.action == Action::Load)
         });
         if finished {
             self.finish_open();
         }
         let differs = self.open.is_none() && self.count.is_some() && !self.agrees(models);
-        let settled = self.last_answer.is_none_or(|answer| now.since(answer) > ASK_AFTER);
+        let settled = self.last_answer.is_none_or(|answer| now.since(answer) > REGISTRY_LAG);
         self.wants_report |= differs && settled;
     }
 
@@ -251,6 +258,12 @@
         reserved
     }
 
+    /// Time until the open order is likely to be done.
+    pub fn time_left(&self, now: Timestamp) -> Duration {
+        let Some(open) = &self.open else { return Duration::ZERO };
+        open.due.map_or(open.takes, |due| due.since(now))
+    }
+
     /// The order that is open.
     pub fn open_order(&self) -> Option<&ServerOrder> {
         self.open.as_ref().map(|open| &open.order)
--- a/crates/cometmoor-core/tests/gateway_orders.rs
+++ b/crates/cometmoor-core/tests/gateway_orders.rs
@@ -4,6 +4,7 @@
 mod schedules;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bolero::TypeGenerator;
 use cometmoor_core::gateway::orders::{
@@ -83,7 +84,7 @@
 
     /// Sends an order that is answered, loses its answer, or is late.
     fn send(&mut self, order: ServerOrder, expected_count: u64, fate: u8) {
-        self.ledger.record_sent(&order, expected_count, self.now());
+        self.ledger.record_sent(&order, expected_count, Duration::from_millis(500));
         match fate % 4 {
             0 | 1 => {
                 if self.server.take(&order, expected_count) {
--- a/crates/cometmoor-core/tests/gateway_planner.rs
+++ b/crates/cometmoor-core/tests/gateway_planner.rs
@@ -8,7 +8,7 @@
 use bolero::TypeGenerator;
 use cometmoor_core::gateway::configuration::{EngineProfile, ModelProfile};
 use cometmoor_core::gateway::orders::{Action, Weights};
-use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
+use cometmoor_core::gateway::planner::{FleetDemand, ModelDemand, PlannedServer, plan};
 
 use schedules::for_each_schedule;
 
@@ -95,7 +95,7 @@
             Step::Round { left_open } => self.round(left_open),
             Step::Demand { model, tenths } => {
                 let name = format!("m{}", usize::from(model) % MODELS);
-                self.demand.models.insert(name, f64::from(tenths % 30) / 10.0);
+                self.ask(&name, f64::from(tenths % 30) / 10.0);
             }
             Step::Crash { server: index } => {
                 let index = usize::from(index) % SERVERS;
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Asks for a model: work in servers, at ten requests a second and server.
+    fn ask(&mut self, model: &str, work: f64) {
+        self.demand.models.insert(model.to_owned(), ModelDemand { work, requests: 10.0 * work });
+    }
+
     fn round(&mut self, left_open: u8) {
         let orders = plan(&self.profile, &self.servers, &self.demand, 5);
         for (number, planned) in orders.iter().enumerate() {
@@ -193,7 +198,7 @@
 fn a_model_that_is_asked_for_gets_copies_in_the_place_of_spare_ones() {
     let mut world = World::new();
     world.servers[3] = server(3, &[0, 1, 2]);
-    world.demand.models.insert("m5".to_owned(), 0.9);
+    world.ask("m5", 0.9);
     for _ in 0..10 {
         world.round(3);
     }
@@ -207,7 +212,7 @@
 #[test]
 fn a_copy_that_leaves_or_is_on_its_way_does_not_make_another_one_spare() {
     let mut world = World::new();
-    world.demand.models.insert("m5".to_owned(), 2.0);
+    world.ask("m5", 2.0);
     world.profile.models[0].adapters = 0;
     for (leaving, loading) in [(true, false), (false, true)] {
         let mut servers = vec![server(0, &[0, 1, 2]), server(1, &[0, 3, 4]), server(2, &[5])];
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -262,6 +262,7 @@
         if self.placement != set.0 {
             self.placement = set.0;
             self.publish_placement();
+            self.context.heartbeat_wanted.notify_one();
         }
     }
 }
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -15,6 +15,8 @@
 /// Pause between heartbeats in a fleet of up to `SMALL_FLEET` nodes; it grows
 /// with the fleet, so that a node's part of the work stays the same.
 const INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest pause, where a heartbeat is wanted before it is due.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(40);
 /// Nodes up to which the interval is not stretched.
 const SMALL_FLEET: usize = 12;
 /// Longest pause between heartbeats.
@@ -26,7 +28,7 @@
 pub async fn start(context: &Rc<ControlContext>, fleet: &Addr<FleetState>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(SocketAddr::V4(context.settings.peer_address)).await?);
     actix_rt::spawn(receive(socket.clone(), fleet.clone()));
-    actix_rt::spawn(send(socket, fleet.clone()));
+    actix_rt::spawn(send(context.clone(), socket, fleet.clone()));
     Ok(())
 }
 
@@ -41,7 +43,7 @@
     }
 }
 
-async fn send(socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
+async fn send(context: Rc<ControlContext>, socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
     loop {
         let Ok((heartbeat, targets)) = fleet.send(NextHeartbeat).await else { return };
         let bytes = heartbeat.encode();
@@ -49,7 +51,9 @@
             // A lost heartbeat is followed by the next one.
             let _ = socket.try_send_to(&bytes, SocketAddr::V4(*target));
         }
-        tokio::time::sleep(interval(targets.len())).await;
+        tokio::time::sleep(SHORTEST_INTERVAL).await;
+        let rest = interval(targets.len()) - SHORTEST_INTERVAL;
+        let _ = tokio::time::timeout(rest, context.heartbeat_wanted.notified()).await;
     }
 }
 
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/leader/announcements.rs
@@ -0,0 +1,67 @@
+//! What the leader tells all nodes of the servers' weights, ahead of the
+//! registry.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cometmoor_core::gateway::orders::Weights;
+use cometmoor_core::time::Timestamp;
+
+use crate::gossip::Placement;
+use crate::load::{model_key, server_key};
+
+/// Time for which a change is told, until the registry tells it.
+const TOLD_FOR: Duration = Duration::from_secs(5);
+
+/// Weights on a server.
+type Place = (Arc<str>, Weights);
+
+/// The newest change of weights on a server.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: Timestamp,
+    is_there: bool,
+}
+
+/// Changes that the registry may not tell yet.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Announcements {
+    changes: HashMap<Place, Change>,
+}
+
+impl Announcements {
+    /// Notes that a server has got weights.
+    pub(super) fn came(&mut self, server: &Arc<str>, weights: &Weights, now: Timestamp) {
+        self.note(server, weights, true, now);
+    }
+
+    /// Notes that a server loses weights; a model takes its adapters along.
+    pub(super) fn goes(&mut self, server: &Arc<str>, weights: &Weights, now: Timestamp) {
+        if weights.adapter.is_none() {
+            let with_it = |place: &Place| place.0 == *server && place.1.model == weights.model;
+            self.changes.retain(|place, _| !with_it(place));
+        }
+        self.note(server, weights, false, now);
+    }
+
+    fn note(&mut self, server: &Arc<str>, weights: &Weights, is_there: bool, now: Timestamp) {
+        self.changes.insert((server.clone(), weights.clone()), Change { at: now, is_there });
+    }
+
+    /// What nodes are to know; changes that are told for long enough are dropped.
+    pub(super) fn placement(&mut self, token: u64, now: Timestamp) -> Placement {
+        self.changes.retain(|_, change| now.since(change.at) < TOLD_FOR);
+        let keys = |is_there: bool| {
+            let told = self.changes.iter().filter(move |(_, change)| change.is_there == is_there);
+            let mut keys: Vec<_> = told
+                .map(|((server, weights), _)| {
+                    (server_key(server), model_key(&weights.model, weights.adapter.as_deref()))
+                })
+                .collect();
+            keys.sort_unstable();
+            keys
+        };
+        Placement { token, added: keys(true), withdrawn: keys(false) }
+    }
+}
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cometmoor_core::gateway::orders::{Action, ServerOrder};
 use cometmoor_core::time::Timestamp;
@@ -40,13 +41,18 @@
 
     fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         let Some(engine) = state.engines.get_mut(id) else { return };
         engine.calling = false;
         match report {
             Ok(report) => {
                 engine.in_host_memory = report.in_host_memory.iter().cloned().collect();
                 engine.on_disk = report.on_disk.iter().cloned().collect();
+                let loading = engine.loading();
                 engine.ledger.record_report(server_report(&report), asked);
+                if let Some(weights) = loading.filter(|weights| engine.holds(weights)) {
+                    state.announcements.came(id, &weights, asked);
+                }
             }
             Err(reason) => {
                 let server = &**id;
@@ -55,18 +61,31 @@
         }
     }
 
-    /// Sends an order.
-    pub(super) fn spawn_order(
+    /// Sends an order that is likely to keep the server busy for as long as it
+    /// `takes`.
+    pub(super) fn first_order(
         self: &Rc<Leader>,
         id: Arc<str>,
         order: ServerOrder,
         expected_count: u64,
+        takes: Duration,
         token: u64,
     ) {
-        let Some(client) = self.begin_call(&id) else { return };
         if let Some(engine) = self.state.borrow_mut().engines.get_mut(&id) {
-            engine.ledger.record_sent(&order, expected_count, self.now());
+            engine.ledger.record_sent(&order, expected_count, takes);
         }
+        self.repeat_order(id, order, expected_count, token);
+    }
+
+    /// Sends an order that the ledger has noted.
+    pub(super) fn repeat_order(
+        self: &Rc<Leader>,
+        id: Arc<str>,
+        order: ServerOrder,
+        expected_count: u64,
+        token: u64,
+    ) {
+        let Some(client) = self.begin_call(&id) else { return };
         let leader = self.clone();
         actix_rt::spawn(async move {
             let result = leader.send_order(&client, &id, &order, expected_count, token).await;
@@ -119,14 +138,18 @@
             Ok(OrderAnswer::Accepted) => {
                 engine.ledger.record_accepted(now);
                 note_accepted(engine, order, now);
-                if order.action == Action::Load && order.weights.adapter.is_some() {
-                    state.added.push((now, id.clone(), order.weights.clone()));
+                match order.action {
+                    Action::Load if order.weights.adapter.is_some() => {
+                        state.announcements.came(id, &order.weights, now);
+                    }
+                    Action::Load => {}
+                    Action::Unload => state.announcements.goes(id, &order.weights, now),
                 }
             }
             Ok(OrderAnswer::AlreadyDone) => {
                 engine.ledger.record_already_done(now);
-                if order.action == Action::Load && order.weights.adapter.is_some() {
-                    state.added.push((now, id.clone(), order.weights.clone()));
+                if order.action == Action::Load {
+                    state.announcements.came(id, &order.weights, now);
                 }
             }
             Ok(OrderAnswer::OtherServer) => engine.replaced = true,
--- a/crates/cometmoor-gateway/src/control/leader/engine.rs
+++ b/crates/cometmoor-gateway/src/control/leader/engine.rs
@@ -26,6 +26,8 @@
     pub(super) on_disk: BTreeSet<String>,
     pub(super) loaded: HashMap<String, Timestamp>,
     pub(super) replaced: bool,
+    /// Model for which room is being made.
+    pub(super) promised: Option<String>,
 }
 
 impl Engine {
@@ -41,6 +43,7 @@
             on_disk: BTreeSet::new(),
             loaded: HashMap::new(),
             replaced: false,
+            promised: None,
         }
     }
 
@@ -53,6 +56,18 @@
             self.on_disk = record.on_disk.iter().cloned().collect();
         }
     }
+
+    /// Model that it is ordered to load.
+    pub(super) fn loading(&self) -> Option<Weights> {
+        let order = self.ledger.open_order()?;
+        let loads_model = order.action == Action::Load && order.weights.adapter.is_none();
+        loads_model.then(|| order.weights.clone())
+    }
+
+    /// Whether it holds the weights for certain, with no order open for them.
+    pub(super) fn holds(&self, weights: &Weights) -> bool {
+        self.ledger.held().contains(weights) && self.ledger.open_order().is_none()
+    }
 }
 
 /// Weights that are about to be taken off a server.
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -1,5 +1,6 @@
 //! Orders the servers while this node leads.
 
+mod announcements;
 mod calls;
 mod engine;
 
@@ -15,17 +16,20 @@
 use cometmoor_core::gateway::leadership::{Leadership, LeadershipTimes, Predecessor};
 use cometmoor_core::gateway::load_rate::LoadRate;
 use cometmoor_core::gateway::orders::{Action, NextStep, Weights};
-use cometmoor_core::gateway::planner::{FleetDemand, PlannedServer, plan};
+use cometmoor_core::gateway::planner::{
+    FleetDemand, ModelDemand, PlannedOrder, PlannedServer, plan,
+};
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 
+use self::announcements::Announcements;
 use self::engine::{Engine, Withdrawal, believed_weights, fresh_models, leaving_weights};
 use super::ControlContext;
 use super::fleet::{FleetState, GetDemand, GetPeers, SetPlacement};
 use crate::gossip::Placement;
-use crate::load::{model_key, server_key};
+use crate::load::model_key;
 
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -34,12 +38,12 @@
 /// Pause between two rounds of planning.
 const ROUND: Duration = Duration::from_millis(250);
 /// Pause between two questions to one server.
-const REPORT_PAUSE: Duration = Duration::from_millis(300);
-/// Time between the withdrawal of weights and the order to unload them, in
-/// which all nodes learn of it.
-const WITHDRAWAL: Duration = Duration::from_millis(500);
-/// Time for which an adapter is told to others, until the registry tells it.
-const TOLD_FOR: Duration = Duration::from_secs(5);
+const REPORT_PAUSE: Duration = Duration::from_millis(150);
+/// Time between the withdrawal of a model and the order to unload it, in which
+/// all nodes learn of it.
+const WITHDRAWAL: Duration = Duration::from_millis(300);
+/// Time that most unloads take: the server ends what it runs first.
+const UNLOAD_TAKES: Duration = Duration::from_millis(150);
 /// Time without a new server after which the fleet counts as known.
 const SETTLED_AFTER: Duration = Duration::from_millis(1800);
 /// The same in a fleet that was led before.
@@ -54,7 +58,7 @@
     acquired: Timestamp,
     engines: HashMap<Arc<str>, Engine>,
     withdrawals: Vec<Withdrawal>,
-    added: Vec<(Timestamp, Arc<str>, Weights)>,
+    announcements: Announcements,
     load_rates: HashMap<String, LoadRate>,
     first_round: Option<Timestamp>,
     last_new_server: Option<Timestamp>,
@@ -71,6 +75,17 @@
         let quiet = self.last_new_server.is_some_and(|new| now.since(new) >= rest);
         quiet || self.first_round.is_some_and(|first| now.since(first) >= SETTLE_AT_MOST)
     }
+
+    /// What nodes are to know; weights go for as long as their unload is open.
+    fn placement(&mut self, token: u64, now: Timestamp) -> Placement {
+        for (id, engine) in &self.engines {
+            let unload = engine.ledger.open_order().filter(|open| open.action == Action::Unload);
+            if let Some(order) = unload {
+                self.announcements.goes(id, &order.weights, now);
+            }
+        }
+        self.announcements.placement(token, now)
+    }
 }
 
 /// Orders the servers while this node leads.
@@ -183,24 +198,9 @@
     /// Tells the nodes what the registry will tell later.
     fn tell_placement(&self) {
         let now = self.now();
-        let mut state = self.state.borrow_mut();
-        state.added.retain(|(since, _, _)| now.since(*since) < TOLD_FOR);
-        let key = |server: &str, weights: &Weights| {
-            (server_key(server), model_key(&weights.model, weights.adapter.as_deref()))
-        };
-        let added = state.added.iter().map(|(_, server, weights)| key(server, weights)).collect();
-        let open = state.engines.values().filter_map(|engine| {
-            let order = engine.ledger.open_order()?;
-            (order.action == Action::Unload).then(|| key(&engine.record.id, &order.weights))
-        });
-        let withdrawn = state
-            .withdrawals
-            .iter()
-            .map(|withdrawal| key(&withdrawal.server, &withdrawal.order.weights))
-            .chain(open)
-            .collect();
         let token = self.leadership.borrow().token(now).unwrap_or_default();
-        self.fleet.do_send(SetPlacement(Some(Placement { token, added, withdrawn })));
+        let placement = self.state.borrow_mut().placement(token, now);
+        self.fleet.do_send(SetPlacement(Some(placement)));
     }
 
     fn take_servers(&self, configuration: &GatewayConfiguration, servers: &[Arc<ServerRecord>]) {
@@ -240,7 +240,7 @@
                 NextStep::AskForReport if rested => self.spawn_report(id),
                 NextStep::Repeat { order, expected_count } if rested => {
                     if let Some(token) = token {
-                        self.spawn_order(id, order, expected_count, token);
+                        self.repeat_order(id, order, expected_count, token);
                     }
                 }
                 _ => {}
@@ -260,7 +260,7 @@
         });
         for (server, order) in due {
             if let Some(expected_count) = self.idle_count(&server) {
-                self.spawn_order(server, order, expected_count, token);
+                self.first_order(server, order, expected_count, UNLOAD_TAKES, token);
             }
         }
     }
@@ -287,9 +287,7 @@
         for planned in plan(profile, &servers, &demand, loads_left) {
             let now = self.now();
             if planned.order.action == Action::Unload {
-                let (server, order) = (planned.server, planned.order);
-                let withdrawal = Withdrawal { server, order, since: now };
-                self.state.borrow_mut().withdrawals.push(withdrawal);
+                self.withdraw(planned);
                 continue;
             }
             let Some(expected_count) = self.idle_count(&planned.server) else { continue };
@@ -298,8 +296,27 @@
             {
                 rate.record(now);
             }
-            self.spawn_order(planned.server, planned.order, expected_count, token);
+            if planned.order.weights.adapter.is_none()
+                && let Some(engine) = self.state.borrow_mut().engines.get_mut(&planned.server)
+            {
+                engine.promised = None;
+            }
+            self.first_order(planned.server, planned.order, expected_count, planned.takes, token);
+        }
+    }
+
+    /// Tells all nodes that weights go, and unloads them a little later.
+    fn withdraw(&self, planned: PlannedOrder) {
+        let now = self.now();
+        let PlannedOrder { server, order, makes_room_for, .. } = planned;
+        let mut state = self.state.borrow_mut();
+        state.announcements.goes(&server, &order.weights, now);
+        if let Some(engine) = state.engines.get_mut(&server)
+            && makes_room_for.is_some()
+        {
+            engine.promised = makes_room_for;
         }
+        state.withdrawals.push(Withdrawal { server, order, since: now });
     }
 
     fn loads_left(&self, service: &str, profile: &EngineProfile) -> usize {
@@ -323,7 +340,11 @@
         let mut demand = FleetDemand { is_known: watched, ..FleetDemand::default() };
         for model in &profile.models {
             let key = model_key(&model.name, None);
-            demand.models.insert(model.name.clone(), meter.meter.work(key, now));
+            let asked = ModelDemand {
+                work: meter.meter.work(key, now),
+                requests: meter.meter.requests(key, now),
+            };
+            demand.models.insert(model.name.clone(), asked);
             for number in 1..=model.adapters {
                 let adapter = format!("a{number}");
                 let key = model_key(&model.name, Some(&adapter));
@@ -357,6 +378,8 @@
                     on_disk: engine.on_disk.clone(),
                     fresh: fresh_models(engine, now),
                     leaving: leaving_weights(engine, &state.withdrawals),
+                    loading_left: engine.ledger.time_left(now),
+                    promised: engine.promised.clone(),
                 }
             })
             .collect();
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use actix::{Actor, Addr};
+use tokio::sync::Notify;
 
 use self::fleet::FleetState;
 use crate::dialect::Dialect;
@@ -35,6 +36,8 @@
     pub store: Store,
     /// Tells two processes of one node apart.
     pub incarnation: u64,
+    /// Asks for a heartbeat before it is due.
+    pub heartbeat_wanted: Notify,
 }
 
 /// Starts the control thread's parts on the current `actix` system.
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -118,16 +118,17 @@
     /// as is known.
     pub fn holds(&self, model: &ModelName, placement: &PlacementView, now: Instant) -> bool {
         let record = self.record.borrow();
-        let Some(held) = record.held(&model.model) else { return false };
         let server = server_key(&record.id);
         let base = model_key(&model.model, None);
-        let Some(adapter) = &model.adapter else {
-            return self.has(server, base, placement, now);
-        };
+        let held = record.held(&model.model);
+        let has_base = held.is_some() || placement.added.contains(&(server, base));
+        if !has_base || !self.has(server, base, placement, now) {
+            return false;
+        }
+        let Some(adapter) = &model.adapter else { return true };
         let key = model_key(&model.model, Some(adapter));
-        let at_hand = held.adapters.contains(adapter) || placement.added.contains(&(server, key));
-        let base_withdrawn = placement.withdrawn.contains(&(server, base));
-        at_hand && !base_withdrawn && self.has(server, key, placement, now)
+        let told = held.is_some_and(|held| held.adapters.contains(adapter));
+        (told || placement.added.contains(&(server, key))) && self.has(server, key, placement, now)
     }
 
     fn has(
