Adapters on demand: nodes tell at once what requests wait for

An adapter was swapped about every 0.75 s: its unload was announced half a second before, and the server's word that it was done already cost a report that is not believed for 0.7 s. Adapters nobody asked for took the places of hot ones.

Change: a request that waits for an adapter makes its node send a heartbeat at once, and the leader plan at once; unloads of adapters are not announced ahead; a place goes to the adapter that is worth clearly more.

--- a/crates/cometmoor-core/src/gateway/orders.rs
+++ b/crates/cometmoor-core/src/gateway/orders.rs
@@ -51,6 +51,18 @@
     pub weights: Weights,
 }
 
+impl ServerOrder {
+    /// Whether it brings in an adapter.
+    pub fn loads_adapter(&self) -> bool {
+        self.action == Action::Load && self.weights.adapter.is_some()
+    }
+
+    /// Whether it takes out an adapter.
+    pub fn unloads_adapter(&self) -> bool {
+        self.action == Action::Unload && self.weights.adapter.is_some()
+    }
+}
+
 /// An order that was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Open {
@@ -150,8 +162,12 @@
         }
     }
 
-    /// Notes that there was nothing to do.
+    /// Notes that the order is done already. A server that takes an unused
+    /// adapter out at once says so too, and counts that order.
     pub fn record_already_done(&mut self, now: Timestamp) {
+        if self.open_order().is_some_and(ServerOrder::unloads_adapter) {
+            return self.record_accepted(now);
+        }
         self.last_answer = Some(now);
         self.finish_open();
         self.count = None;
--- a/crates/cometmoor-core/src/gateway/planner/adapters.rs
+++ b/crates/cometmoor-core/src/gateway/planner/adapters.rs
@@ -3,10 +3,14 @@
 use super::super::orders::{Action, Weights};
 use super::{PlannedServer, Planner};
 
-/// Requests a second by which one adapter must be asked for more than another
-/// one to take its place.
-const CLEARLY_MORE: f64 = 0.01;
-/// Weight of an adapter that no server holds.
+/// Requests a second that an adapter counts for, besides what is asked of it,
+/// where no server would hold it: it has to stay reachable.
+const REACHABLE: f64 = 0.02;
+/// The same for one that requests wait for now.
+const WAITED_FOR: f64 = 2.0;
+/// Part by which an adapter must be worth more than the one whose place it takes.
+const CLEARLY_MORE: f64 = 1.2;
+/// Weight of a wish for an adapter that no server holds.
 const NOBODY_HOLDS: f64 = 1000.0;
 
 /// Adds orders for adapters: first for those that no server holds, then for
@@ -30,7 +34,7 @@
                     self.servers.iter().filter(|server| server.reserved.contains(&weights)).count();
                 let asked = self.asked(&weights);
                 if holders == 0 {
-                    wishes.push((NOBODY_HOLDS + asked, weights));
+                    wishes.push((NOBODY_HOLDS + self.worth(&weights, 0), weights));
                 } else if holders < coverage.copies && asked > 0.0 {
                     wishes.push((asked / holders as f64, weights));
                 }
@@ -54,30 +58,45 @@
             }
             return;
         }
-        if self.servers.iter().any(|server| server.reserved.contains(weights)) {
-            return;
+        if !servers.iter().any(|server| server.reserved.contains(weights)) {
+            self.make_room_for_adapter(&model, self.worth(weights, 0));
         }
-        self.make_room_for_adapter(&model, self.asked(weights));
     }
 
-    /// Takes out the least wanted adapter that another server holds too, or
-    /// that is asked for less than the one that needs its place.
-    fn make_room_for_adapter(&mut self, model: &Weights, asked: f64) {
+    /// Takes out the adapter that is worth least, if the one that needs its
+    /// place is worth clearly more.
+    fn make_room_for_adapter(&mut self, model: &Weights, worth: f64) {
         let servers = self.servers;
         let candidates =
             servers.iter().filter(|server| self.is_free(server) && server.serves(model));
         let victim = candidates
             .flat_map(|server| server.held.iter().map(move |held| (server, held)))
-            .filter(|(_, held)| held.adapter.is_some() && self.is_spare_adapter(held, asked))
-            .min_by(|left, right| self.asked(left.1).total_cmp(&self.asked(right.1)));
-        if let Some((server, held)) = victim {
+            .filter(|(_, held)| held.adapter.is_some())
+            .map(|(server, held)| (self.worth_of_copy(held), server, held))
+            .min_by(|left, right| left.0.total_cmp(&right.0));
+        if let Some((victim_worth, server, held)) = victim
+            && worth > victim_worth * CLEARLY_MORE
+        {
             self.order_adapter(server, Action::Unload, held);
         }
     }
 
-    fn is_spare_adapter(&self, weights: &Weights, asked: f64) -> bool {
+    /// What one of the copies of an adapter is worth.
+    fn worth_of_copy(&self, weights: &Weights) -> f64 {
         let holders = self.servers.iter().filter(|server| server.held.contains(weights)).count();
-        holders > 1 || self.asked(weights) + CLEARLY_MORE < asked
+        self.worth(weights, holders.saturating_sub(1))
+    }
+
+    /// What a copy of an adapter beside so many others is worth, in requests a
+    /// second.
+    fn worth(&self, weights: &Weights, others: usize) -> f64 {
+        let waited_for = self.demand.waited_for.contains(weights);
+        let only = match others {
+            0 if waited_for => WAITED_FOR,
+            0 => REACHABLE,
+            _ => 0.0,
+        };
+        only + self.asked(weights) / (others + 1) as f64
     }
 
     /// Requests a second for an adapter.
--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -105,6 +105,8 @@
     pub models: BTreeMap<String, ModelDemand>,
     /// Requests a second for each adapter.
     pub adapters: BTreeMap<Weights, f64>,
+    /// Adapters that requests wait for now.
+    pub waited_for: BTreeSet<Weights>,
 }
 
 /// An order for a server.
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -1,6 +1,8 @@
 //! What other parts tell the state of the fleet, and ask of it.
 
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
+use std::time::Instant;
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
@@ -11,6 +13,7 @@
 use crate::control::demand::FleetDemandMeter;
 use crate::dialect::WatchEvent;
 use crate::gossip::{Heartbeat, PeerChange, Placement};
+use crate::load::ModelKey;
 use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::Subject;
 use crate::published::{Phase, StopTimes};
@@ -128,6 +131,7 @@
         let phase = heartbeat.phase;
         self.demand.receive(&heartbeat, now);
         let leads = heartbeat.placement.is_some();
+        let waits = !heartbeat.waited_for.is_empty();
         if !leads && self.peers.leads(heartbeat.peer_address) {
             // It says itself that it has stopped; nobody need wait for its silence.
             self.leader_heard = None;
@@ -136,6 +140,7 @@
         if leads {
             self.publish_placement();
         }
+        self.ask_for_plan(waits);
         self.sum_load();
         if change != PeerChange::None {
             info!("[peers] a node is {phase:?}", kv: { node });
@@ -174,6 +179,7 @@
         let heartbeat = self.heartbeat();
         let now = self.now();
         self.demand.receive(&heartbeat, now);
+        self.ask_for_plan(!heartbeat.waited_for.is_empty());
         MessageResult((heartbeat, self.peers.targets()))
     }
 }
@@ -262,7 +268,7 @@
         if self.placement != set.0 {
             self.placement = set.0;
             self.publish_placement();
-            self.context.heartbeat_wanted.notify_one();
+            self.context.board.heartbeat_wanted.notify_one();
         }
     }
 }
@@ -275,6 +281,8 @@
     pub now: Timestamp,
     /// When the first request was counted.
     pub first_demand: Option<Timestamp>,
+    /// Models and adapters that requests wait for now.
+    pub waited_for: HashSet<ModelKey>,
 }
 
 /// Asks for the demand over the fleet.
@@ -288,7 +296,10 @@
     fn handle(&mut self, _: GetDemand, _: &mut Context<FleetState>) -> Self::Result {
         let meter = self.demand.clone();
         let first_demand = meter.first();
-        MessageResult(DemandView { meter, now: self.now(), first_demand })
+        let now = self.now();
+        let mut waited_for = self.peers.waited_for(now);
+        waited_for.extend(self.context.loads.waited_for(Instant::now()));
+        MessageResult(DemandView { meter, now, first_demand, waited_for })
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -356,11 +356,19 @@
             store_fails: self.store_fails(),
             loads: self.context.loads.all(),
             demand: self.context.loads.recent_demand(Instant::now()),
+            waited_for: self.context.loads.waited_for(Instant::now()),
             placement: self.placement.clone(),
             known: self.peers.known(self.sequence, now),
         }
     }
 
+    /// Asks this node's leader for a plan where requests wait for weights.
+    fn ask_for_plan(&self, waits: bool) {
+        if waits && self.placement.is_some() {
+            self.context.plan_wanted.notify_one();
+        }
+    }
+
     /// Publishes what the newest leading node tells, this one included.
     fn publish_placement(&mut self) {
         let now = self.now();
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -16,7 +16,7 @@
 /// with the fleet, so that a node's part of the work stays the same.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest pause, where a heartbeat is wanted before it is due.
-const SHORTEST_INTERVAL: Duration = Duration::from_millis(40);
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Nodes up to which the interval is not stretched.
 const SMALL_FLEET: usize = 12;
 /// Longest pause between heartbeats.
@@ -53,7 +53,7 @@
         }
         tokio::time::sleep(SHORTEST_INTERVAL).await;
         let rest = interval(targets.len()) - SHORTEST_INTERVAL;
-        let _ = tokio::time::timeout(rest, context.heartbeat_wanted.notified()).await;
+        let _ = tokio::time::timeout(rest, context.board.heartbeat_wanted.notified()).await;
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cometmoor_core::gateway::orders::{Action, ServerOrder};
+use cometmoor_core::gateway::orders::{Action, ServerOrder, Weights};
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 
@@ -13,7 +13,16 @@
 use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
 use crate::http::client::{CallClient, CallError};
 
+/// Time that a server takes to bring in an adapter.
+const ADAPTER_TAKES: Duration = Duration::from_millis(25);
+
 impl Leader {
+    /// Tells all nodes that a server has got weights.
+    fn announce(&self, server: &Arc<str>, weights: &Weights) {
+        let now = self.now();
+        self.state.borrow_mut().announcements.came(server, weights, now);
+    }
+
     /// Asks a server for its state.
     pub(super) fn spawn_report(self: &Rc<Leader>, id: Arc<str>) {
         let Some(client) = self.begin_call(&id) else { return };
@@ -26,7 +35,7 @@
                 leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
             });
             leader.take_report(&id, report, asked);
-            leader.wake.notify_one();
+            leader.context.plan_wanted.notify_one();
         });
     }
 
@@ -89,8 +98,14 @@
         let leader = self.clone();
         actix_rt::spawn(async move {
             let result = leader.send_order(&client, &id, &order, expected_count, token).await;
+            let accepted = matches!(result, Ok(OrderAnswer::Accepted));
             leader.take_order_answer(&id, &order, result, token);
-            leader.wake.notify_one();
+            if accepted && order.loads_adapter() {
+                leader.context.plan_wanted.notify_one();
+                tokio::time::sleep(ADAPTER_TAKES).await;
+                leader.announce(&id, &order.weights);
+            }
+            leader.context.plan_wanted.notify_one();
         });
     }
 
@@ -138,18 +153,15 @@
             Ok(OrderAnswer::Accepted) => {
                 engine.ledger.record_accepted(now);
                 note_accepted(engine, order, now);
-                match order.action {
-                    Action::Load if order.weights.adapter.is_some() => {
-                        state.announcements.came(id, &order.weights, now);
-                    }
-                    Action::Load => {}
-                    Action::Unload => state.announcements.goes(id, &order.weights, now),
+                if order.action == Action::Unload {
+                    state.announcements.goes(id, &order.weights, now);
                 }
             }
             Ok(OrderAnswer::AlreadyDone) => {
                 engine.ledger.record_already_done(now);
-                if order.action == Action::Load {
-                    state.announcements.came(id, &order.weights, now);
+                match order.action {
+                    Action::Load => state.announcements.came(id, &order.weights, now),
+                    Action::Unload => state.announcements.goes(id, &order.weights, now),
                 }
             }
             Ok(OrderAnswer::OtherServer) => engine.replaced = true,
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -22,7 +22,6 @@
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
-use tokio::sync::Notify;
 
 use self::announcements::Announcements;
 use self::engine::{Engine, Withdrawal, believed_weights, fresh_models, leaving_weights};
@@ -95,7 +94,6 @@
     started: Instant,
     leadership: RefCell<Leadership>,
     state: RefCell<LeaderState>,
-    wake: Notify,
     led: Cell<bool>,
     predecessor: Cell<Predecessor>,
 }
@@ -113,7 +111,6 @@
         started: Instant::now(),
         leadership: RefCell::new(Leadership::new(times)),
         state: RefCell::default(),
-        wake: Notify::new(),
         led: Cell::new(false),
         predecessor: Cell::new(Predecessor::OtherNode),
     });
@@ -170,7 +167,7 @@
     async fn run(self: Rc<Leader>) {
         loop {
             self.round().await;
-            let _ = tokio::time::timeout(ROUND, self.wake.notified()).await;
+            let _ = tokio::time::timeout(ROUND, self.context.plan_wanted.notified()).await;
         }
     }
 
@@ -286,7 +283,9 @@
         let loads_left = self.loads_left(service, profile);
         for planned in plan(profile, &servers, &demand, loads_left) {
             let now = self.now();
-            if planned.order.action == Action::Unload {
+            let unloads_model =
+                planned.order.action == Action::Unload && planned.order.weights.adapter.is_none();
+            if unloads_model {
                 self.withdraw(planned);
                 continue;
             }
@@ -349,6 +348,9 @@
                 let adapter = format!("a{number}");
                 let key = model_key(&model.name, Some(&adapter));
                 let weights = Weights { model: model.name.clone(), adapter: Some(adapter) };
+                if meter.waited_for.contains(&key) {
+                    demand.waited_for.insert(weights.clone());
+                }
                 demand.adapters.insert(weights, meter.meter.requests(key, now));
             }
         }
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -36,8 +36,8 @@
     pub store: Store,
     /// Tells two processes of one node apart.
     pub incarnation: u64,
-    /// Asks for a heartbeat before it is due.
-    pub heartbeat_wanted: Notify,
+    /// Asks for a round of planning before it is due.
+    pub plan_wanted: Notify,
 }
 
 /// Starts the control thread's parts on the current `actix` system.
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -12,7 +12,7 @@
 use super::relay::StreamState;
 use super::{Forward, WAIT_POLL};
 use crate::dialect::ModelName;
-use crate::load::server_key;
+use crate::load::{model_key, server_key};
 use crate::published::PlacementView;
 use crate::servers::Server;
 
@@ -41,6 +41,9 @@
             // Where a server has failed already, there is no use in waiting.
             let pointless = !tried.is_empty() && !stream.head_sent;
             let done = matches!(found, Found::Server(_)) || pointless;
+            if let Found::Nobody(Refusal::NoAdapter) = found {
+                self.note_wait();
+            }
             if done || Instant::now() >= until {
                 self.traffic.metrics.observe(&self.traffic.metrics.queue, asked.elapsed());
                 return found;
@@ -49,6 +52,14 @@
         }
     }
 
+    /// Tells the node that orders the servers that a request waits for weights.
+    fn note_wait(&self) {
+        let Some(model) = &self.facts.model else { return };
+        let key = model_key(&model.model, model.adapter.as_deref());
+        self.traffic.loads.record_wait(key, Instant::now());
+        self.traffic.board.heartbeat_wanted.notify_one();
+    }
+
     fn pick(&self, service: &str, tried: &[Arc<str>], stream: &StreamState) -> Found {
         let fleet = self.traffic.board.fleet.load();
         let mut table = self.traffic.servers.borrow_mut();
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between nodes, by UDP: who is there, what each has sent to the
 //! servers, and how new each one's view of the store is.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the heartbeat's format.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 /// Silence after which a node is not offered to clients any more.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1100);
 /// Silence after which a node is forgotten.
@@ -77,6 +77,8 @@
     pub loads: Vec<(ServerKey, ServerLoad)>,
     /// Work that it was asked of each model since its process began.
     pub demand: Vec<(ModelKey, ModelDemand)>,
+    /// Models and adapters that its requests wait for now.
+    pub waited_for: Vec<ModelKey>,
     /// What the node that orders the servers tells of their models.
     pub placement: Option<Placement>,
     /// Some other nodes' addresses.
@@ -222,6 +224,11 @@
         told.max_by_key(|placement| placement.token)
     }
 
+    /// Models and adapters that requests of other nodes wait for.
+    pub fn waited_for(&self, now: Timestamp) -> HashSet<ModelKey> {
+        self.alive(now).flat_map(|peer| peer.heartbeat.waited_for.iter().copied()).collect()
+    }
+
     /// Load of all other nodes by server.
     pub fn load(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
         let mut sum: HashMap<ServerKey, ServerLoad> = HashMap::new();
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -98,6 +98,8 @@
     pub work_micros: u64,
 }
 
+/// How long requests are told to wait for weights.
+const WAIT_TOLD_FOR: Duration = Duration::from_millis(300);
 /// How long a change of demand is told to other nodes.
 const DEMAND_TOLD_FOR: Duration = Duration::from_millis(1200);
 
@@ -111,6 +113,7 @@
 struct Board {
     servers: HashMap<Arc<str>, ServerLoad>,
     models: HashMap<ModelKey, NotedDemand>,
+    waited_for: HashMap<ModelKey, Instant>,
     in_progress: usize,
 }
 
@@ -155,6 +158,18 @@
         noted.demand.work_micros += u64::try_from(work.as_micros()).unwrap_or(0);
     }
 
+    /// Notes that a request waits for a model or adapter.
+    pub fn record_wait(&self, key: ModelKey, now: Instant) {
+        self.lock().waited_for.insert(key, now);
+    }
+
+    /// Models and adapters that requests waited for a moment ago.
+    pub fn waited_for(&self, now: Instant) -> Vec<ModelKey> {
+        let mut board = self.lock();
+        board.waited_for.retain(|_, noted| now.saturating_duration_since(*noted) < WAIT_TOLD_FOR);
+        board.waited_for.keys().copied().collect()
+    }
+
     /// Requests of clients that this node works on.
     pub fn in_progress(&self) -> usize {
         self.lock().in_progress
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -186,7 +186,7 @@
         loads: loads.clone(),
         store: Store::new(dialect.clone(), settings.store_address),
         incarnation: new_incarnation(),
-        heartbeat_wanted: tokio::sync::Notify::new(),
+        plan_wanted: tokio::sync::Notify::new(),
     });
     let failed = |source| StartError::Listen { address: settings.peer_address, source };
     let fleet = start_control(context.clone()).await.map_err(failed)?;
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
 use cometmoor_core::gateway::registry::ServerRecord;
+use tokio::sync::Notify;
 
 use crate::load::{ModelKey, ServerKey, ServerLoad};
 
@@ -92,4 +93,6 @@
     pub remote_load: ArcSwap<HashMap<ServerKey, ServerLoad>>,
     /// What the leading node told.
     pub placement: ArcSwap<PlacementView>,
+    /// Asks for a heartbeat before it is due.
+    pub heartbeat_wanted: Notify,
 }
