Planner reckons missed requests over time, by when copies come

Change: requests that are missed are summed over the time that demand lasts, with the copies that are there at each time.

--- a/crates/cometmoor-core/src/gateway/planner/adapters.rs
+++ b/crates/cometmoor-core/src/gateway/planner/adapters.rs
@@ -35,7 +35,7 @@
                 let asked = self.asked(&weights);
                 if holders == 0 {
                     wishes.push((NOBODY_HOLDS + self.worth(&weights, 0), weights));
-                } else if holders < coverage.copies && asked > 0.0 {
+                } else if holders < coverage.copies.len() && asked > 0.0 {
                     wishes.push((asked / holders as f64, weights));
                 }
             }
--- a/crates/cometmoor-core/src/gateway/planner/coverage.rs
+++ b/crates/cometmoor-core/src/gateway/planner/coverage.rs
@@ -16,11 +16,11 @@
 const LEAST_CAPACITY: f64 = 0.2;
 /// Seconds for which demand lasts, on average: after a time `t` it is still
 /// there with the probability `exp(-t / DEMAND_LASTS)`.
-pub(super) const DEMAND_LASTS: f64 = 10.0;
+const DEMAND_LASTS: f64 = 10.0;
 
 /// Share of a model's requests that are not answered in time when its copies,
 /// in whole servers, have to do so much work.
-pub(super) fn missed_share(work: f64, capacity: f64) -> f64 {
+fn missed_share(work: f64, capacity: f64) -> f64 {
     if capacity <= 0.0 {
         return 1.0;
     }
@@ -32,10 +32,19 @@
     }
 }
 
-/// Part of what a copy is worth that is left when it comes after so many
-/// seconds, where what it is for lasts for some time on average.
-pub(super) fn worth_left(seconds: f64, lasts: f64) -> f64 {
-    (-seconds / lasts).exp()
+/// Seconds for which a model that nobody holds is missed, on average.
+const MISSING_LASTS: f64 = 40.0;
+/// Requests a second that a model without any copy counts as missing, besides
+/// what is asked of it: it has to stay reachable.
+const REACHABLE: f64 = 1.0;
+
+/// A copy that answers from some time on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Supply {
+    /// Seconds until it is there.
+    pub(super) ready_in: f64,
+    /// Part of a server that it has.
+    pub(super) capacity: f64,
 }
 
 /// A model and its copies.
@@ -43,22 +52,65 @@
 pub(super) struct ModelCoverage {
     /// What is asked of it.
     pub(super) demand: ModelDemand,
-    /// Copies, in servers that are left to them by other models; those that are
-    /// on their way count for less.
-    pub(super) capacity: f64,
     /// Copies that are there or coming.
-    pub(super) copies: usize,
+    pub(super) copies: Vec<Supply>,
     /// Copies that serve and stay.
     pub(super) serving: usize,
-    /// Seconds until the first copy is there; infinite where none comes.
-    pub(super) first_in: f64,
 }
 
 impl ModelCoverage {
-    /// Requests a second that are missed with a different capacity.
-    pub(super) fn missed_with(&self, capacity: f64) -> f64 {
-        self.demand.requests * missed_share(self.demand.work, capacity)
+    /// Requests that are missed while the demand lasts.
+    pub(super) fn missed(&self) -> f64 {
+        self.missed_by(&mut self.copies.clone())
+    }
+
+    /// Requests that are missed with one more copy.
+    pub(super) fn missed_with(&self, supply: Supply) -> f64 {
+        let mut copies = self.copies.clone();
+        copies.push(supply);
+        self.missed_by(&mut copies)
+    }
+
+    /// Requests that are missed without a copy of this capacity that is there.
+    pub(super) fn missed_without(&self, capacity: f64) -> f64 {
+        let mut copies = self.copies.clone();
+        let gone = Supply { ready_in: 0.0, capacity };
+        if let Some(place) = copies.iter().position(|copy| *copy == gone) {
+            copies.swap_remove(place);
+        }
+        self.missed_by(&mut copies)
+    }
+
+    /// Share of the requests that are missed when all copies are there.
+    pub(super) fn missed_in_the_end(&self) -> f64 {
+        missed_share(self.demand.work, self.copies.iter().map(|copy| copy.capacity).sum())
     }
+
+    fn missed_by(&self, copies: &mut [Supply]) -> f64 {
+        copies.sort_by(|left, right| left.ready_in.total_cmp(&right.ready_in));
+        let first = copies.first().map_or(f64::INFINITY, |copy| copy.ready_in);
+        let unreachable = REACHABLE * MISSING_LASTS * (1.0 - worth_left(first, MISSING_LASTS));
+        let (mut missed, mut capacity, mut since) = (unreachable, 0.0, 0.0);
+        for copy in copies.iter() {
+            missed += self.missed_between(since, copy.ready_in, capacity);
+            since = copy.ready_in;
+            capacity += copy.capacity;
+        }
+        missed + self.missed_between(since, f64::INFINITY, capacity)
+    }
+
+    /// Requests that are missed from one time to another one with a capacity.
+    fn missed_between(&self, from: f64, until: f64, capacity: f64) -> f64 {
+        let lasts = worth_left(from, DEMAND_LASTS) - worth_left(until, DEMAND_LASTS);
+        let a_second = self.demand.requests * missed_share(self.demand.work, capacity);
+        a_second * DEMAND_LASTS * lasts
+    }
+}
+
+/// Part of what asks for a copy that is still there after so many seconds, where
+/// it lasts for some time on average.
+fn worth_left(seconds: f64, lasts: f64) -> f64 {
+    (-seconds / lasts).exp()
 }
 
 /// A copy of a model on a server.
@@ -76,6 +128,8 @@
     pub(super) models: Vec<ModelCoverage>,
     /// Copies on each server that are there or coming.
     on_servers: Vec<Vec<Copy>>,
+    /// Copies of each model that are there or coming.
+    counts: Vec<usize>,
 }
 
 impl Coverage {
@@ -101,28 +155,26 @@
             }
         }
         let on_servers = servers.iter().map(|server| copies(profile, server, &numbers)).collect();
-        let mut coverage = Coverage { models, on_servers };
+        let mut coverage = Coverage { models, on_servers, counts: Vec::new() };
         coverage.reckon();
         coverage
     }
 
     /// Counts copies and their capacities anew.
     fn reckon(&mut self) {
-        for model in &mut self.models {
-            model.copies = 0;
-            model.capacity = 0.0;
-            model.first_in = f64::INFINITY;
-        }
+        let mut counts = vec![0; self.models.len()];
         for copy in self.on_servers.iter().flatten() {
-            let model = &mut self.models[copy.model];
-            model.copies += 1;
-            model.first_in = model.first_in.min(copy.ready_in);
+            counts[copy.model] += 1;
+        }
+        self.counts = counts;
+        for model in &mut self.models {
+            model.copies.clear();
         }
         for server in 0..self.on_servers.len() {
             for place in 0..self.on_servers[server].len() {
                 let Copy { model, ready_in } = self.on_servers[server][place];
                 let capacity = self.capacity(server, model, None);
-                self.models[model].capacity += capacity * worth_left(ready_in, DEMAND_LASTS);
+                self.models[model].copies.push(Supply { ready_in, capacity });
             }
         }
     }
@@ -139,7 +191,7 @@
 
     fn work_per_copy(&self, number: usize) -> f64 {
         let model = &self.models[number];
-        model.demand.work / model.copies.max(1) as f64
+        model.demand.work / self.counts[number].max(1) as f64
     }
 
     /// Takes a move in: a copy that comes after some seconds, and one that goes
--- a/crates/cometmoor-core/src/gateway/planner/models.rs
+++ b/crates/cometmoor-core/src/gateway/planner/models.rs
@@ -2,14 +2,9 @@
 
 use super::super::configuration::ModelProfile;
 use super::super::orders::Weights;
-use super::coverage::{DEMAND_LASTS, worth_left};
+use super::coverage::Supply;
 use super::{PlannedServer, Planner, UNLOAD_SECONDS};
 
-/// Seconds for which a model that nobody holds is missed, on average.
-const MISSING_LASTS: f64 = 40.0;
-/// Requests a second that a model without any copy counts as missing, besides
-/// what is asked of it: it has to stay reachable.
-const REACHABLE: f64 = 1.0;
 /// Requests that a move has to save to be worth its price.
 const MOVE_PRICE: f64 = 1.5;
 /// Share of a model's requests that may come late without another copy.
@@ -59,9 +54,8 @@
 
     fn needs_copy(&self, model: usize) -> bool {
         let coverage = &self.coverage.models[model];
-        let missed = coverage.missed_with(coverage.capacity);
-        let short = self.demand.is_known && missed > COVERED * coverage.demand.requests;
-        coverage.copies == 0 || short
+        let short = self.demand.is_known && coverage.missed_in_the_end() > COVERED;
+        coverage.copies.is_empty() || short
     }
 
     /// The best way to bring a model to a server, if it can come there now.
@@ -103,22 +97,18 @@
     /// Requests that a copy saves while the demand lasts.
     fn saved(&self, server: usize, model: usize, victim: Option<usize>) -> f64 {
         let coverage = &self.coverage.models[model];
-        let capacity = self.coverage.capacity(server, model, victim);
-        let before = coverage.missed_with(coverage.capacity);
-        let after = coverage.missed_with(coverage.capacity + capacity);
-        let ready_in = self.ready_in(server, model, victim);
-        let answered = (before - after) * DEMAND_LASTS * worth_left(ready_in, DEMAND_LASTS);
-        let sooner =
-            worth_left(ready_in, MISSING_LASTS) - worth_left(coverage.first_in, MISSING_LASTS);
-        answered + REACHABLE * MISSING_LASTS * sooner.max(0.0)
+        let supply = Supply {
+            ready_in: self.ready_in(server, model, victim),
+            capacity: self.coverage.capacity(server, model, victim),
+        };
+        coverage.missed() - coverage.missed_with(supply)
     }
 
     /// Requests that are missed while the demand lasts when a copy goes.
     fn lost(&self, server: usize, victim: usize) -> f64 {
         let coverage = &self.coverage.models[victim];
-        let left = coverage.capacity - self.coverage.capacity(server, victim, None);
-        let before = coverage.missed_with(coverage.capacity);
-        (coverage.missed_with(left) - before) * DEMAND_LASTS
+        let capacity = self.coverage.capacity(server, victim, None);
+        coverage.missed_without(capacity) - coverage.missed()
     }
 
     /// Whether a copy may make way: not the last one, counting only those that
