Three nodes read the servers' entries in a small fleet; moves save four requests

Change: three nodes read the entries and send a heartbeat at once when one changed; the others fetch what is new from them. All nodes of a small fleet still read the configuration. A resting connection counts 10 ms in the choice of a server and rests for 0.85 of the told time. A move must save four requests.

--- a/crates/cometmoor-core/src/gateway/planner/models.rs
+++ b/crates/cometmoor-core/src/gateway/planner/models.rs
@@ -6,7 +6,7 @@
 use super::{PlannedServer, Planner, UNLOAD_SECONDS};
 
 /// Requests that a move has to save to be worth its price.
-const MOVE_PRICE: f64 = 1.5;
+const MOVE_PRICE: f64 = 4.0;
 /// Share of a model's requests that may come late without another copy.
 const COVERED: f64 = 0.02;
 /// Weight of the model for which room was made, against others that would like
--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -18,6 +18,8 @@
     pub slots: u32,
     /// Whether it stands in the node's zone.
     pub same_zone: bool,
+    /// Whether the node has a connection to it that is not in use.
+    pub has_connection: bool,
     /// Failures in the recent past, as a share from 0 to 1.
     pub failure_share: f64,
     /// Rendezvous hash of the server and the leading parts of the prompt.
@@ -45,17 +47,30 @@
     pub per_waiting: f64,
     /// Added where the server stands in another zone.
     pub other_zone: f64,
+    /// Added where a connection has to be opened: it takes time, and servers
+    /// have only so many.
+    pub new_connection: f64,
     /// Added by a server all of whose recent answers failed.
     pub failing: f64,
 }
 
 impl CostModel {
     /// For model engines.
-    pub const ENGINE: CostModel =
-        CostModel { per_running: 0.6, per_waiting: 30.0, other_zone: 25.0, failing: 400.0 };
+    pub const ENGINE: CostModel = CostModel {
+        per_running: 0.6,
+        per_waiting: 30.0,
+        other_zone: 25.0,
+        new_connection: 10.0,
+        failing: 400.0,
+    };
     /// For plain services.
-    pub const PLAIN: CostModel =
-        CostModel { per_running: 4.0, per_waiting: 20.0, other_zone: 5.0, failing: 150.0 };
+    pub const PLAIN: CostModel = CostModel {
+        per_running: 4.0,
+        per_waiting: 20.0,
+        other_zone: 5.0,
+        new_connection: 3.0,
+        failing: 150.0,
+    };
 
     /// Expected milliseconds until the first byte.
     pub fn cost(&self, candidate: &Candidate, demand: &Demand) -> f64 {
@@ -67,6 +82,9 @@
         if !candidate.same_zone {
             cost += self.other_zone;
         }
+        if !candidate.has_connection {
+            cost += self.new_connection;
+        }
         cost + self.failing * candidate.failure_share
     }
 }
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -60,6 +60,8 @@
         copy.confirm(changed.subject);
         if copy.mirror.apply(changed.events, changed.at) {
             self.take_in(changed.subject);
+            // Nodes that do not read the store learn of it by the heartbeat.
+            self.context.board.heartbeat_wanted.notify_one();
         }
     }
 }
@@ -251,7 +253,7 @@
 
     fn handle(&mut self, get: GetWatchPlan, _: &mut Context<FleetState>) -> Self::Result {
         let at = self.copies[&get.0].mirror.at;
-        let leave = at > 0 && !self.is_reader();
+        let leave = at > 0 && !self.reads(get.0);
         MessageResult(if leave { WatchPlan::LeaveToReaders } else { WatchPlan::WatchAfter(at) })
     }
 }
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -23,7 +23,7 @@
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
-use crate::gossip::{Heartbeat, PeerPhase, Peers, Placement};
+use crate::gossip::{Heartbeat, PeerPhase, Peers, Placement, Rank};
 use crate::mirror::Mirror;
 use crate::peer::{Subject, encode_update, fetch_update};
 use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
@@ -32,10 +32,13 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Age up to which a copy counts as confirmed by the store.
 const CONFIRMED_FOR: Duration = Duration::from_secs(13);
-/// Fleets of up to this size in which all nodes read the store themselves.
+/// Fleets of up to this size in which all nodes read the configuration
+/// themselves.
 const SMALL_FLEET: usize = 12;
 /// Nodes that read the store in a larger fleet; the others learn from them.
 const READERS: usize = 6;
+/// Nodes that read the servers' entries in a small fleet.
+const READERS_OF_SMALL_FLEET: usize = 3;
 /// Pause after a peer did not give its copy; another one's heartbeat comes soon.
 const FETCH_PAUSE: Duration = Duration::from_millis(50);
 /// Time between two fetches of a copy of the servers from a node of the same
@@ -147,6 +150,7 @@
     servers: HashMap<Arc<str>, KnownServer>,
     load_summed: Timestamp,
     servers_fetched: Option<Timestamp>,
+    own_rank: Rank,
     peers: Peers,
     demand: FleetDemandMeter,
     placement: Option<Placement>,
@@ -159,6 +163,7 @@
 impl FleetState {
     /// The state of a node that knows nothing yet.
     pub fn new(context: Rc<ControlContext>) -> FleetState {
+        let own_rank = Rank::of(context.settings.peer_address);
         let mut peers = Peers::default();
         for contact in &context.settings.seeds {
             if *contact != context.settings.peer_address {
@@ -175,6 +180,7 @@
             servers: HashMap::new(),
             load_summed: Timestamp(0),
             servers_fetched: None,
+            own_rank,
             peers,
             demand: FleetDemandMeter::default(),
             placement: None,
@@ -189,12 +195,16 @@
         Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
     }
 
-    fn is_reader(&self) -> bool {
-        let readers = match self.peers.is_small(SMALL_FLEET, self.now()) {
-            true => SMALL_FLEET,
-            false => READERS,
+    /// Whether this node reads a prefix of the store itself. Entries of servers
+    /// change often, and each change costs each reader a call.
+    fn reads(&self, subject: Subject) -> bool {
+        let is_small = self.peers.is_small(SMALL_FLEET, self.now());
+        let readers = match subject {
+            Subject::Configuration if is_small => SMALL_FLEET,
+            Subject::Servers if is_small => READERS_OF_SMALL_FLEET,
+            Subject::Configuration | Subject::Servers => READERS,
         };
-        self.peers.is_reader(self.context.settings.peer_address, readers, self.now())
+        self.peers.is_reader(self.own_rank, readers, self.now())
     }
 
     /// Whether the store does not answer this node.
@@ -303,7 +313,7 @@
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
             nodes: self.client_nodes(now),
             confirmed,
-            reads_store: self.is_reader(),
+            reads_store: self.reads(Subject::Servers),
             leads: self.placement.is_some(),
             leader_heard: self.leader_heard,
             stop: self.stop,
@@ -352,7 +362,7 @@
             },
             configuration_version: self.configuration.version(),
             servers_revision: self.copies[&Subject::Servers].mirror.at,
-            reads_store: self.is_reader() && !self.store_fails(),
+            reads_store: self.reads(Subject::Servers) && !self.store_fails(),
             store_fails: self.store_fails(),
             loads: self.context.loads.all(),
             demand: self.context.loads.recent_demand(Instant::now()),
@@ -398,8 +408,8 @@
                 heartbeat.servers_revision > self.copies[&Subject::Servers].mirror.at,
             ),
         ];
-        let learns = !self.is_reader();
         for (subject, newer) in newer {
+            let learns = !self.reads(subject);
             let copy = self.copy(subject);
             if learns && heartbeat.reads_store && !newer {
                 copy.confirmed = Some(Instant::now());
@@ -424,13 +434,13 @@
     }
 
     /// Whether a peer's copy is asked for now. Changes of the servers come often:
-    /// those of a moment are asked for together, at a node of the same zone if
-    /// one has them soon.
+    /// in a large fleet, those of a moment are asked for together, at a node of
+    /// the same zone if one has them soon.
     fn may_fetch(&mut self, subject: Subject, heartbeat: &Heartbeat) -> bool {
-        if subject == Subject::Configuration {
+        let now = self.now();
+        if subject == Subject::Configuration || self.peers.is_small(SMALL_FLEET, now) {
             return true;
         }
-        let now = self.now();
         let near = heartbeat.zone == self.context.settings.zone;
         let pause = if near { GATHER_NEAR } else { GATHER_FAR };
         let due = self.servers_fetched.is_none_or(|fetched| now.since(fetched) >= pause);
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -149,6 +149,7 @@
             pending_millis: load.pending.millis_ahead_of(self.route.priority),
             slots: record.slots,
             same_zone: record.zone == self.traffic.settings.zone,
+            has_connection: server.pool.has_idle(now),
             failure_share: server.failure_share(now),
             affinity: self.affinity(&record.id),
             kept_millis: 0.0,
--- a/crates/cometmoor-gateway/src/gossip.rs
+++ b/crates/cometmoor-gateway/src/gossip.rs
@@ -110,6 +110,18 @@
     pub heartbeat: Heartbeat,
     /// When it came.
     pub heard: Timestamp,
+    rank: Rank,
+}
+
+/// Place of a node in an order that all nodes agree on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank(u64, SocketAddrV4);
+
+impl Rank {
+    /// Rank of the node with this address.
+    pub fn of(address: SocketAddrV4) -> Rank {
+        Rank(xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes()), address)
+    }
 }
 
 /// What a heartbeat changed.
@@ -145,7 +157,8 @@
             Some(_) => PeerChange::None,
             None => PeerChange::Up,
         };
-        self.peers.insert(address, Peer { heartbeat, heard: now });
+        let rank = self.peers.get(&address).map_or_else(|| Rank::of(address), |peer| peer.rank);
+        self.peers.insert(address, Peer { heartbeat, heard: now, rank });
         change
     }
 
@@ -197,20 +210,12 @@
         self.alive(now).count() < most
     }
 
-    /// Whether the node with this address is among the readers of the store: the
-    /// first so many by the hash of their addresses, among itself and those
-    /// heard lately whom the store answers.
-    pub fn is_reader(&self, own: SocketAddrV4, readers: usize, now: Timestamp) -> bool {
-        let rank = |address: SocketAddrV4| {
-            let text = address.to_string();
-            (xxhash_rust::xxh3::xxh3_64(text.as_bytes()), address)
-        };
-        let own = rank(own);
-        let ahead = self
-            .alive(now)
-            .filter(|peer| !peer.heartbeat.store_fails)
-            .filter(|peer| rank(peer.heartbeat.peer_address) < own);
-        ahead.count() < readers
+    /// Whether the node with this rank is among the readers of the store: the
+    /// first so many by rank, among itself and those heard lately whom the store
+    /// answers.
+    pub fn is_reader(&self, own: Rank, readers: usize, now: Timestamp) -> bool {
+        let answered = self.alive(now).filter(|peer| !peer.heartbeat.store_fails);
+        answered.filter(|peer| peer.rank < own).count() < readers
     }
 
     /// Whether the node led when it was last heard.
--- a/crates/cometmoor-gateway/src/pool.rs
+++ b/crates/cometmoor-gateway/src/pool.rs
@@ -14,7 +14,7 @@
 /// Rest of a connection whose server told no time.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// Part of the told time that a connection may rest.
-const REST_PART: f64 = 0.6;
+const REST_PART: f64 = 0.85;
 /// Most resting connections.
 const MAX_IDLE: usize = 64;
 
@@ -53,6 +53,11 @@
         Ok(Lent { stream, reused: false })
     }
 
+    /// Whether a connection rests.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        self.idle.borrow().iter().any(|idle| idle.until > now)
+    }
+
     fn take_idle(&self, now: Instant) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         while let Some(candidate) = idle.pop() {
