Refused clients come back later

Change: where no server can take a request its client is told to come back as late as it still would (a third of its time); where servers are too busy, after 1.5 s at least.

--- a/crates/cometmoor-core/src/gateway/admission.rs
+++ b/crates/cometmoor-core/src/gateway/admission.rs
@@ -27,11 +27,14 @@
     expected <= objective.min(time_left)
 }
 
+/// Shortest time for which servers that are too busy stay so.
+const BUSY_FOR: Duration = Duration::from_millis(1500);
+
 /// When a client should come back whose request would have waited `expected`:
-/// when enough of the queue is gone for it to be in time.
+/// when enough of the queue is gone for it to be in time, and others do not
+/// fill it at once.
 pub fn come_back_after_queue(expected: Duration, objective: Duration) -> Duration {
-    let excess = expected.saturating_sub(objective / 2);
-    excess.clamp(Duration::from_millis(100), Duration::from_secs(2))
+    expected.saturating_sub(objective / 2).max(BUSY_FOR)
 }
 
 /// When a refused client should come back: at `ready_in`, but not later than
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -38,11 +38,9 @@
 
 /// Servers that are tried one after another when they cannot be reached.
 const MAX_UNREACHABLE: usize = 4;
-/// When a refused client should come back.
-const COME_BACK: Duration = Duration::from_millis(400);
-/// When a client should come back whose model no server holds; most of the
-/// time is cut to what the client would wait.
-const MODEL_COMES_IN: Duration = Duration::from_millis(400);
+/// When a client should come back that no server could take: models and servers
+/// take seconds to come. It is cut to what the client would wait.
+const COME_BACK: Duration = Duration::from_secs(10);
 /// Running requests beside which a prompt is read at about full speed.
 const FEW_RUNNING: u32 = 6;
 /// Pause between two looks for a server that can take a waiting request.
@@ -83,14 +81,6 @@
     }
 }
 
-/// When a client should come back that was refused for this reason.
-fn come_back_for(refusal: Refusal) -> Duration {
-    match refusal {
-        Refusal::NoModel => MODEL_COMES_IN,
-        _ => COME_BACK,
-    }
-}
-
 /// What became of one send.
 enum Sent {
     /// The client has its answer, or what there is of it.
@@ -191,8 +181,7 @@
                     return self.no_server(kept_error, &stream, Refusal::TooBusy, after).await;
                 }
                 Found::Nobody(refusal) => {
-                    let after = come_back_for(refusal);
-                    return self.no_server(kept_error, &stream, refusal, after).await;
+                    return self.no_server(kept_error, &stream, refusal, COME_BACK).await;
                 }
             };
             let record = server.record();
