A leader that is cut off from the store renews through peers in time

A renewal waited 1.2 s for the store before it asked a peer, and counted from its first try.

Change: peers whom the store answers are asked after 0.25 s, beside the call to the store, and the lease counts from the call that was answered.

--- a/crates/cometmoor-core/src/gateway/orders.rs
+++ b/crates/cometmoor-core/src/gateway/orders.rs
@@ -150,14 +150,14 @@
         self.open = Some(Open { order, expected_count, takes, due: None });
     }
 
-    /// Notes that the server took the order. Adapters are there at once, as
-    /// far as memory is concerned.
+    /// Notes that the server took the order. Adapters that come are there at
+    /// once, as far as memory is concerned.
     pub fn record_accepted(&mut self, now: Timestamp) {
         self.last_answer = Some(now);
         let Some(open) = &mut self.open else { return };
         open.due = Some(now + open.takes);
         self.count = Some(open.expected_count + 1);
-        if open.order.weights.adapter.is_some() {
+        if open.order.loads_adapter() {
             self.finish_open();
         }
     }
@@ -165,10 +165,12 @@
     /// Notes that the order is done already. A server that takes an unused
     /// adapter out at once says so too, and counts that order.
     pub fn record_already_done(&mut self, now: Timestamp) {
-        if self.open_order().is_some_and(ServerOrder::unloads_adapter) {
-            return self.record_accepted(now);
-        }
         self.last_answer = Some(now);
+        if let Some(open) = self.open.take_if(|open| open.order.unloads_adapter()) {
+            self.count = Some(open.expected_count + 1);
+            self.held.remove(&open.order.weights);
+            return;
+        }
         self.finish_open();
         self.count = None;
         self.wants_report = true;
--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -1,9 +1,12 @@
 //! Gets and keeps the lease under which one node leads.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cometmoor_core::gateway::leadership::{Predecessor, Standing, candidacy};
+use cometmoor_core::time::Timestamp;
+use futures::future::{Either, select};
 
 use super::leader::Leader;
 use crate::dialect::{Commit, Committed};
@@ -28,6 +31,8 @@
 const MOST_JITTER_MILLIS: u64 = 600;
 /// Part of the lease after which it is renewed.
 const RENEWAL_PART: u32 = 3;
+/// Time for the store to answer a renewal before peers are asked to renew too.
+const ASK_PEERS_AFTER: Duration = Duration::from_millis(250);
 /// Pause before a renewal that failed is tried again.
 const RETRY: Duration = Duration::from_millis(200);
 
@@ -132,18 +137,42 @@
     }
 }
 
-/// Renews the lease at the store, or through a peer where the store turns this
-/// node away.
-async fn renew(leader: &Leader, lease_id: u64) -> Result<bool, ()> {
-    if let Ok(goes_on) = leader.context().store.renew_lease(lease_id).await {
-        return Ok(goes_on);
+/// What a renewal led to.
+struct Renewal {
+    /// Whether the lease goes on.
+    goes_on: bool,
+    /// When the call was sent that was answered.
+    sent: Timestamp,
+}
+
+/// Renews the lease at the store, and through peers where the store does not
+/// answer this node soon.
+async fn renew(leader: &Leader, lease_id: u64) -> Option<Renewal> {
+    let through_peers = async {
+        tokio::time::sleep(ASK_PEERS_AFTER).await;
+        renew_through_peers(leader, lease_id).await
+    };
+    match select(pin!(renew_directly(leader, lease_id)), pin!(through_peers)).await {
+        Either::Left((None, others)) => others.await,
+        Either::Right((None, direct)) => direct.await,
+        Either::Left((renewal, _)) | Either::Right((renewal, _)) => renewal,
     }
+}
+
+async fn renew_directly(leader: &Leader, lease_id: u64) -> Option<Renewal> {
+    let sent = leader.now();
+    let goes_on = leader.context().store.renew_lease(lease_id).await.ok()?;
+    Some(Renewal { goes_on, sent })
+}
+
+async fn renew_through_peers(leader: &Leader, lease_id: u64) -> Option<Renewal> {
     for peer in leader.peers().await {
+        let sent = leader.now();
         if let Ok(goes_on) = renew_through(peer, lease_id).await {
-            return Ok(goes_on);
+            return Some(Renewal { goes_on, sent });
         }
     }
-    Err(())
+    None
 }
 
 /// Renews the lease until it is over or the node leaves.
@@ -157,15 +186,14 @@
             return;
         }
         loop {
-            let sent = leader.now();
             match renew(leader, lease_id).await {
-                Ok(true) => {
-                    leader.renewed(sent);
+                Some(renewal) if renewal.goes_on => {
+                    leader.renewed(renewal.sent);
                     break;
                 }
-                Ok(false) => return,
-                Err(_) if leader.leads() => tokio::time::sleep(RETRY).await,
-                Err(_) => return,
+                Some(_) => return,
+                None if leader.leads() => tokio::time::sleep(RETRY).await,
+                None => return,
             }
         }
     }
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -305,7 +305,8 @@
     }
 }
 
-/// Asks for the peer addresses of the nodes that were heard lately.
+/// Asks for the peer addresses of the nodes that were heard lately and that the
+/// store answers.
 #[derive(Message)]
 #[rtype(result = "Vec<SocketAddrV4>")]
 pub struct GetPeers;
@@ -314,7 +315,7 @@
     type Result = MessageResult<GetPeers>;
 
     fn handle(&mut self, _: GetPeers, _: &mut Context<FleetState>) -> Self::Result {
-        let alive = self.peers.alive(self.now());
+        let alive = self.peers.alive(self.now()).filter(|peer| !peer.heartbeat.store_fails);
         MessageResult(alive.map(|peer| peer.heartbeat.peer_address).collect())
     }
 }
--- a/crates/cometmoor-gateway/src/control/leader/engine.rs
+++ b/crates/cometmoor-gateway/src/control/leader/engine.rs
@@ -15,6 +15,11 @@
 /// Time for which a copy stays after its load.
 const SHORTEST_STAY: Duration = Duration::from_secs(8);
 
+/// Adapters that a server brings in at once.
+const MOST_ADAPTERS_ON_THEIR_WAY: usize = 4;
+/// Time for which an adapter may be on its way.
+const ADAPTER_ON_ITS_WAY: Duration = Duration::from_millis(80);
+
 /// What the leader keeps of one server.
 pub(super) struct Engine {
     pub(super) record: Arc<ServerRecord>,
@@ -28,6 +33,8 @@
     pub(super) replaced: bool,
     /// Model for which room is being made.
     pub(super) promised: Option<String>,
+    /// When the adapters were ordered that may be on their way.
+    adapters_ordered: Vec<Timestamp>,
 }
 
 impl Engine {
@@ -44,6 +51,7 @@
             loaded: HashMap::new(),
             replaced: false,
             promised: None,
+            adapters_ordered: Vec::new(),
         }
     }
 
@@ -57,6 +65,16 @@
         }
     }
 
+    /// Takes one of the places for adapters on their way, if there is one left.
+    pub(super) fn take_adapter_place(&mut self, now: Timestamp) -> bool {
+        self.adapters_ordered.retain(|ordered| now.since(*ordered) < ADAPTER_ON_ITS_WAY);
+        let has_place = self.adapters_ordered.len() < MOST_ADAPTERS_ON_THEIR_WAY;
+        if has_place {
+            self.adapters_ordered.push(now);
+        }
+        has_place
+    }
+
     /// Model that it is ordered to load.
     pub(super) fn loading(&self) -> Option<Weights> {
         let order = self.ledger.open_order()?;
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -290,6 +290,9 @@
                 continue;
             }
             let Some(expected_count) = self.idle_count(&planned.server) else { continue };
+            if planned.order.loads_adapter() && !self.may_load_adapter(&planned.server) {
+                continue;
+            }
             if planned.from_store
                 && let Some(rate) = self.state.borrow_mut().load_rates.get_mut(service)
             {
@@ -304,6 +307,13 @@
         }
     }
 
+    /// Whether one more adapter may be on its way to a server; notes it then.
+    fn may_load_adapter(&self, server: &str) -> bool {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.engines.get_mut(server).is_some_and(|engine| engine.take_adapter_place(now))
+    }
+
     /// Tells all nodes that weights go, and unloads them a little later.
     fn withdraw(&self, planned: PlannedOrder) {
         let now = self.now();
--- a/crates/cometmoor-gateway/src/peer.rs
+++ b/crates/cometmoor-gateway/src/peer.rs
@@ -14,6 +14,8 @@
 
 /// Time for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for a renewal through a peer, before another one is asked.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest update, uncompressed.
 const MAX_UPDATE_BYTES: u64 = 64 << 20;
 /// Path of the copies.
@@ -60,7 +62,8 @@
 /// Tells whether the lease goes on.
 pub async fn renew_through(peer: SocketAddrV4, lease: u64) -> Result<bool, PeerError> {
     let call = Call::new("GET", format!("{RENEWAL_PATH}{lease}"));
-    let answer = CallClient::new(peer).call(&call, CALL_TIMEOUT).await.map_err(PeerError::Call)?;
+    let renewal = CallClient::new(peer).call(&call, RENEWAL_TIMEOUT).await;
+    let answer = renewal.map_err(PeerError::Call)?;
     match answer.head.status {
         200 => Ok(true),
         404 => Ok(false),
