--- a/crates/cometmoor-core/src/gateway/registry.rs
+++ b/crates/cometmoor-core/src/gateway/registry.rs
@@ -33,6 +33,8 @@
     pub address: SocketAddrV4,
     /// Zone that it stands in.
     pub zone: String,
+    /// Version of its software.
+    pub software: String,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it takes new work.
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -283,9 +283,10 @@
             }
             let address = record.address.to_string();
             let service = record.service.as_str();
+            let software = record.software.as_str();
             match record.state {
                 ServerState::Ready => {
-                    info!("[servers] a server is known", kv: { server = &**id, address, service, created });
+                    info!("[servers] a server is known", kv: { server = &**id, address, service, software, created });
                 }
                 ServerState::Draining => {
                     info!("[servers] a server is leaving", kv: { server = &**id, address, service, created });
