--- a/crates/cometmoor-core/src/gateway/configuration.rs
+++ b/crates/cometmoor-core/src/gateway/configuration.rs
@@ -81,6 +81,9 @@
     }
 }
 
+/// What the names of adapters begin with; a number from 1 follows.
+const ADAPTER_PREFIX: &str = "a";
+
 /// A model that a service's engines may hold.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelProfile {
@@ -121,12 +124,20 @@
     pub disk_megabytes: f64,
 }
 
-impl EngineProfile {
-    /// A model by its name.
-    pub fn model(&self, name: &str) -> Option<&ModelProfile> {
-        self.models.iter().find(|model| model.name == name)
+impl ModelProfile {
+    /// Name of the adapter with a number from 1.
+    pub fn adapter_name(&self, number: u32) -> String {
+        format!("{ADAPTER_PREFIX}{number}")
+    }
+
+    /// Number of the adapter with a name.
+    pub fn adapter_number(&self, name: &str) -> Option<u32> {
+        let number = name.strip_prefix(ADAPTER_PREFIX)?.parse().ok()?;
+        (1..=self.adapters).contains(&number).then_some(number)
     }
+}
 
+impl EngineProfile {
     /// Memory on each server that is kept for adapters, in megabytes.
     pub fn adapter_reserve(&self) -> f64 {
         let largest = self.models.iter().map(|model| model.adapter_megabytes).fold(0.0, f64::max);
--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -8,6 +8,7 @@
 
 mod adapters;
 mod coverage;
+mod inventory;
 mod models;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +17,7 @@
 
 use self::adapters::bring_adapters;
 use self::coverage::Coverage;
+use self::inventory::{Adapter, ModelIndex, ServerIndex, Stock, take_stock};
 use self::models::bring_models;
 use super::configuration::{EngineProfile, ModelProfile};
 use super::orders::{Action, ServerOrder, Weights};
@@ -50,40 +52,9 @@
 const UNLOAD_SECONDS: f64 = 1.0;
 
 impl PlannedServer {
-    /// Whether it has the weights, or will have them.
-    fn will_hold(&self, weights: &Weights) -> bool {
-        self.reserved.contains(weights) && self.leaving.as_ref() != Some(weights)
-    }
-
-    /// Whether it can answer with the weights now, and will stay able to.
-    fn serves(&self, weights: &Weights) -> bool {
-        self.held.contains(weights) && self.leaving.as_ref() != Some(weights)
-    }
-
-    /// Models that it can answer with now, and will stay able to.
-    fn serving(&self) -> impl Iterator<Item = &Weights> {
-        self.held.iter().filter(|weights| weights.adapter.is_none() && self.serves(weights))
-    }
-
-    /// Whether the weights of a model come from the weight store.
-    fn loads_from_store(&self, model: &str) -> bool {
-        !self.in_host_memory.contains(model) && !self.on_disk.contains(model)
-    }
-
-    /// Whether room is being made for a model that the weight store has to give.
-    fn is_promised_from_store(&self) -> bool {
-        !self.idle && self.promised.as_deref().is_some_and(|model| self.loads_from_store(model))
-    }
-
-    /// Time of a load of a model.
-    fn load_time(&self, model: &ModelProfile) -> Duration {
-        if self.in_host_memory.contains(&model.name) {
-            model.load_from_memory
-        } else if self.on_disk.contains(&model.name) {
-            model.load_from_disk
-        } else {
-            model.load
-        }
+    /// Whether weights that it has, or will have, are not about to go.
+    fn stays(&self, weights: &Weights) -> bool {
+        self.leaving.as_ref() != Some(weights)
     }
 }
 
@@ -129,8 +100,10 @@
     profile: &'a EngineProfile,
     servers: &'a [PlannedServer],
     demand: &'a FleetDemand,
+    stocks: Vec<Stock>,
     coverage: Coverage,
-    used: BTreeSet<Arc<str>>,
+    /// Memory on each server that is kept for adapters, in megabytes.
+    adapter_reserve: f64,
     loads_left: usize,
     plan: Vec<PlannedOrder>,
 }
@@ -142,13 +115,17 @@
     demand: &FleetDemand,
     loads_left: usize,
 ) -> Vec<PlannedOrder> {
-    let promised = servers.iter().filter(|server| server.is_promised_from_store()).count();
+    let stocks = take_stock(profile, servers);
+    let asked = |model: &ModelProfile| demand.models.get(&model.name).copied().unwrap_or_default();
+    let asked = profile.models.iter().map(asked).collect();
+    let promised = stocks.iter().filter(|stock| is_promised_from_store(stock)).count();
     let mut planner = Planner {
         profile,
         servers,
         demand,
-        coverage: Coverage::new(profile, servers, demand),
-        used: BTreeSet::new(),
+        coverage: Coverage::new(asked, &stocks),
+        stocks,
+        adapter_reserve: profile.adapter_reserve(),
         loads_left: loads_left.saturating_sub(promised),
         plan: Vec::new(),
     };
@@ -157,50 +134,55 @@
     planner.plan
 }
 
-impl Planner<'_> {
-    fn is_free(&self, server: &PlannedServer) -> bool {
-        server.idle && !self.used.contains(&server.id)
-    }
+/// Whether room is being made for a model that the weight store has to give.
+fn is_promised_from_store(stock: &Stock) -> bool {
+    !stock.is_free && stock.promised.is_some_and(|model| stock.loads_from_store(model))
+}
 
+impl Planner<'_> {
     /// Adds the load of a model.
-    fn load_model(&mut self, server: &PlannedServer, model: &ModelProfile) {
-        let from_store = server.loads_from_store(&model.name);
-        if from_store {
-            self.loads_left -= 1;
-        }
-        let order = ServerOrder { action: Action::Load, weights: Weights::model(&model.name) };
-        let takes = server.load_time(model);
-        self.push(server, PlannedOrder { from_store, takes, ..planned(server, order) });
+    fn load_model(&mut self, server: ServerIndex, model: ModelIndex) {
+        let stock = &self.stocks[server];
+        let from_store = stock.loads_from_store(model);
+        let takes = Duration::from_secs_f64(stock.load_seconds(self.profile, model));
+        self.loads_left -= usize::from(from_store);
+        let order = self.planned(server, Action::Load, self.model_weights(model));
+        self.push(server, PlannedOrder { from_store, takes, ..order });
     }
 
     /// Adds the unload of a model that makes room for another one.
-    fn unload_model(&mut self, server: &PlannedServer, victim: &str, model: &str) {
-        if server.loads_from_store(model) {
-            self.loads_left -= 1;
-        }
-        let order = ServerOrder { action: Action::Unload, weights: Weights::model(victim) };
-        let makes_room_for = Some(model.to_owned());
-        self.push(server, PlannedOrder { makes_room_for, ..planned(server, order) });
+    fn unload_model(&mut self, server: ServerIndex, victim: ModelIndex, model: ModelIndex) {
+        self.loads_left -= usize::from(self.stocks[server].loads_from_store(model));
+        let makes_room_for = Some(self.profile.models[model].name.clone());
+        let order = self.planned(server, Action::Unload, self.model_weights(victim));
+        self.push(server, PlannedOrder { makes_room_for, ..order });
     }
 
     /// Adds an order for an adapter.
-    fn order_adapter(&mut self, server: &PlannedServer, action: Action, weights: &Weights) {
-        let order = ServerOrder { action, weights: weights.clone() };
-        self.push(server, planned(server, order));
+    fn order_adapter(&mut self, server: ServerIndex, action: Action, adapter: Adapter) {
+        let model = &self.profile.models[adapter.model];
+        let weights = Weights::adapter(&model.name, &model.adapter_name(adapter.number));
+        let order = self.planned(server, action, weights);
+        self.push(server, order);
     }
 
-    fn push(&mut self, server: &PlannedServer, order: PlannedOrder) {
-        self.used.insert(server.id.clone());
-        self.plan.push(order);
+    fn model_weights(&self, model: ModelIndex) -> Weights {
+        Weights::model(&self.profile.models[model].name)
     }
-}
 
-fn planned(server: &PlannedServer, order: ServerOrder) -> PlannedOrder {
-    PlannedOrder {
-        server: server.id.clone(),
-        order,
-        from_store: false,
-        takes: Duration::ZERO,
-        makes_room_for: None,
+    fn planned(&self, server: ServerIndex, action: Action, weights: Weights) -> PlannedOrder {
+        PlannedOrder {
+            server: self.servers[server].id.clone(),
+            order: ServerOrder { action, weights },
+            from_store: false,
+            takes: Duration::ZERO,
+            makes_room_for: None,
+        }
+    }
+
+    /// A server gets one order at a time.
+    fn push(&mut self, server: ServerIndex, order: PlannedOrder) {
+        self.stocks[server].is_free = false;
+        self.plan.push(order);
     }
 }
--- a/crates/cometmoor-core/src/gateway/planner/models.rs
+++ b/crates/cometmoor-core/src/gateway/planner/models.rs
@@ -1,9 +1,9 @@
 //! Moves of models between servers.
 
-use super::super::configuration::ModelProfile;
-use super::super::orders::Weights;
+use super::Planner;
+use super::UNLOAD_SECONDS;
 use super::coverage::Supply;
-use super::{PlannedServer, Planner, UNLOAD_SECONDS};
+use super::inventory::{Copy, ModelIndex, ServerIndex};
 
 /// Requests that a move has to save to be worth its price.
 const MOVE_PRICE: f64 = 4.0;
@@ -14,125 +14,134 @@
 const PROMISE_WEIGHT: f64 = 2.0;
 
 /// A load, with the model that makes way for it.
+#[derive(Clone, Copy)]
 struct Move {
-    server: usize,
-    model: usize,
-    victim: Option<usize>,
+    server: ServerIndex,
+    model: ModelIndex,
+    victim: Option<ModelIndex>,
     ready_in: f64,
+    /// Requests that it saves while the demand lasts, less its price.
     saved: f64,
 }
 
 /// Adds the moves that save requests, the best first.
 pub(super) fn bring_models(planner: &mut Planner<'_>) {
-    for _ in 0..planner.servers.len() {
-        let Some(best) = planner.best_move() else { return };
-        planner.coverage.move_copy(best.server, best.model, best.ready_in, best.victim);
-        let (servers, profile) = (planner.servers, planner.profile);
-        let server = &servers[best.server];
-        let model = &profile.models[best.model];
-        match best.victim {
-            None => planner.load_model(server, model),
-            Some(victim) => {
-                let victim = &profile.models[victim];
-                planner.unload_model(server, &victim.name, &model.name);
-            }
-        }
+    let needy = (0..planner.profile.models.len()).filter(|model| planner.needs_copy(*model));
+    let mut moves: Vec<Move> = needy.filter_map(|model| planner.best_move(model)).collect();
+    loop {
+        let best = moves.iter().copied().max_by(|left, right| left.saved.total_cmp(&right.saved));
+        let Some(chosen) = best else { return };
+        planner.make_move(&chosen);
+        let is_stale = |known: &Move| {
+            known.server == chosen.server
+                || known.model == chosen.model
+                || (known.victim.is_some() && known.victim == chosen.victim)
+                || planner.is_starved(known.server, known.model)
+        };
+        let (stale, kept): (Vec<Move>, Vec<Move>) = moves.into_iter().partition(is_stale);
+        moves = kept;
+        let needy = stale.iter().map(|known| known.model);
+        let needy = needy.filter(|model| planner.needs_copy(*model));
+        moves.extend(needy.filter_map(|model| planner.best_move(model)));
     }
 }
 
 impl Planner<'_> {
-    fn best_move(&self) -> Option<Move> {
-        let needy = (0..self.profile.models.len()).filter(|model| self.needs_copy(*model));
-        let moves = needy.flat_map(|model| {
-            let servers = 0..self.servers.len();
-            servers.filter_map(move |server| self.move_to(server, model))
-        });
-        moves
-            .filter(|best| best.saved > 0.0)
-            .max_by(|left, right| left.saved.total_cmp(&right.saved))
+    fn make_move(&mut self, chosen: &Move) {
+        let Move { server, model, victim, ready_in, .. } = *chosen;
+        self.coverage.move_copy(server, Copy { model, ready_in }, victim);
+        match victim {
+            None => self.load_model(server, model),
+            Some(victim) => self.unload_model(server, victim, model),
+        }
     }
 
-    fn needs_copy(&self, model: usize) -> bool {
+    fn needs_copy(&self, model: ModelIndex) -> bool {
         let coverage = &self.coverage.models[model];
         let short = self.demand.is_known && coverage.missed_in_the_end() > COVERED;
-        coverage.copies.is_empty() || short
+        coverage.copies == 0 || short
     }
 
-    /// The best way to bring a model to a server, if it can come there now.
-    fn move_to(&self, index: usize, model: usize) -> Option<Move> {
-        let server = &self.servers[index];
-        let profile = &self.profile.models[model];
-        let starved = self.loads_left == 0 && server.loads_from_store(&profile.name);
-        let comes = server.reserved.contains(&Weights::model(&profile.name));
-        if !self.is_free(server) || comes || starved {
-            return None;
-        }
-        if self.has_room(server, profile) {
-            let promised = server.promised.as_deref() == Some(&profile.name);
-            let weight = if promised { PROMISE_WEIGHT } else { 1.0 };
-            let saved = self.saved(index, model, None) * weight - MOVE_PRICE;
-            return Some(Move { saved, ..self.new_move(index, model, None) });
+    /// The move that saves most by another copy of a model, if one is worth it.
+    fn best_move(&self, model: ModelIndex) -> Option<Move> {
+        let mut best: Option<Move> = None;
+        for server in 0..self.stocks.len() {
+            let least = best.map_or(0.0, |best| best.saved);
+            best = self.better_move(server, model, least).or(best);
         }
-        let victims = (0..self.profile.models.len()).filter(|victim| self.may_go(index, *victim));
-        let moves = victims.map(|victim| {
-            let saved = self.saved(index, model, Some(victim));
-            let saved = saved - self.lost(index, victim) - MOVE_PRICE;
-            Move { saved, ..self.new_move(index, model, Some(victim)) }
-        });
-        moves.max_by(|left, right| left.saved.total_cmp(&right.saved))
+        best
     }
 
-    fn new_move(&self, server: usize, model: usize, victim: Option<usize>) -> Move {
-        let ready_in = self.ready_in(server, model, victim);
-        Move { server, model, victim, ready_in, saved: 0.0 }
+    /// Whether only the weight store could give a model to a server, and it has
+    /// given all that it may for now.
+    fn is_starved(&self, server: ServerIndex, model: ModelIndex) -> bool {
+        self.loads_left == 0 && self.stocks[server].loads_from_store(model)
     }
 
-    /// Seconds until a copy would be there.
-    fn ready_in(&self, server: usize, model: usize, victim: Option<usize>) -> f64 {
-        let load = self.servers[server].load_time(&self.profile.models[model]);
-        let unload = if victim.is_some() { UNLOAD_SECONDS } else { 0.0 };
-        unload + load.as_secs_f64()
+    /// The best way to bring a model to a server, if it can come there now and
+    /// saves more than is known of another one.
+    fn better_move(&self, server: ServerIndex, model: ModelIndex, least: f64) -> Option<Move> {
+        let stock = &self.stocks[server];
+        let comes = stock.reserved.contains(&model);
+        if !stock.is_free || comes || self.is_starved(server, model) {
+            return None;
+        }
+        if self.has_room(server, model) {
+            let weight = if stock.promised == Some(model) { PROMISE_WEIGHT } else { 1.0 };
+            let chosen = self.new_move(server, model, None, weight, 0.0);
+            return (chosen.saved > least).then_some(chosen);
+        }
+        let missed = self.coverage.models[model].missed;
+        let mut best = None;
+        let mut least = least;
+        for victim in stock.serving.iter().filter(|victim| self.may_go(server, **victim)) {
+            let lost = self.lost(server, *victim);
+            if missed - lost - MOVE_PRICE <= least {
+                continue;
+            }
+            let chosen = self.new_move(server, model, Some(*victim), 1.0, lost);
+            if chosen.saved > least {
+                least = chosen.saved;
+                best = Some(chosen);
+            }
+        }
+        best
     }
 
-    /// Requests that a copy saves while the demand lasts.
-    fn saved(&self, server: usize, model: usize, victim: Option<usize>) -> f64 {
+    fn new_move(
+        &self,
+        server: ServerIndex,
+        model: ModelIndex,
+        victim: Option<ModelIndex>,
+        weight: f64,
+        lost: f64,
+    ) -> Move {
+        let load = self.stocks[server].load_seconds(self.profile, model);
+        let ready_in = load + if victim.is_some() { UNLOAD_SECONDS } else { 0.0 };
+        let capacity = self.coverage.capacity(server, model, victim);
         let coverage = &self.coverage.models[model];
-        let supply = Supply {
-            ready_in: self.ready_in(server, model, victim),
-            capacity: self.coverage.capacity(server, model, victim),
-        };
-        coverage.missed() - coverage.missed_with(supply)
+        let answered = coverage.missed - coverage.missed_with(Supply { ready_in, capacity });
+        let saved = answered * weight - lost - MOVE_PRICE;
+        Move { server, model, victim, ready_in, saved }
     }
 
     /// Requests that are missed while the demand lasts when a copy goes.
-    fn lost(&self, server: usize, victim: usize) -> f64 {
+    fn lost(&self, server: ServerIndex, victim: ModelIndex) -> f64 {
         let coverage = &self.coverage.models[victim];
         let capacity = self.coverage.capacity(server, victim, None);
-        coverage.missed_without(capacity) - coverage.missed()
+        coverage.missed_without(capacity) - coverage.missed
     }
 
-    /// Whether a copy may make way: not the last one, counting only those that
-    /// serve, since a copy that is on its way may take long, or fail.
-    fn may_go(&self, index: usize, victim: usize) -> bool {
-        let server = &self.servers[index];
-        let name = &self.profile.models[victim].name;
-        let stays = server.fresh.contains(name);
-        self.coverage.is_on(index, victim)
-            && server.serves(&Weights::model(name))
-            && !stays
-            && self.coverage.models[victim].serving > 1
+    /// Whether a copy that serves may make way: not the last one, counting only
+    /// those that serve, since a copy that is on its way may take long, or fail.
+    fn may_go(&self, server: ServerIndex, victim: ModelIndex) -> bool {
+        let stays = self.stocks[server].fresh.contains(&victim);
+        !stays && self.coverage.models[victim].serving > 1
     }
 
     /// Whether a model fits on a server beside all that it may come to hold.
-    fn has_room(&self, server: &PlannedServer, model: &ModelProfile) -> bool {
-        let held: f64 = server
-            .reserved
-            .iter()
-            .filter(|weights| weights.adapter.is_none())
-            .filter_map(|weights| self.profile.model(&weights.model))
-            .map(|model| model.weights_megabytes)
-            .sum();
-        let needed = model.weights_megabytes + self.profile.adapter_reserve();
-        needed <= self.profile.weights_megabytes - held
+    fn has_room(&self, server: ServerIndex, model: ModelIndex) -> bool {
+        let needed = self.profile.models[model].weights_megabytes + self.adapter_reserve;
+        needed <= self.stocks[server].free_megabytes
     }
 }
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -132,7 +132,10 @@
             holder: &self.context.settings.node,
             fencing_token: token,
         });
-        let answer = client.call(&call, ORDER_TIMEOUT).await?;
+        // Between the plan and the connection the lease may have lapsed, most of
+        // all on a machine that was slow or frozen meanwhile.
+        let may_order = || self.leadership.borrow().token(self.now()) == Some(token);
+        let answer = client.call_if(&call, ORDER_TIMEOUT, may_order).await?;
         Ok(self.context.dialect.parse_order(&answer))
     }
 
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -34,8 +34,10 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which demand has to be watched before copies are taken away by it.
 const DEMAND_KNOWN: Duration = Duration::from_secs(3);
-/// Pause between two rounds of planning.
+/// Longest pause between two rounds of planning.
 const ROUND: Duration = Duration::from_millis(250);
+/// Shortest pause, where rounds are asked for before they are due.
+const SHORTEST_ROUND: Duration = Duration::from_millis(10);
 /// Pause between two questions to one server.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
 /// Time between the withdrawal of a model and the order to unload it, in which
@@ -167,6 +169,7 @@
     async fn run(self: Rc<Leader>) {
         loop {
             self.round().await;
+            tokio::time::sleep(SHORTEST_ROUND).await;
             let _ = tokio::time::timeout(ROUND, self.context.plan_wanted.notified()).await;
         }
     }
--- a/crates/cometmoor-gateway/src/http/client.rs
+++ b/crates/cometmoor-gateway/src/http/client.rs
@@ -109,8 +109,22 @@
 
     /// Makes a call that has to be answered within the time.
     pub async fn call(&self, call: &Call, within: Duration) -> Result<Answer, CallError> {
+        self.call_if(call, within, || true).await
+    }
+
+    /// The same for a call that may only be made while something holds: it is
+    /// looked at when there is a connection, just before the first byte.
+    pub async fn call_if(
+        &self,
+        call: &Call,
+        within: Duration,
+        holds: impl Fn() -> bool,
+    ) -> Result<Answer, CallError> {
         let started = tokio::time::Instant::now();
         let stream = self.checkout(within).await.map_err(CallError::NotSent)?;
+        if !holds() {
+            return Err(CallError::NotSent(io::ErrorKind::Interrupted.into()));
+        }
         let bytes = call.encode(self.address);
         let left = within.saturating_sub(started.elapsed());
         let exchange = exchange(&stream, &bytes, call.method == "HEAD");
