Hubs of zones: a node of a large fleet tells two hubs of itself instead of all

Ruled out: fewer heartbeats between zones (load of other zones 1.2 s old where two of three requests cross them).

Tests in virtual time found three faults on the way: nodes told themselves, a node that knew few others was told nothing, and hubs took nodes for gone that had only asked once.

--- a/crates/cometmoor-gateway/src/control/demand.rs
+++ b/crates/cometmoor-gateway/src/control/demand.rs
@@ -6,8 +6,8 @@
 use cometmoor_core::gateway::demand::DemandMeter;
 use cometmoor_core::time::Timestamp;
 
-use crate::gossip::Heartbeat;
 use crate::load::{ModelDemand, ModelKey};
+use crate::membership::Heartbeat;
 
 /// Microseconds in a second.
 const MICROS: f64 = 1e6;
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -9,11 +9,13 @@
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 
-use super::FleetState;
+use super::{FleetState, PeerCopies};
 use crate::control::demand::FleetDemandMeter;
 use crate::dialect::WatchEvent;
-use crate::gossip::{Heartbeat, PeerChange, Placement};
 use crate::load::ModelKey;
+use crate::membership::{
+    Digest, Heartbeat, Member, Membership, Message as PeerMessage, Outgoing, PeerChange, Placement,
+};
 use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::Subject;
 use crate::published::{Phase, StopTimes};
@@ -114,23 +116,47 @@
     }
 }
 
-/// A heartbeat of another node.
+/// A datagram of another node.
 #[derive(Message)]
 #[rtype(result = "()")]
-pub struct HeartbeatReceived(pub Heartbeat);
+pub struct PeerTold(pub PeerMessage);
 
-impl Handler<HeartbeatReceived> for FleetState {
+impl Handler<PeerTold> for FleetState {
     type Result = ();
 
-    fn handle(&mut self, received: HeartbeatReceived, context: &mut Context<FleetState>) {
-        let heartbeat = received.0;
+    fn handle(&mut self, told: PeerTold, context: &mut Context<FleetState>) {
+        match told.0 {
+            PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(heartbeat, false, context),
+            PeerMessage::HeartbeatToHub(heartbeat) => self.take_heartbeat(heartbeat, true, context),
+            PeerMessage::ZoneDigest(digest) => {
+                self.take_digest(digest, context, Membership::receive_zone);
+            }
+            PeerMessage::FleetDigest(digest) => {
+                self.take_digest(digest, context, Membership::receive_fleet);
+            }
+        }
+        self.sum_load();
+    }
+}
+
+impl FleetState {
+    fn take_heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        asks: bool,
+        context: &mut Context<FleetState>,
+    ) {
         if heartbeat.peer_address == self.context.settings.peer_address {
             return;
         }
-        self.catch_up(&heartbeat, context);
+        let copies = PeerCopies {
+            address: heartbeat.peer_address,
+            zone: heartbeat.zone.clone(),
+            versions: heartbeat.versions,
+        };
+        self.catch_up(&copies, context);
         let now = self.now();
-        let node = heartbeat.node.clone();
-        let phase = heartbeat.phase;
+        let (node, phase) = (heartbeat.node.clone(), heartbeat.phase);
         self.demand.receive(&heartbeat, now);
         let leads = heartbeat.placement.is_some();
         let waits = !heartbeat.waited_for.is_empty();
@@ -138,17 +164,36 @@
             // It says itself that it has stopped; nobody need wait for its silence.
             self.leader_heard = None;
         }
-        let change = self.peers.receive(heartbeat, now);
+        let change = self.peers.receive(heartbeat, asks, now);
         if leads {
             self.publish_placement();
         }
         self.ask_for_plan(waits);
-        self.sum_load();
         if change != PeerChange::None {
             info!("[peers] a node is {phase:?}", kv: { node });
             self.publish();
         }
     }
+
+    fn take_digest(
+        &mut self,
+        digest: Digest,
+        context: &mut Context<FleetState>,
+        take: impl FnOnce(&mut Membership, Digest, Timestamp),
+    ) {
+        let copies = PeerCopies {
+            address: digest.hub,
+            zone: digest.zone.clone(),
+            versions: digest.versions,
+        };
+        self.catch_up(&copies, context);
+        let leads = digest.placement.is_some();
+        let now = self.now();
+        take(&mut self.peers, digest, now);
+        if leads {
+            self.publish_placement();
+        }
+    }
 }
 
 /// Addresses at which nodes may be.
@@ -162,27 +207,34 @@
     fn handle(&mut self, found: ContactsFound, _: &mut Context<FleetState>) {
         let now = self.now();
         for address in found.0 {
-            if address != self.context.settings.peer_address {
-                self.peers.add_contact(address, now);
-            }
+            self.peers.add_contact(address, now);
         }
     }
 }
 
-/// Asks for the next heartbeat and where it goes.
+/// What a node sends next, and how long it rests then.
+pub struct NextMessages {
+    /// The messages.
+    pub outgoing: Vec<Outgoing>,
+    /// Whether every node tells every other one.
+    pub is_small_fleet: bool,
+    /// Nodes that are there.
+    pub nodes: u32,
+}
+
+/// Asks what this node sends next.
 #[derive(Message)]
-#[rtype(result = "(Heartbeat, Vec<SocketAddrV4>)")]
-pub struct NextHeartbeat;
+#[rtype(result = "NextMessages")]
+pub struct GetNextMessages;
 
-impl Handler<NextHeartbeat> for FleetState {
-    type Result = MessageResult<NextHeartbeat>;
+impl Handler<GetNextMessages> for FleetState {
+    type Result = MessageResult<GetNextMessages>;
 
-    fn handle(&mut self, _: NextHeartbeat, _: &mut Context<FleetState>) -> Self::Result {
-        let heartbeat = self.heartbeat();
-        let now = self.now();
-        self.demand.receive(&heartbeat, now);
-        self.ask_for_plan(!heartbeat.waited_for.is_empty());
-        MessageResult((heartbeat, self.peers.targets()))
+    fn handle(&mut self, _: GetNextMessages, _: &mut Context<FleetState>) -> Self::Result {
+        let outgoing = self.outgoing();
+        let is_small_fleet = self.peers.is_small();
+        let nodes = u32::try_from(self.peers.members().len()).unwrap_or(u32::MAX);
+        MessageResult(NextMessages { outgoing, is_small_fleet, nodes })
     }
 }
 
@@ -315,7 +367,10 @@
     type Result = MessageResult<GetPeers>;
 
     fn handle(&mut self, _: GetPeers, _: &mut Context<FleetState>) -> Self::Result {
-        let alive = self.peers.alive(self.now()).filter(|peer| !peer.heartbeat.store_fails);
-        MessageResult(alive.map(|peer| peer.heartbeat.peer_address).collect())
+        let members = self.peers.members().iter().filter(|member| !member.entry.store_fails);
+        // Those that read the store are known to be answered by it.
+        let (readers, others): (Vec<&Member>, Vec<&Member>) =
+            members.partition(|member| member.entry.reads_store);
+        MessageResult(readers.into_iter().chain(others).map(Member::address).collect())
     }
 }
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 mod messages;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,23 +18,27 @@
 use self::messages::PeerCopy;
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
-    GetDemand, GetPeers, GetUpdate, GetWatchPlan, HeartbeatReceived, NextHeartbeat, SetPlacement,
-    WatchPlan,
+    GetDemand, GetNextMessages, GetPeers, GetUpdate, GetWatchPlan, NextMessages, PeerTold,
+    SetPlacement, WatchPlan,
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
-use crate::gossip::{Heartbeat, PeerPhase, Peers, Placement, Rank};
+use crate::load::{ServerKey, ServerLoad};
+use crate::membership::{
+    CopyVersions, Heartbeat, Member, Membership, Outgoing, PeerPhase, Placement,
+};
 use crate::mirror::Mirror;
 use crate::peer::{Subject, encode_update, fetch_update};
 use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
+/// Age up to which others may rely on this node's word that a copy is confirmed.
+const CONFIRMED_FOR_OTHERS: Duration = Duration::from_millis(1500);
 /// Age up to which a copy counts as confirmed by the store.
 const CONFIRMED_FOR: Duration = Duration::from_secs(13);
-/// Fleets of up to this size in which all nodes read the configuration
-/// themselves.
-const SMALL_FLEET: usize = 12;
+/// Nodes that read the configuration in a small fleet: all of them.
+const READERS_OF_CONFIGURATION: usize = 16;
 /// Nodes that read the store in a larger fleet; the others learn from them.
 const READERS: usize = 6;
 /// Nodes that read the servers' entries in a small fleet.
@@ -127,6 +131,13 @@
     }
 }
 
+/// How new a peer's copies are.
+struct PeerCopies {
+    address: SocketAddrV4,
+    zone: String,
+    versions: CopyVersions,
+}
+
 /// A server's entry as it was last read.
 #[derive(Clone)]
 struct KnownServer {
@@ -150,8 +161,10 @@
     servers: HashMap<Arc<str>, KnownServer>,
     load_summed: Timestamp,
     servers_fetched: Option<Timestamp>,
-    own_rank: Rank,
-    peers: Peers,
+    peers: Membership,
+    logged_members: BTreeSet<SocketAddrV4>,
+    /// Load on the servers that was last told to others.
+    told_loads: Vec<(ServerKey, ServerLoad)>,
     demand: FleetDemandMeter,
     placement: Option<Placement>,
     leader_heard: Option<Instant>,
@@ -163,13 +176,9 @@
 impl FleetState {
     /// The state of a node that knows nothing yet.
     pub fn new(context: Rc<ControlContext>) -> FleetState {
-        let own_rank = Rank::of(context.settings.peer_address);
-        let mut peers = Peers::default();
-        for contact in &context.settings.seeds {
-            if *contact != context.settings.peer_address {
-                peers.add_contact(*contact, Timestamp(0));
-            }
-        }
+        let settings = &context.settings;
+        let mut peers = Membership::new(settings.peer_address, &settings.zone);
+        settings.seeds.iter().for_each(|seed| peers.add_contact(*seed, Timestamp(0)));
         FleetState {
             context,
             started: Instant::now(),
@@ -180,8 +189,9 @@
             servers: HashMap::new(),
             load_summed: Timestamp(0),
             servers_fetched: None,
-            own_rank,
             peers,
+            logged_members: BTreeSet::new(),
+            told_loads: Vec::new(),
             demand: FleetDemandMeter::default(),
             placement: None,
             leader_heard: None,
@@ -198,13 +208,12 @@
     /// Whether this node reads a prefix of the store itself. Entries of servers
     /// change often, and each change costs each reader a call.
     fn reads(&self, subject: Subject) -> bool {
-        let is_small = self.peers.is_small(SMALL_FLEET, self.now());
         let readers = match subject {
-            Subject::Configuration if is_small => SMALL_FLEET,
-            Subject::Servers if is_small => READERS_OF_SMALL_FLEET,
+            Subject::Configuration if self.peers.is_small() => READERS_OF_CONFIGURATION,
+            Subject::Servers if self.peers.is_small() => READERS_OF_SMALL_FLEET,
             Subject::Configuration | Subject::Servers => READERS,
         };
-        self.peers.is_reader(self.own_rank, readers, self.now())
+        self.peers.is_reader(readers)
     }
 
     /// Whether the store does not answer this node.
@@ -312,7 +321,7 @@
             configuration: self.configuration.get().cloned(),
             configuration_is_current: current,
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
-            nodes: self.client_nodes(now),
+            nodes: self.client_nodes(),
             confirmed,
             reads_store: self.reads(Subject::Servers),
             leads: self.placement.is_some(),
@@ -323,15 +332,12 @@
         self.context.board.fleet.store(Arc::new(published));
     }
 
-    fn client_nodes(&self, now: Timestamp) -> Vec<ClientNode> {
-        let mut nodes: Vec<ClientNode> = self
-            .peers
-            .alive(now)
-            .map(|peer| &peer.heartbeat)
-            .filter(|heartbeat| heartbeat.phase == PeerPhase::Ready)
-            .map(|heartbeat| ClientNode {
-                address: heartbeat.client_address,
-                zone: heartbeat.zone.clone(),
+    fn client_nodes(&self) -> Vec<ClientNode> {
+        let ready = self.peers.members().iter().filter(|member| member.is_ready());
+        let mut nodes: Vec<ClientNode> = ready
+            .map(|member| ClientNode {
+                address: member.entry.client_address,
+                zone: member.zone.clone(),
             })
             .collect();
         if self.phase == Phase::Ready {
@@ -344,12 +350,24 @@
         nodes
     }
 
+    /// How new this node's copies are. Others rely on what it says only where the
+    /// store, or a node that reads it, has just confirmed them.
+    fn versions(&self) -> CopyVersions {
+        let confirmed = |copy: &Copy| {
+            copy.confirmed.is_some_and(|confirmed| confirmed.elapsed() < CONFIRMED_FOR_OTHERS)
+        };
+        CopyVersions {
+            configuration: self.configuration.version(),
+            servers: self.copies[&Subject::Servers].mirror.at,
+            confirmed: self.copies.values().all(confirmed),
+        }
+    }
+
     fn heartbeat(&mut self) -> Heartbeat {
         self.sequence += 1;
-        let now = self.now();
         let settings = &self.context.settings;
+        let reads_store = self.reads(Subject::Servers) && !self.store_fails();
         Heartbeat {
-            format: Heartbeat::format(),
             node: settings.node.clone(),
             incarnation: self.context.incarnation,
             sequence: self.sequence,
@@ -361,18 +379,31 @@
                 Phase::Ready => PeerPhase::Ready,
                 Phase::Draining | Phase::Closing => PeerPhase::Leaving,
             },
-            configuration_version: self.configuration.version(),
-            servers_revision: self.copies[&Subject::Servers].mirror.at,
-            reads_store: self.reads(Subject::Servers) && !self.store_fails(),
+            versions: CopyVersions { confirmed: reads_store, ..self.versions() },
+            reads_store,
             store_fails: self.store_fails(),
             loads: self.context.loads.all(),
             demand: self.context.loads.recent_demand(Instant::now()),
             waited_for: self.context.loads.waited_for(Instant::now()),
             placement: self.placement.clone(),
-            known: self.peers.known(self.sequence, now),
+            knows_many: !self.peers.is_small(),
+            known: self.peers.known(self.sequence),
         }
     }
 
+    /// What this node sends to others now.
+    fn outgoing(&mut self) -> Vec<Outgoing> {
+        let now = self.now();
+        let heartbeat = self.heartbeat();
+        self.demand.receive(&heartbeat, now);
+        self.ask_for_plan(!heartbeat.waited_for.is_empty());
+        let mut versions = self.versions();
+        versions.confirmed |= heartbeat.reads_store;
+        let outgoing = self.peers.outgoing(&heartbeat, versions, now);
+        self.told_loads = heartbeat.loads;
+        outgoing
+    }
+
     /// Asks this node's leader for a plan where requests wait for weights.
     fn ask_for_plan(&self, waits: bool) {
         if waits && self.placement.is_some() {
@@ -398,21 +429,15 @@
 
     /// Asks a peer for its copy where the store does not answer this node and
     /// the peer's copy is newer.
-    fn catch_up(&mut self, heartbeat: &Heartbeat, context: &mut Context<FleetState>) {
+    fn catch_up(&mut self, peer: &PeerCopies, context: &mut Context<FleetState>) {
         let newer = [
-            (
-                Subject::Configuration,
-                heartbeat.configuration_version > self.configuration.version(),
-            ),
-            (
-                Subject::Servers,
-                heartbeat.servers_revision > self.copies[&Subject::Servers].mirror.at,
-            ),
+            (Subject::Configuration, peer.versions.configuration > self.configuration.version()),
+            (Subject::Servers, peer.versions.servers > self.copies[&Subject::Servers].mirror.at),
         ];
         for (subject, newer) in newer {
             let learns = !self.reads(subject);
             let copy = self.copy(subject);
-            if learns && heartbeat.reads_store && !newer {
+            if learns && peer.versions.confirmed && !newer {
                 copy.confirmed = Some(Instant::now());
                 copy.watch_failing = false;
             }
@@ -427,9 +452,10 @@
             if subject == Subject::Configuration && !was_known {
                 self.publish();
             }
-            if lagging && !fetching && self.may_fetch(subject, heartbeat) {
+            if lagging && !fetching && self.may_fetch(subject, peer) {
                 self.copy(subject).fetching = true;
-                self.fetch(subject, heartbeat.peer_address, context);
+                let source = self.source_of(subject, peer);
+                self.fetch(subject, source, context);
             }
         }
     }
@@ -437,12 +463,12 @@
     /// Whether a peer's copy is asked for now. Changes of the servers come often:
     /// in a large fleet, those of a moment are asked for together, at a node of
     /// the same zone if one has them soon.
-    fn may_fetch(&mut self, subject: Subject, heartbeat: &Heartbeat) -> bool {
+    fn may_fetch(&mut self, subject: Subject, peer: &PeerCopies) -> bool {
         let now = self.now();
-        if subject == Subject::Configuration || self.peers.is_small(SMALL_FLEET, now) {
+        if subject == Subject::Configuration || self.peers.is_small() {
             return true;
         }
-        let near = heartbeat.zone == self.context.settings.zone;
+        let near = peer.zone == self.context.settings.zone;
         let pause = if near { GATHER_NEAR } else { GATHER_FAR };
         let due = self.servers_fetched.is_none_or(|fetched| now.since(fetched) >= pause);
         if due {
@@ -451,12 +477,26 @@
         due
     }
 
+    /// The node whose copy is fetched. A configuration may be large, and all nodes
+    /// that hear of it from one hub want it at once: they spread over the nodes
+    /// that read the store.
+    fn source_of(&self, subject: Subject, peer: &PeerCopies) -> SocketAddrV4 {
+        if subject == Subject::Servers || self.peers.is_small() {
+            return peer.address;
+        }
+        let readers = self.peers.members().iter().filter(|member| member.entry.reads_store);
+        let readers: Vec<SocketAddrV4> = readers.map(Member::address).collect();
+        let place = rand::random_range(0..=readers.len());
+        readers.get(place).copied().unwrap_or(peer.address)
+    }
+
     /// Sums the other nodes' load, unless that was done a moment ago.
     fn sum_load(&mut self) {
         let now = self.now();
         if now.since(self.load_summed) >= LOAD_PAUSE {
             self.load_summed = now;
-            self.context.board.remote_load.store(Arc::new(self.peers.load(now)));
+            let load = self.peers.load(&self.told_loads, now);
+            self.context.board.remote_load.store(Arc::new(load));
         }
     }
 
@@ -472,9 +512,24 @@
         });
     }
 
+    /// Tells which nodes came and went since the last tick.
+    fn log_member_changes(&mut self) {
+        let members: BTreeSet<SocketAddrV4> =
+            self.peers.members().iter().map(Member::address).collect();
+        let nodes = members.len() + 1;
+        for peer in members.difference(&self.logged_members) {
+            info!("[peers] a node is there", kv: { peer = peer.to_string(), nodes });
+        }
+        for peer in self.logged_members.difference(&members) {
+            info!("[peers] a node is gone", kv: { peer = peer.to_string(), nodes });
+        }
+        self.logged_members = members;
+    }
+
     fn tick(&mut self) {
         let now = self.now();
-        self.peers.forget(now);
+        self.peers.tick(now);
+        self.log_member_changes();
         self.sum_load();
         self.publish_placement();
         self.publish();
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -1,4 +1,4 @@
-//! Sends and receives heartbeats.
+//! Sends and receives what nodes tell one another.
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,19 +9,20 @@
 use tokio::net::UdpSocket;
 
 use super::ControlContext;
-use super::fleet::{FleetState, HeartbeatReceived, NextHeartbeat};
-use crate::gossip::Heartbeat;
+use super::fleet::{FleetState, GetNextMessages, PeerTold};
+use crate::membership::Message;
 
-/// Pause between heartbeats in a fleet of up to `SMALL_FLEET` nodes; it grows
-/// with the fleet, so that a node's part of the work stays the same.
+/// Pause between two heartbeats.
 const INTERVAL: Duration = Duration::from_millis(200);
-/// Shortest pause, where a heartbeat is wanted before it is due.
+/// The same for each node of a large fleet: a hub's work stays bearable.
+const INTERVAL_FOR_NODE: Duration = Duration::from_millis(2);
+/// Longest pause: three heartbeats come before a node is suspected.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(420);
+/// Shortest pause in a small fleet, where a heartbeat is wanted before it is due.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(20);
-/// Nodes up to which the interval is not stretched.
-const SMALL_FLEET: usize = 12;
-/// Longest pause between heartbeats.
-const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
-/// Largest heartbeat, in bytes.
+/// The same in a large one.
+const LARGE_SHORTEST_INTERVAL: Duration = Duration::from_millis(60);
+/// Largest message, in bytes.
 const MAX_BYTES: usize = 60_000;
 
 /// Starts both tasks.
@@ -32,32 +33,36 @@
     Ok(())
 }
 
+fn interval(nodes: u32) -> Duration {
+    (INTERVAL_FOR_NODE * nodes).clamp(INTERVAL, LONGEST_INTERVAL)
+}
+
 async fn receive(socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
     let mut buffer = vec![0; MAX_BYTES];
     loop {
         // An error tells of an earlier datagram that found nobody.
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
-        if let Some(heartbeat) = Heartbeat::decode(&buffer[..length]) {
-            fleet.do_send(HeartbeatReceived(heartbeat));
+        if let Some(message) = Message::decode(&buffer[..length]) {
+            fleet.do_send(PeerTold(message));
         }
     }
 }
 
 async fn send(context: Rc<ControlContext>, socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
     loop {
-        let Ok((heartbeat, targets)) = fleet.send(NextHeartbeat).await else { return };
-        let bytes = heartbeat.encode();
-        for target in &targets {
-            // A lost heartbeat is followed by the next one.
-            let _ = socket.try_send_to(&bytes, SocketAddr::V4(*target));
+        let Ok(next) = fleet.send(GetNextMessages).await else { return };
+        for outgoing in &next.outgoing {
+            let bytes = outgoing.message.encode();
+            for target in &outgoing.targets {
+                // A lost message is followed by the next one.
+                let _ = socket.try_send_to(&bytes, SocketAddr::V4(*target));
+            }
         }
-        tokio::time::sleep(SHORTEST_INTERVAL).await;
-        let rest = interval(targets.len()) - SHORTEST_INTERVAL;
-        let _ = tokio::time::timeout(rest, context.board.heartbeat_wanted.notified()).await;
+        let shortest =
+            if next.is_small_fleet { SHORTEST_INTERVAL } else { LARGE_SHORTEST_INTERVAL };
+        let interval = interval(next.nodes);
+        tokio::time::sleep(shortest).await;
+        let wanted = context.board.heartbeat_wanted.notified();
+        let _ = tokio::time::timeout(interval - shortest, wanted).await;
     }
 }
-
-fn interval(targets: usize) -> Duration {
-    let stretch = (targets as f64 / SMALL_FLEET as f64).max(1.0);
-    INTERVAL.mul_f64(stretch).min(LONGEST_INTERVAL)
-}
--- a/crates/cometmoor-gateway/src/control/leader/announcements.rs
+++ b/crates/cometmoor-gateway/src/control/leader/announcements.rs
@@ -2,14 +2,15 @@
 //! registry.
 
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cometmoor_core::gateway::orders::Weights;
 use cometmoor_core::time::Timestamp;
 
-use crate::gossip::Placement;
 use crate::load::{model_key, server_key};
+use crate::membership::Placement;
 
 /// Time for which a change is told, until the registry tells it.
 const TOLD_FOR: Duration = Duration::from_secs(5);
@@ -50,7 +51,12 @@
     }
 
     /// What nodes are to know; changes that are told for long enough are dropped.
-    pub(super) fn placement(&mut self, token: u64, now: Timestamp) -> Placement {
+    pub(super) fn placement(
+        &mut self,
+        leader: SocketAddrV4,
+        token: u64,
+        now: Timestamp,
+    ) -> Placement {
         self.changes.retain(|_, change| now.since(change.at) < TOLD_FOR);
         let keys = |is_there: bool| {
             let told = self.changes.iter().filter(move |(_, change)| change.is_there == is_there);
@@ -62,6 +68,6 @@
             keys.sort_unstable();
             keys
         };
-        Placement { token, added: keys(true), withdrawn: keys(false) }
+        Placement { token, leader, added: keys(true), withdrawn: keys(false) }
     }
 }
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -27,8 +27,8 @@
 use self::engine::{Engine, Withdrawal, believed_weights, fresh_models, leaving_weights};
 use super::ControlContext;
 use super::fleet::{FleetState, GetDemand, GetPeers, SetPlacement};
-use crate::gossip::Placement;
 use crate::load::model_key;
+use crate::membership::Placement;
 
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -78,14 +78,14 @@
     }
 
     /// What nodes are to know; weights go for as long as their unload is open.
-    fn placement(&mut self, token: u64, now: Timestamp) -> Placement {
+    fn placement(&mut self, leader: SocketAddrV4, token: u64, now: Timestamp) -> Placement {
         for (id, engine) in &self.engines {
             let unload = engine.ledger.open_order().filter(|open| open.action == Action::Unload);
             if let Some(order) = unload {
                 self.announcements.goes(id, &order.weights, now);
             }
         }
-        self.announcements.placement(token, now)
+        self.announcements.placement(leader, token, now)
     }
 }
 
@@ -199,7 +199,8 @@
     fn tell_placement(&self) {
         let now = self.now();
         let token = self.leadership.borrow().token(now).unwrap_or_default();
-        let placement = self.state.borrow_mut().placement(token, now);
+        let leader = self.context.settings.peer_address;
+        let placement = self.state.borrow_mut().placement(leader, token, now);
         self.fleet.do_send(SetPlacement(Some(placement)));
     }
 
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -67,6 +67,14 @@
             pending: self.pending.plus(other.pending),
         }
     }
+
+    /// What is left without a part of it.
+    pub fn minus(self, part: ServerLoad) -> ServerLoad {
+        ServerLoad {
+            in_flight: self.in_flight.saturating_sub(part.in_flight),
+            pending: self.pending.minus(part.pending),
+        }
+    }
 }
 
 /// Key of a server in messages between nodes.
--- /dev/null
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -0,0 +1,159 @@
+//! What nodes tell one another by UDP.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
+
+/// Version of the messages' format.
+const FORMAT: u8 = 10;
+
+/// What a node says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerPhase {
+    /// It has no configuration yet.
+    Starting,
+    /// It serves clients.
+    Ready,
+    /// It is about to stop.
+    Leaving,
+}
+
+/// What the node that orders the servers has done lately; the registry tells
+/// it later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Fencing token of the node's term; 0 while it may not order yet.
+    pub token: u64,
+    /// The node.
+    pub leader: SocketAddrV4,
+    /// Models and adapters that servers have got.
+    pub added: Vec<(ServerKey, ModelKey)>,
+    /// Models and adapters that are about to be taken away.
+    pub withdrawn: Vec<(ServerKey, ModelKey)>,
+}
+
+/// How new a node's copies of the store are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyVersions {
+    /// Version of its configuration.
+    pub configuration: u64,
+    /// Revision of its copy of the servers.
+    pub servers: u64,
+    /// Whether the store, or a node that reads it, has just confirmed both.
+    pub confirmed: bool,
+}
+
+/// What a node tells of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Name of the node.
+    pub node: String,
+    /// Tells two processes of one node apart; the later one's is higher.
+    pub incarnation: u64,
+    /// Rises with each heartbeat of a process.
+    pub sequence: u64,
+    /// Zone.
+    pub zone: String,
+    /// Where clients reach it.
+    pub client_address: SocketAddrV4,
+    /// Where nodes reach it.
+    pub peer_address: SocketAddrV4,
+    /// What it says of itself.
+    pub phase: PeerPhase,
+    /// How new its copies are.
+    pub versions: CopyVersions,
+    /// Whether it reads the store itself, and the store answers.
+    pub reads_store: bool,
+    /// Whether the store does not answer it.
+    pub store_fails: bool,
+    /// Its load on the servers.
+    pub loads: Vec<(ServerKey, ServerLoad)>,
+    /// Work that it was asked of each model since its process began.
+    pub demand: Vec<(ModelKey, ModelDemand)>,
+    /// Models and adapters that its requests wait for now.
+    pub waited_for: Vec<ModelKey>,
+    /// What it tells of the servers' models while it orders them.
+    pub placement: Option<Placement>,
+    /// Whether it takes the fleet for a large one.
+    pub knows_many: bool,
+    /// Some other nodes' addresses.
+    pub known: Vec<SocketAddrV4>,
+}
+
+/// A node, as a hub tells of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberEntry {
+    /// Where nodes reach it.
+    pub peer_address: SocketAddrV4,
+    /// Where clients reach it.
+    pub client_address: SocketAddrV4,
+    /// What it says of itself.
+    pub phase: PeerPhase,
+    /// Whether it reads the store itself, and the store answers.
+    pub reads_store: bool,
+    /// Whether the store does not answer it.
+    pub store_fails: bool,
+}
+
+/// The nodes of one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneMembers {
+    /// The zone.
+    pub zone: String,
+    /// Its nodes.
+    pub members: Vec<MemberEntry>,
+}
+
+/// What a hub tells of many nodes together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Where nodes reach the hub.
+    pub hub: SocketAddrV4,
+    /// Zone of the hub.
+    pub zone: String,
+    /// Tells two processes of the hub apart.
+    pub incarnation: u64,
+    /// Rises with each digest of a process.
+    pub sequence: u64,
+    /// How new the hub's copies are.
+    pub versions: CopyVersions,
+    /// The nodes by zone; left out where they were told a moment ago and have not
+    /// changed.
+    pub zones: Option<Vec<ZoneMembers>>,
+    /// Load on the servers of all nodes that the digest is about, the busiest
+    /// servers first.
+    pub loads: Vec<(ServerKey, ServerLoad)>,
+    /// The newest that was heard of the node that orders the servers.
+    pub placement: Option<Placement>,
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A node tells of itself.
+    Heartbeat(Heartbeat),
+    /// A node tells its hub of itself, and asks for digests of the fleet.
+    HeartbeatToHub(Heartbeat),
+    /// A hub tells other hubs of its zone.
+    ZoneDigest(Digest),
+    /// A hub tells a node of the fleet.
+    FleetDigest(Digest),
+}
+
+impl Message {
+    /// As sent: the format's version, then the message.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(&(FORMAT, self)).unwrap_or_default()
+    }
+
+    /// As received.
+    pub fn decode(bytes: &[u8]) -> Option<Message> {
+        let (format, rest) = postcard::take_from_bytes::<u8>(bytes).ok()?;
+        if format != FORMAT {
+            return None;
+        }
+        postcard::from_bytes(rest).ok()
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -0,0 +1,315 @@
+//! Which nodes there are, and what they tell one another.
+//!
+//! In a small fleet every node sends its heartbeat to every other one. In a
+//! larger one a node sends it to two hubs of its zone, the first nodes of the
+//! zone in an order that all agree on, and to the node that orders the servers.
+//! Hubs tell one another of their zones, and tell the nodes of their own zone of
+//! the fleet. Whoever is asked for digests gives them, so that nodes need not
+//! agree on who is a hub. Nothing here does input or output.
+
+mod hubs;
+mod message;
+mod peers;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use cometmoor_core::time::Timestamp;
+
+pub use self::hubs::Outgoing;
+pub use self::message::{
+    CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement, ZoneMembers,
+};
+use self::peers::{DirectPeers, HUB_SUSPECT_AFTER, SUSPECT_AFTER, told_members};
+pub use self::peers::{Member, PeerChange, Rank};
+use crate::load::{ModelKey, ServerKey, ServerLoad};
+
+/// Other nodes from which on a fleet is large: a node tells its hubs only.
+const LARGE_FLEET: usize = 16;
+/// Other nodes below which it is small again.
+const SMALL_FLEET: usize = 12;
+/// Time for which a node counts among those that share a budget.
+const SHARE_WINDOW: Duration = Duration::from_secs(20);
+/// Time for which an address is tried at which a node may be.
+const CONTACT_WINDOW: Duration = Duration::from_secs(600);
+/// Most addresses of other nodes that are taken from a heartbeat.
+const MAX_KNOWN: usize = 16;
+/// Addresses of other nodes that a heartbeat tells.
+const TOLD_AT_ONCE: usize = 3;
+/// Nodes that may find that the store does not answer them, for each reader.
+const FAILING_READERS: usize = 3;
+
+/// A digest, and when it came.
+#[derive(Clone, Debug)]
+struct Told {
+    digest: Digest,
+    /// The newest members that this hub told.
+    members: Vec<Member>,
+    heard: Timestamp,
+}
+
+impl Told {
+    fn is_alive(&self, now: Timestamp) -> bool {
+        now.since(self.heard) <= HUB_SUSPECT_AFTER
+    }
+}
+
+/// The other nodes.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: SocketAddrV4,
+    own_rank: Rank,
+    zone: String,
+    direct: DirectPeers,
+    /// What hubs of other zones told of their zones, by hub.
+    zones: HashMap<SocketAddrV4, Told>,
+    /// What this node's hubs told of the fleet, by hub.
+    fleet: HashMap<SocketAddrV4, Told>,
+    contacts: BTreeMap<SocketAddrV4, Timestamp>,
+    /// When nodes were last known to be there.
+    seen: HashMap<SocketAddrV4, Timestamp>,
+    hub: hubs::HubDuty,
+    /// All nodes that are there, reckoned at a time.
+    members: Vec<Member>,
+    is_large: bool,
+    reckoned: Option<Timestamp>,
+}
+
+impl Membership {
+    /// A node that knows no other one.
+    pub fn new(own: SocketAddrV4, zone: &str) -> Membership {
+        Membership {
+            own,
+            own_rank: Rank::of(own),
+            zone: zone.to_owned(),
+            direct: DirectPeers::default(),
+            zones: HashMap::new(),
+            fleet: HashMap::new(),
+            contacts: BTreeMap::new(),
+            seen: HashMap::new(),
+            hub: hubs::HubDuty::default(),
+            members: Vec::new(),
+            is_large: false,
+            reckoned: None,
+        }
+    }
+
+    /// Takes a heartbeat, unless a later one came before it.
+    pub fn receive(&mut self, heartbeat: Heartbeat, asks: bool, now: Timestamp) -> PeerChange {
+        let address = heartbeat.peer_address;
+        for known in heartbeat.known.iter().take(MAX_KNOWN) {
+            self.add_contact(*known, now);
+        }
+        if asks {
+            self.hub.asked(address, now);
+        } else if self.is_large && !heartbeat.knows_many {
+            // It tells all that it knows, which are few, and has to be told.
+            self.hub.needs_digest(address, now);
+        }
+        self.seen.insert(address, now);
+        let change = self.direct.receive(heartbeat, now);
+        if change != PeerChange::None {
+            self.reckoned = None;
+        }
+        change
+    }
+
+    /// Takes what another hub told of its zone.
+    pub fn receive_zone(&mut self, digest: Digest, now: Timestamp) {
+        take(&mut self.zones, digest, now);
+    }
+
+    /// Takes what a hub told of the fleet.
+    pub fn receive_fleet(&mut self, digest: Digest, now: Timestamp) {
+        take(&mut self.fleet, digest, now);
+    }
+
+    /// Notes an address at which a node may be.
+    pub fn add_contact(&mut self, address: SocketAddrV4, now: Timestamp) {
+        if address != self.own {
+            self.contacts.entry(address).or_insert(now);
+        }
+    }
+
+    /// Drops what was not heard for long, and reckons anew who is there.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.direct.forget(now);
+        self.contacts.retain(|_, noted| now.since(*noted) < CONTACT_WINDOW);
+        self.zones.retain(|_, told| told.is_alive(now));
+        self.fleet.retain(|_, told| told.is_alive(now));
+        self.reckon(now);
+        self.seen.retain(|_, seen| now.since(*seen) <= SHARE_WINDOW);
+    }
+
+    /// Reckons who is there, unless that was done at this time.
+    fn reckon(&mut self, now: Timestamp) {
+        if self.reckoned == Some(now) {
+            return;
+        }
+        self.reckoned = Some(now);
+        let mut members: BTreeMap<SocketAddrV4, Member> = BTreeMap::new();
+        let told = self.zones.values().chain(self.fleet.values()).filter(|told| told.is_alive(now));
+        for member in told.flat_map(|told| &told.members) {
+            members.insert(member.address(), member.clone());
+        }
+        // Who was heard itself is known best: also that it is silent.
+        for (address, heard) in self.direct.heard() {
+            let is_silent = now.since(heard) > SUSPECT_AFTER;
+            if is_silent && self.hub.serves(address, now) {
+                members.remove(&address);
+            }
+        }
+        for member in self.direct.members(now) {
+            members.insert(member.address(), member);
+        }
+        members.remove(&self.own);
+        for address in members.keys() {
+            self.seen.insert(*address, now);
+        }
+        self.members = members.into_values().collect();
+        let least = if self.is_large { SMALL_FLEET } else { LARGE_FLEET };
+        self.is_large = self.members.len() >= least;
+    }
+
+    /// The nodes that are there, besides this one.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Whether every node tells every other one.
+    pub fn is_small(&self) -> bool {
+        !self.is_large
+    }
+
+    /// Nodes, besides this one, that may be spending a common budget.
+    pub fn sharing(&self, now: Timestamp) -> usize {
+        self.seen.values().filter(|seen| now.since(**seen) <= SHARE_WINDOW).count()
+    }
+
+    /// Addresses that a heartbeat passes on: a few, others each time, so that
+    /// all are told within some heartbeats.
+    pub fn known(&self, sequence: u64) -> Vec<SocketAddrV4> {
+        let count = self.members.len();
+        if count == 0 {
+            return Vec::new();
+        }
+        let turn = (sequence as usize).wrapping_mul(TOLD_AT_ONCE) % count;
+        let told = (0..TOLD_AT_ONCE.min(count)).map(|place| (turn + place) % count);
+        told.map(|place| self.members[place].address()).collect()
+    }
+
+    /// Whether this node is among the readers of the store: the first so many by
+    /// rank, among itself and the others whom the store answers. Where it
+    /// answers nobody, not all nodes have to find that out.
+    pub fn is_reader(&self, readers: usize) -> bool {
+        let ahead = self.members.iter().filter(|member| member.rank < self.own_rank);
+        let (failing, answered): (Vec<&Member>, Vec<&Member>) =
+            ahead.partition(|member| member.entry.store_fails);
+        answered.len() < readers && failing.len() < readers * FAILING_READERS
+    }
+
+    /// Whether a node told itself that it led when it was last heard.
+    pub fn leads(&self, address: SocketAddrV4) -> bool {
+        self.direct.get(address).is_some_and(|peer| peer.heartbeat.placement.is_some())
+    }
+
+    /// What the leading node tells, by the newest term that anybody told of.
+    pub fn placement(&self, now: Timestamp) -> Option<&Placement> {
+        let heard = self.direct.alive(now).filter_map(|peer| peer.heartbeat.placement.as_ref());
+        let told = self.zones.values().chain(self.fleet.values());
+        let told = told.filter(|told| told.is_alive(now));
+        heard
+            .chain(told.filter_map(|told| told.digest.placement.as_ref()))
+            .max_by_key(|placement| placement.token)
+    }
+
+    /// Models and adapters that requests of other nodes wait for.
+    pub fn waited_for(&self, now: Timestamp) -> HashSet<ModelKey> {
+        let peers = self.direct.alive(now);
+        peers.flat_map(|peer| peer.heartbeat.waited_for.iter().copied()).collect()
+    }
+
+    /// Load of all other nodes by server. `told` is what this node told its hub
+    /// of its own load, which the hub's sum holds too.
+    pub fn load(
+        &self,
+        told: &[(ServerKey, ServerLoad)],
+        now: Timestamp,
+    ) -> HashMap<ServerKey, ServerLoad> {
+        if let Some(digest) = self.newest_fleet_digest(now) {
+            let mut sum: HashMap<ServerKey, ServerLoad> = digest.loads.iter().copied().collect();
+            for (server, load) in told {
+                if let Some(known) = sum.get_mut(server) {
+                    *known = known.minus(*load);
+                }
+            }
+            return sum;
+        }
+        self.load_of_others(now)
+    }
+
+    /// Load of all other nodes, by what they and hubs of other zones told.
+    fn load_of_others(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
+        let mut sum = self.zone_load(now);
+        for load in self.told_zones(now).flat_map(|told| &told.digest.loads) {
+            add(&mut sum, load);
+        }
+        sum
+    }
+
+    /// Load of the nodes that were heard themselves.
+    fn zone_load(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
+        let mut sum = HashMap::new();
+        let peers = self.direct.alive(now).filter(|peer| self.counts_here(&peer.heartbeat.zone));
+        for load in peers.flat_map(|peer| &peer.heartbeat.loads) {
+            add(&mut sum, load);
+        }
+        sum
+    }
+
+    /// Whether nodes of a zone count by their own heartbeats, not by a digest.
+    fn counts_here(&self, zone: &str) -> bool {
+        zone == self.zone || self.is_small()
+    }
+
+    /// The newest digest of each other zone.
+    fn told_zones(&self, now: Timestamp) -> impl Iterator<Item = &Told> {
+        let mut newest: HashMap<&str, &Told> = HashMap::new();
+        let alive = self.zones.values().filter(|told| told.is_alive(now));
+        for told in alive.filter(|told| !self.counts_here(&told.digest.zone)) {
+            let known = newest.entry(&told.digest.zone).or_insert(told);
+            if told.heard > known.heard {
+                *known = told;
+            }
+        }
+        newest.into_values()
+    }
+
+    /// The newest digest of the fleet, where this node does not hear all itself.
+    fn newest_fleet_digest(&self, now: Timestamp) -> Option<&Digest> {
+        let alive = self.fleet.values().filter(|told| told.is_alive(now));
+        let newest = alive.max_by_key(|told| told.heard)?;
+        (!self.is_small() && !self.hub.is_on_duty(now)).then_some(&newest.digest)
+    }
+}
+
+fn add(sum: &mut HashMap<ServerKey, ServerLoad>, load: &(ServerKey, ServerLoad)) {
+    let known = sum.entry(load.0).or_default();
+    *known = known.plus(load.1);
+}
+
+/// Takes a digest, unless a later one of the same hub came before it.
+fn take(known: &mut HashMap<SocketAddrV4, Told>, digest: Digest, now: Timestamp) {
+    let order = |digest: &Digest| (digest.incarnation, digest.sequence);
+    let before = known.get(&digest.hub);
+    if before.is_some_and(|before| order(&before.digest) >= order(&digest)) {
+        return;
+    }
+    let members = match (&digest.zones, before) {
+        (Some(zones), _) => told_members(zones),
+        (None, Some(before)) => before.members.clone(),
+        (None, None) => Vec::new(),
+    };
+    known.insert(digest.hub, Told { digest, members, heard: now });
+}
