Shared hubs, brief early digests, fewer store calls, one line for many changes

Each changed entry and each word of the ordering node woke hubs to send everything, some 10 KB to each node of their zone, up to 16 times a second: more than a link of 10 Mbit/s takes. The first hub did that for its whole zone. And every node that starts reads all servers from the store.

Changes: digests tell load each 0.18 s at most and members when they changed, not twice within 0.35 s, or each 1.15 s; newcomers get all; heartbeats that are sent early leave out load and demand. A zone has a hub for each 32 nodes (two to six), and its nodes share them. Four readers in a large fleet instead of six; a node looks for others in the store only where its seeds led to no more than two; longer pauses after failures. A first read of more than a page is left to peers for 2.5 s by nodes that do not read the store. Changes of more than 16 servers or nodes at once are one log line.

--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -310,6 +310,35 @@
     }
 }
 
+/// How a node comes to its first copy of a prefix that is large.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadPlan {
+    /// Read it from the store.
+    Read,
+    /// Wait for a peer's copy.
+    LeaveToPeers,
+    /// There is a copy already, and others read the store.
+    HasCopy,
+}
+
+/// Asks whether a large prefix is to be read.
+#[derive(Message)]
+#[rtype(result = "ReadPlan")]
+pub struct GetReadPlan(pub Subject);
+
+impl Handler<GetReadPlan> for FleetState {
+    type Result = MessageResult<GetReadPlan>;
+
+    fn handle(&mut self, get: GetReadPlan, _: &mut Context<FleetState>) -> Self::Result {
+        let has_copy = self.copies[&get.0].mirror.at > 0;
+        MessageResult(match (self.reads(get.0), has_copy) {
+            (true, _) => ReadPlan::Read,
+            (false, true) => ReadPlan::HasCopy,
+            (false, false) => ReadPlan::LeaveToPeers,
+        })
+    }
+}
+
 /// Sets what this node tells of the servers' models while it leads.
 #[derive(Message)]
 #[rtype(result = "()")]
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -18,12 +18,12 @@
 use self::messages::PeerCopy;
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
-    GetDemand, GetNextMessages, GetPeers, GetUpdate, GetWatchPlan, NextMessages, PeerTold,
-    SetPlacement, WatchPlan,
+    GetDemand, GetNextMessages, GetPeers, GetReadPlan, GetUpdate, GetWatchPlan, NextMessages,
+    PeerTold, ReadPlan, SetPlacement, WatchPlan,
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
-use crate::load::{ServerKey, ServerLoad};
+use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 use crate::membership::{
     CopyVersions, Heartbeat, Member, Membership, Outgoing, PeerPhase, Placement,
 };
@@ -40,7 +40,7 @@
 /// Nodes that read the configuration in a small fleet: all of them.
 const READERS_OF_CONFIGURATION: usize = 16;
 /// Nodes that read the store in a larger fleet; the others learn from them.
-const READERS: usize = 6;
+const READERS: usize = 4;
 /// Nodes that read the servers' entries in a small fleet.
 const READERS_OF_SMALL_FLEET: usize = 3;
 /// Pause after a peer did not give its copy; another one's heartbeat comes soon.
@@ -51,6 +51,10 @@
 const GATHER_NEAR: Duration = Duration::from_millis(200);
 /// The same from a node of another zone.
 const GATHER_FAR: Duration = Duration::from_millis(600);
+/// Least time between two heartbeats that tell the load in a large fleet.
+const LOADS_EACH: Duration = Duration::from_millis(180);
+/// Most servers or nodes that are logged one by one when they change at once.
+const MOST_LINES: usize = 16;
 /// Time between two sums of the other nodes' load.
 const LOAD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -165,6 +169,7 @@
     logged_members: BTreeSet<SocketAddrV4>,
     /// Load on the servers that was last told to others.
     told_loads: Vec<(ServerKey, ServerLoad)>,
+    loads_told: Option<Timestamp>,
     demand: FleetDemandMeter,
     placement: Option<Placement>,
     leader_heard: Option<Instant>,
@@ -192,6 +197,7 @@
             peers,
             logged_members: BTreeSet::new(),
             told_loads: Vec::new(),
+            loads_told: None,
             demand: FleetDemandMeter::default(),
             placement: None,
             leader_heard: None,
@@ -284,25 +290,18 @@
     }
 
     fn log_server_changes(&self, fresh: &HashMap<Arc<str>, KnownServer>) {
-        for (id, KnownServer { created, record, .. }) in fresh {
-            let created = *created;
-            let known = self.servers.get(id).map(|known| known.record.state);
-            if known == Some(record.state) {
-                continue;
-            }
-            let address = record.address.to_string();
-            let service = record.service.as_str();
-            let software = record.software.as_str();
-            match record.state {
-                ServerState::Ready => {
-                    info!("[servers] a server is known", kv: { server = &**id, address, service, software, created });
-                }
-                ServerState::Draining => {
-                    info!("[servers] a server is leaving", kv: { server = &**id, address, service, created });
-                }
-            }
+        let state = |id: &Arc<str>| self.servers.get(id).map(|known| known.record.state);
+        let changed = fresh.iter().filter(|(id, known)| state(id) != Some(known.record.state));
+        let changed: Vec<&KnownServer> = changed.map(|(_, known)| known).collect();
+        let gone: Vec<&Arc<str>> =
+            self.servers.keys().filter(|id| !fresh.contains_key(*id)).collect();
+        if changed.len() + gone.len() > MOST_LINES {
+            let (changed, gone, servers) = (changed.len(), gone.len(), fresh.len());
+            info!("[servers] many servers came, went or are leaving", kv: { changed, gone, servers });
+            return;
         }
-        for id in self.servers.keys().filter(|id| !fresh.contains_key(*id)) {
+        changed.into_iter().for_each(log_server);
+        for id in gone {
             info!("[servers] a server is gone", kv: { server = &**id });
         }
     }
@@ -365,6 +364,7 @@
 
     fn heartbeat(&mut self) -> Heartbeat {
         self.sequence += 1;
+        let tells_loads = self.loads_are_due();
         let settings = &self.context.settings;
         let reads_store = self.reads(Subject::Servers) && !self.store_fails();
         Heartbeat {
@@ -382,8 +382,8 @@
             versions: CopyVersions { confirmed: reads_store, ..self.versions() },
             reads_store,
             store_fails: self.store_fails(),
-            loads: self.context.loads.all(),
-            demand: self.context.loads.recent_demand(Instant::now()),
+            loads: tells_loads.then(|| self.context.loads.all()),
+            demand: if tells_loads { self.recent_demand() } else { Vec::new() },
             waited_for: self.context.loads.waited_for(Instant::now()),
             placement: self.placement.clone(),
             members: self.peers.count(),
@@ -400,10 +400,27 @@
         let mut versions = self.versions();
         versions.confirmed |= heartbeat.reads_store;
         let outgoing = self.peers.outgoing(&heartbeat, versions, now);
-        self.told_loads = heartbeat.loads;
+        if let Some(loads) = heartbeat.loads {
+            self.told_loads = loads;
+        }
         outgoing
     }
 
+    fn recent_demand(&self) -> Vec<(ModelKey, ModelDemand)> {
+        self.context.loads.recent_demand(Instant::now())
+    }
+
+    /// Whether a heartbeat tells this node's load and demand now; notes that it
+    /// does. In a large fleet, one that is sent early leaves them out.
+    fn loads_are_due(&mut self) -> bool {
+        let now = self.now();
+        let due = self.loads_told.is_none_or(|told| now.since(told) >= LOADS_EACH);
+        if due {
+            self.loads_told = Some(now);
+        }
+        due || self.peers.is_small()
+    }
+
     /// Asks this node's leader for a plan where requests wait for weights.
     fn ask_for_plan(&self, waits: bool) {
         if waits && self.placement.is_some() {
@@ -517,11 +534,18 @@
         let members: BTreeSet<SocketAddrV4> =
             self.peers.members().iter().map(Member::address).collect();
         let nodes = members.len() + 1;
-        for peer in members.difference(&self.logged_members) {
-            info!("[peers] a node is there", kv: { peer = peer.to_string(), nodes });
-        }
-        for peer in self.logged_members.difference(&members) {
-            info!("[peers] a node is gone", kv: { peer = peer.to_string(), nodes });
+        let come: Vec<&SocketAddrV4> = members.difference(&self.logged_members).collect();
+        let gone: Vec<&SocketAddrV4> = self.logged_members.difference(&members).collect();
+        if come.len() + gone.len() > MOST_LINES {
+            let (come, gone) = (come.len(), gone.len());
+            info!("[peers] many nodes came or went", kv: { come, gone, nodes });
+        } else {
+            for peer in come {
+                info!("[peers] a node is there", kv: { peer = peer.to_string(), nodes });
+            }
+            for peer in gone {
+                info!("[peers] a node is gone", kv: { peer = peer.to_string(), nodes });
+            }
         }
         self.logged_members = members;
     }
@@ -536,6 +560,22 @@
     }
 }
 
+fn log_server(known: &KnownServer) {
+    let KnownServer { created, ref record, .. } = *known;
+    let server = &*record.id;
+    let address = record.address.to_string();
+    let service = record.service.as_str();
+    let software = record.software.as_str();
+    match record.state {
+        ServerState::Ready => {
+            info!("[servers] a server is known", kv: { server, address, service, software, created });
+        }
+        ServerState::Draining => {
+            info!("[servers] a server is leaving", kv: { server, address, service, created });
+        }
+    }
+}
+
 /// Time that this node's own watch has to bring what a peer already has.
 fn watch_lead(subject: Subject) -> Duration {
     match subject {
--- a/crates/cometmoor-gateway/src/control/registration.rs
+++ b/crates/cometmoor-gateway/src/control/registration.rs
@@ -20,8 +20,10 @@
 const INTERVAL: Duration = Duration::from_secs(12);
 /// Pause of a node that need not register before it looks again.
 const LOOK: Duration = Duration::from_secs(2);
-/// Nodes beyond which others are found by heartbeats alone.
-const WELL_CONNECTED: usize = 12;
+/// Nodes up to which others may not have been found by heartbeats.
+const FEW_NODES: usize = 2;
+/// Time for a node that starts to find others by its seeds.
+const SEEDS_FIRST: Duration = Duration::from_millis(1500);
 /// Pause after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -32,6 +34,7 @@
 
 async fn run(context: Rc<ControlContext>, fleet: Addr<FleetState>) {
     let mut lease = None;
+    tokio::time::sleep(SEEDS_FIRST).await;
     loop {
         if !is_needed(&context) {
             tokio::time::sleep(LOOK).await;
@@ -49,7 +52,7 @@
 /// enough for a node that knows nobody, which itself looks there.
 fn is_needed(context: &ControlContext) -> bool {
     let fleet = context.board.fleet.load();
-    fleet.reads_store || fleet.nodes_seen <= WELL_CONNECTED
+    fleet.reads_store || fleet.nodes_seen <= FEW_NODES
 }
 
 async fn step(
@@ -70,7 +73,7 @@
         context.store.commit(&Commit { conditions: Vec::new(), puts }).await?;
         *lease = Some(granted);
     }
-    if context.board.fleet.load().nodes_seen > WELL_CONNECTED {
+    if context.board.fleet.load().nodes_seen > FEW_NODES {
         return Ok(());
     }
     let nodes = context.store.read(NODES_PREFIX).await?;
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -6,10 +6,12 @@
 use actix::Addr;
 
 use super::ControlContext;
-use super::fleet::{CopyChanged, CopyFailed, CopyRead, FleetState, GetWatchPlan, WatchPlan};
+use super::fleet::{
+    CopyChanged, CopyFailed, CopyRead, FleetState, GetReadPlan, GetWatchPlan, ReadPlan, WatchPlan,
+};
 use crate::dialect::Watched;
 use crate::peer::Subject;
-use crate::store::StoreError;
+use crate::store::{PagedRead, StoreError};
 
 /// Time that a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -22,10 +24,14 @@
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 /// Time for the first try of a full read, far above what an answer takes: a
 /// call on a connection that has lost an answer never gets one.
 const FIRST_READ: Duration = Duration::from_millis(400);
+/// Time between two looks whether a peer's copy has come.
+const LOOK_FOR_PEERS: Duration = Duration::from_millis(100);
+/// Such looks before a node reads the store itself.
+const LOOKS_FOR_PEERS: u32 = 25;
 /// Longest time for a try of a full read, where the store is slow.
 const LONGEST_READ: Duration = Duration::from_millis(1600);
 
@@ -78,8 +84,7 @@
     /// to be read next.
     async fn step(&self, read_first: bool, read_time: Duration) -> Result<bool, StoreError> {
         if read_first {
-            let mirror = self.context.store.read_within(self.prefix(), read_time).await?;
-            self.fleet.do_send(CopyRead { subject: self.subject, mirror });
+            self.read(read_time).await?;
             return Ok(false);
         }
         // The actor ends only with the process.
@@ -100,4 +105,33 @@
             Watched::Forgotten => Ok(true),
         }
     }
+
+    /// Reads everything. Where that is more than a page, nodes that do not read the
+    /// store leave the rest to peers for a while: at the largest size a copy is
+    /// megabytes, and all nodes may start at once.
+    async fn read(&self, read_time: Duration) -> Result<(), StoreError> {
+        let mut read = PagedRead::default();
+        let store = &self.context.store;
+        let mut more = store.read_page(self.prefix(), &mut read, read_time).await?;
+        if more && self.peers_bring_it().await {
+            return Ok(());
+        }
+        while more {
+            more = store.read_page(self.prefix(), &mut read, read_time).await?;
+        }
+        self.fleet.do_send(CopyRead { subject: self.subject, mirror: read.finish() });
+        Ok(())
+    }
+
+    /// Waits until a peer's copy has come; tells whether one has.
+    async fn peers_bring_it(&self) -> bool {
+        for _ in 0..LOOKS_FOR_PEERS {
+            match self.fleet.send(GetReadPlan(self.subject)).await {
+                Ok(ReadPlan::LeaveToPeers) => tokio::time::sleep(LOOK_FOR_PEERS).await,
+                Ok(ReadPlan::HasCopy) => return true,
+                Ok(ReadPlan::Read) | Err(_) => return false,
+            }
+        }
+        false
+    }
 }
--- /dev/null
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -0,0 +1,110 @@
+//! What hubs tell of many nodes together.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+
+use cometmoor_core::time::Timestamp;
+
+use super::message::{CopyVersions, Digest, Heartbeat, MemberEntry, ZoneMembers};
+use super::{Membership, add};
+use crate::load::{ServerKey, ServerLoad};
+
+/// Most servers whose load a digest tells.
+const MAX_LOADS: usize = 256;
+
+impl Membership {
+    /// A digest that tells only how new copies are, and what the node says that
+    /// orders the servers.
+    pub(super) fn brief_digest(
+        &self,
+        own: &Heartbeat,
+        versions: CopyVersions,
+        now: Timestamp,
+    ) -> Digest {
+        let told = self.placement(now);
+        let placement =
+            own.placement.as_ref().into_iter().chain(told).max_by_key(|placement| placement.token);
+        Digest {
+            hub: self.own,
+            zone: self.zone.clone(),
+            incarnation: own.incarnation,
+            sequence: self.hub.sequence,
+            versions,
+            zones: None,
+            loads: None,
+            placement: placement.cloned(),
+        }
+    }
+
+    /// The nodes of this zone and their load, by their own heartbeats only.
+    pub(super) fn zone_digest(&self, own: &Heartbeat, brief: &Digest, now: Timestamp) -> Digest {
+        let in_zone = self.direct.alive(now).filter(|peer| peer.heartbeat.zone == self.zone);
+        let mut members: Vec<MemberEntry> = in_zone.map(|peer| peer.entry()).collect();
+        members.push(entry_of(own));
+        members.sort_by_key(|member| member.peer_address);
+        let zones = Some(vec![ZoneMembers { zone: self.zone.clone(), members }]);
+        let loads = Some(busiest(self.with_own(own, self.zone_load(now))));
+        Digest { zones, loads, ..brief.clone() }
+    }
+
+    /// Load of all nodes.
+    pub(super) fn fleet_loads(
+        &self,
+        own: &Heartbeat,
+        now: Timestamp,
+    ) -> Vec<(ServerKey, ServerLoad)> {
+        busiest(self.with_own(own, self.load_of_others(now)))
+    }
+
+    /// All nodes, by their own heartbeats and what hubs of other zones told. What
+    /// other nodes' digests of the fleet tell is left out: two nodes that take
+    /// each other for hubs would keep those that are gone.
+    pub(super) fn fleet_zones(&self, own: &Heartbeat, now: Timestamp) -> Vec<ZoneMembers> {
+        let mut zones: BTreeMap<&str, BTreeMap<SocketAddrV4, MemberEntry>> = BTreeMap::new();
+        let told = self.zones.values().filter(|told| told.is_alive(now));
+        for member in told.flat_map(|told| &told.members) {
+            zones.entry(&member.zone).or_default().insert(member.address(), member.entry);
+        }
+        for peer in self.direct.alive(now) {
+            let zone = zones.entry(&peer.heartbeat.zone).or_default();
+            zone.insert(peer.heartbeat.peer_address, peer.entry());
+        }
+        zones.entry(&self.zone).or_default().insert(self.own, entry_of(own));
+        let zones = zones.into_iter();
+        zones
+            .map(|(zone, members)| ZoneMembers {
+                zone: zone.to_owned(),
+                members: members.into_values().collect(),
+            })
+            .collect()
+    }
+
+    /// Load with this node's own added, which its last heartbeats told.
+    fn with_own(
+        &self,
+        own: &Heartbeat,
+        mut loads: HashMap<ServerKey, ServerLoad>,
+    ) -> HashMap<ServerKey, ServerLoad> {
+        own.loads.iter().flatten().for_each(|load| add(&mut loads, load));
+        loads
+    }
+}
+
+fn entry_of(own: &Heartbeat) -> MemberEntry {
+    MemberEntry {
+        peer_address: own.peer_address,
+        client_address: own.client_address,
+        phase: own.phase,
+        reads_store: own.reads_store,
+        store_fails: own.store_fails,
+    }
+}
+
+/// The servers with most load, the busiest first.
+fn busiest(loads: HashMap<ServerKey, ServerLoad>) -> Vec<(ServerKey, ServerLoad)> {
+    let mut loads: Vec<(ServerKey, ServerLoad)> = loads.into_iter().collect();
+    loads.sort_unstable_by_key(|(server, load)| (Reverse(load.in_flight), *server));
+    loads.truncate(MAX_LOADS);
+    loads
+}
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -1,26 +1,31 @@
 //! Hubs: nodes that tell many others of the fleet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use cometmoor_core::time::Timestamp;
 
-use super::message::{CopyVersions, Digest, Heartbeat, MemberEntry, Message, ZoneMembers};
+use super::Membership;
+use super::message::{CopyVersions, Digest, Heartbeat, Message, ZoneMembers};
 use super::peers::{Member, Rank};
-use super::{Membership, add};
-use crate::load::{ServerKey, ServerLoad};
 
-/// Hubs of a zone; the second one stands by.
-const HUBS_OF_ZONE: usize = 2;
+/// Fewest hubs of a zone, which share its nodes; each can take all.
+const FEWEST_HUBS: usize = 2;
+/// Most hubs of a zone.
+const MOST_HUBS: usize = 6;
+/// Nodes of a zone for each hub.
+const NODES_OF_HUB: usize = 32;
+/// Time between two digests that tell the load: less than between heartbeats.
+const LOADS_EACH: Duration = Duration::from_millis(180);
+/// Time between two digests that tell the nodes of the fleet, where they change.
+const CHANGES_EACH: Duration = Duration::from_millis(350);
+/// Time between two digests that tell them where they do not.
+const MEMBERS_EACH: Duration = Duration::from_millis(1150);
 /// Time for which a node that asked gets digests.
 const ANSWERED_FOR: Duration = Duration::from_millis(1500);
 /// Time for which the silence of a node that asked tells that it is gone.
 const SERVED_FOR: Duration = Duration::from_secs(3);
-/// Digests of which one tells the members although they have not changed.
-const MEMBERS_EACH: u64 = 3;
-/// Most servers whose load a digest tells.
-const MAX_LOADS: usize = 256;
 /// Addresses that are tried at once where nobody has been heard yet.
 const MAX_CONTACTS: usize = 8;
 /// Time between two heartbeats to the node that orders the servers, for each
@@ -43,21 +48,34 @@
     asked: BTreeMap<SocketAddrV4, Timestamp>,
     /// Nodes that need digests and the hubs' addresses until they know more.
     uninformed: BTreeMap<SocketAddrV4, Timestamp>,
-    sequence: u64,
-    has_new_asker: bool,
-    told: Vec<ZoneMembers>,
+    /// Those of both that have been told nothing yet.
+    newcomers: BTreeSet<SocketAddrV4>,
+    pub(super) sequence: u64,
+    told: ToldByHub,
     leader_told: Option<Timestamp>,
 }
 
+/// What a hub has told of the fleet, and when.
+#[derive(Clone, Debug, Default)]
+struct ToldByHub {
+    zones: Vec<ZoneMembers>,
+    members: Option<Timestamp>,
+    loads: Option<Timestamp>,
+}
+
 impl HubDuty {
     /// Notes that a node asked for digests.
     pub(super) fn asked(&mut self, address: SocketAddrV4, now: Timestamp) {
-        self.has_new_asker |= self.asked.insert(address, now).is_none();
+        if self.asked.insert(address, now).is_none() {
+            self.newcomers.insert(address);
+        }
     }
 
     /// Notes that a node knows few others.
     pub(super) fn needs_digest(&mut self, address: SocketAddrV4, now: Timestamp) {
-        self.has_new_asker |= self.uninformed.insert(address, now).is_none();
+        if self.uninformed.insert(address, now).is_none() {
+            self.newcomers.insert(address);
+        }
     }
 
     /// Whether a node sends its heartbeats here, so that its silence tells.
@@ -70,13 +88,42 @@
         self.asked.values().any(|asked| now.since(*asked) <= ANSWERED_FOR)
     }
 
-    fn askers(&mut self, now: Timestamp) -> Vec<SocketAddrV4> {
+    /// Nodes that get digests: those that have got none yet, and the others.
+    fn askers(&mut self, now: Timestamp) -> (Vec<SocketAddrV4>, Vec<SocketAddrV4>) {
         self.asked.retain(|_, asked| now.since(*asked) <= SERVED_FOR);
         self.uninformed.retain(|_, noted| now.since(*noted) <= ANSWERED_FOR);
         let recent = self.asked.iter().filter(|(_, asked)| now.since(**asked) <= ANSWERED_FOR);
-        let mut askers: Vec<SocketAddrV4> = recent.map(|(address, _)| *address).collect();
-        askers.extend(self.uninformed.keys().filter(|address| !self.asked.contains_key(address)));
-        askers
+        let askers = recent.map(|(address, _)| *address).chain(self.uninformed.keys().copied());
+        let askers: BTreeSet<SocketAddrV4> = askers.collect();
+        let newcomers = std::mem::take(&mut self.newcomers);
+        askers.into_iter().partition(|address| newcomers.contains(address))
+    }
+}
+
+impl ToldByHub {
+    /// Whether the load is to be told now; notes that it is.
+    fn loads_are_due(&mut self, now: Timestamp) -> bool {
+        let due = self.loads.is_none_or(|told| now.since(told) >= LOADS_EACH);
+        if due {
+            self.loads = Some(now);
+        }
+        due
+    }
+
+    /// Whether the nodes may have to be told now, if they have changed.
+    fn members_may_be_due(&self, now: Timestamp) -> bool {
+        self.members.is_none_or(|told| now.since(told) >= CHANGES_EACH)
+    }
+
+    /// Whether these nodes are to be told now; notes that they are.
+    fn members_are_due(&mut self, zones: &[ZoneMembers], now: Timestamp) -> bool {
+        let is_late = self.members.is_none_or(|told| now.since(told) >= MEMBERS_EACH);
+        let due = is_late || (self.members_may_be_due(now) && self.zones != zones);
+        if due {
+            self.members = Some(now);
+            self.zones = zones.to_vec();
+        }
+        due
     }
 }
 
@@ -127,7 +174,8 @@
         }
         let first = |mut ranks: Vec<(Rank, SocketAddrV4)>| {
             ranks.sort_unstable();
-            ranks.into_iter().take(HUBS_OF_ZONE).map(|(_, address)| address).collect()
+            let hubs = hubs_of(ranks.len());
+            ranks.into_iter().take(hubs).map(|(_, address)| address).collect()
         };
         ranks.into_iter().map(|(zone, ranks)| (zone, first(ranks))).collect()
     }
@@ -139,16 +187,16 @@
         (near, hubs.into_values().flatten().collect())
     }
 
-    /// A node tells its hubs of itself, and asks the first one for digests. One
-    /// that many depend on tells all hubs.
+    /// A node tells its hubs of itself, and asks one for digests. One that many
+    /// depend on tells all hubs.
     fn tell_hubs(&mut self, own: &Heartbeat, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
         let (near, far) = self.hubs_near_and_far();
         let is_hub = near.contains(&self.own);
         let mut plain: Vec<SocketAddrV4> =
             near.iter().copied().filter(|hub| *hub != self.own).collect();
         if !is_hub && !plain.is_empty() {
-            let first = plain.remove(0);
-            push(outgoing, Message::HeartbeatToHub(own.clone()), vec![first]);
+            let asked = plain.remove(self.own_rank.share(plain.len()));
+            push(outgoing, Message::HeartbeatToHub(own.clone()), vec![asked]);
         }
         if is_hub || own.reads_store || own.placement.is_some() {
             plain.extend(&far);
@@ -182,10 +230,10 @@
         now: Timestamp,
         outgoing: &mut Vec<Outgoing>,
     ) {
-        let askers = self.hub.askers(now);
+        let (newcomers, askers) = self.hub.askers(now);
         let (near, far) = self.hubs_near_and_far();
         let is_hub = near.contains(&self.own) && !self.is_small();
-        if askers.is_empty() && !is_hub {
+        if newcomers.is_empty() && askers.is_empty() && !is_hub {
             return;
         }
         self.hub.sequence += 1;
@@ -194,90 +242,54 @@
         let uninformed = self.hub.uninformed.keys().copied().collect();
         let introduction = Heartbeat { known: others.clone(), ..own.clone() };
         push(outgoing, Message::Heartbeat(introduction), uninformed);
-        push(outgoing, Message::ZoneDigest(self.zone_digest(own, versions, now)), others);
-        if !askers.is_empty() {
-            let digest = self.fleet_digest(own, versions, now);
-            push(outgoing, Message::FleetDigest(digest), askers);
-        }
-        self.hub.has_new_asker = false;
-    }
-
-    fn digest(&self, own: &Heartbeat, versions: CopyVersions, now: Timestamp) -> Digest {
-        let told = self.placement(now);
-        let placement =
-            own.placement.as_ref().into_iter().chain(told).max_by_key(|placement| placement.token);
-        Digest {
-            hub: self.own,
-            zone: self.zone.clone(),
-            incarnation: own.incarnation,
-            sequence: self.hub.sequence,
-            versions,
-            zones: None,
-            loads: Vec::new(),
-            placement: placement.cloned(),
+        let brief = self.brief_digest(own, versions, now);
+        let tells_loads = self.hub.told.loads_are_due(now);
+        let zone = if tells_loads { self.zone_digest(own, &brief, now) } else { brief.clone() };
+        push(outgoing, Message::ZoneDigest(zone), others);
+        if newcomers.is_empty() && askers.is_empty() {
+            return;
         }
+        let full = self.fleet_digest(own, &brief, tells_loads, !newcomers.is_empty(), now);
+        push(outgoing, Message::FleetDigest(full.for_newcomers), newcomers);
+        push(outgoing, Message::FleetDigest(full.for_askers), askers);
     }
 
-    /// The nodes of this zone, by their own heartbeats only.
-    fn zone_digest(&self, own: &Heartbeat, versions: CopyVersions, now: Timestamp) -> Digest {
-        let in_zone = self.direct.alive(now).filter(|peer| peer.heartbeat.zone == self.zone);
-        let mut members: Vec<MemberEntry> = in_zone.map(|peer| peer.entry()).collect();
-        members.push(entry_of(own));
-        members.sort_by_key(|member| member.peer_address);
-        let zones = Some(vec![ZoneMembers { zone: self.zone.clone(), members }]);
-        let mut loads = self.zone_load(now);
-        own.loads.iter().for_each(|load| add(&mut loads, load));
-        Digest { zones, loads: busiest(loads), ..self.digest(own, versions, now) }
-    }
-
-    /// All nodes, by their own heartbeats and what hubs of other zones told. What
-    /// other nodes' digests of the fleet tell is left out: two nodes that take
-    /// each other for hubs would keep those that are gone.
-    fn fleet_digest(&mut self, own: &Heartbeat, versions: CopyVersions, now: Timestamp) -> Digest {
-        let mut zones: BTreeMap<&str, BTreeMap<SocketAddrV4, MemberEntry>> = BTreeMap::new();
-        let told = self.zones.values().filter(|told| told.is_alive(now));
-        for member in told.flat_map(|told| &told.members) {
-            zones.entry(&member.zone).or_default().insert(member.address(), member.entry);
+    /// What this node tells of the fleet now, to nodes that have been told nothing
+    /// yet and to the others.
+    fn fleet_digest(
+        &mut self,
+        own: &Heartbeat,
+        brief: &Digest,
+        tells_loads: bool,
+        has_newcomers: bool,
+        now: Timestamp,
+    ) -> FleetDigests {
+        let mut for_askers = brief.clone();
+        let mut for_newcomers = brief.clone();
+        if tells_loads || has_newcomers {
+            let loads = Some(self.fleet_loads(own, now));
+            for_askers.loads = loads.clone().filter(|_| tells_loads);
+            for_newcomers.loads = loads;
         }
-        for peer in self.direct.alive(now) {
-            let zone = zones.entry(&peer.heartbeat.zone).or_default();
-            zone.insert(peer.heartbeat.peer_address, peer.entry());
+        if has_newcomers || self.hub.told.members_may_be_due(now) {
+            let zones = self.fleet_zones(own, now);
+            let is_due = self.hub.told.members_are_due(&zones, now);
+            for_askers.zones = is_due.then(|| zones.clone());
+            for_newcomers.zones = Some(zones);
         }
-        zones.entry(&self.zone).or_default().insert(self.own, entry_of(own));
-        let zones: Vec<ZoneMembers> = zones
-            .into_iter()
-            .map(|(zone, members)| ZoneMembers {
-                zone: zone.to_owned(),
-                members: members.into_values().collect(),
-            })
-            .collect();
-        let changed = self.hub.told != zones;
-        let is_due = self.hub.sequence.is_multiple_of(MEMBERS_EACH);
-        let tells_members = changed || is_due || self.hub.has_new_asker;
-        let mut loads = self.load_of_others(now);
-        own.loads.iter().for_each(|load| add(&mut loads, load));
-        let digest = Digest { loads: busiest(loads), ..self.digest(own, versions, now) };
-        self.hub.told.clone_from(&zones);
-        Digest { zones: tells_members.then_some(zones), ..digest }
+        FleetDigests { for_askers, for_newcomers }
     }
 }
 
-fn entry_of(own: &Heartbeat) -> MemberEntry {
-    MemberEntry {
-        peer_address: own.peer_address,
-        client_address: own.client_address,
-        phase: own.phase,
-        reads_store: own.reads_store,
-        store_fails: own.store_fails,
-    }
+/// Digests of the fleet, by how much those that get them have been told.
+struct FleetDigests {
+    for_askers: Digest,
+    for_newcomers: Digest,
 }
 
-/// The servers with most load, the busiest first.
-fn busiest(loads: HashMap<ServerKey, ServerLoad>) -> Vec<(ServerKey, ServerLoad)> {
-    let mut loads: Vec<(ServerKey, ServerLoad)> = loads.into_iter().collect();
-    loads.sort_unstable_by_key(|(server, load)| (std::cmp::Reverse(load.in_flight), *server));
-    loads.truncate(MAX_LOADS);
-    loads
+/// How many hubs a zone of so many nodes has.
+fn hubs_of(nodes: usize) -> usize {
+    nodes.div_ceil(NODES_OF_HUB).clamp(FEWEST_HUBS, MOST_HUBS)
 }
 
 fn push(outgoing: &mut Vec<Outgoing>, message: Message, targets: Vec<SocketAddrV4>) {
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -7,7 +7,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,8 +68,8 @@
     pub reads_store: bool,
     /// Whether the store does not answer it.
     pub store_fails: bool,
-    /// Its load on the servers.
-    pub loads: Vec<(ServerKey, ServerLoad)>,
+    /// Its load on the servers; left out where it was told a moment ago.
+    pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// Work that it was asked of each model since its process began.
     pub demand: Vec<(ModelKey, ModelDemand)>,
     /// Models and adapters that its requests wait for now.
@@ -119,12 +119,11 @@
     pub sequence: u64,
     /// How new the hub's copies are.
     pub versions: CopyVersions,
-    /// The nodes by zone; left out where they were told a moment ago and have not
-    /// changed.
+    /// The nodes by zone; left out where they were told a moment ago.
     pub zones: Option<Vec<ZoneMembers>>,
     /// Load on the servers of all nodes that the digest is about, the busiest
-    /// servers first.
-    pub loads: Vec<(ServerKey, ServerLoad)>,
+    /// servers first; left out where it was told a moment ago.
+    pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// The newest that was heard of the node that orders the servers.
     pub placement: Option<Placement>,
 }
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -1,12 +1,13 @@
 //! Which nodes there are, and what they tell one another.
 //!
 //! In a small fleet every node sends its heartbeat to every other one. In a
-//! larger one a node sends it to two hubs of its zone, the first nodes of the
+//! larger one a node sends it to the hubs of its zone, the first nodes of the
 //! zone in an order that all agree on, and to the node that orders the servers.
 //! Hubs tell one another of their zones, and tell the nodes of their own zone of
 //! the fleet. Whoever is asked for digests gives them, so that nodes need not
 //! agree on who is a hub. Nothing here does input or output.
 
+mod digests;
 mod hubs;
 mod message;
 mod peers;
@@ -38,7 +39,7 @@
 /// Addresses of other nodes that a heartbeat tells.
 const TOLD_AT_ONCE: usize = 3;
 /// Nodes that may find that the store does not answer them, for each reader.
-const FAILING_READERS: usize = 3;
+const FAILING_READERS: usize = 2;
 
 /// A digest, and when it came.
 #[derive(Clone, Debug)]
@@ -249,7 +250,8 @@
         now: Timestamp,
     ) -> HashMap<ServerKey, ServerLoad> {
         if let Some(digest) = self.newest_fleet_digest(now) {
-            let mut sum: HashMap<ServerKey, ServerLoad> = digest.loads.iter().copied().collect();
+            let loads = digest.loads.iter().flatten();
+            let mut sum: HashMap<ServerKey, ServerLoad> = loads.copied().collect();
             for (server, load) in told {
                 if let Some(known) = sum.get_mut(server) {
                     *known = known.minus(*load);
@@ -263,7 +265,7 @@
     /// Load of all other nodes, by what they and hubs of other zones told.
     fn load_of_others(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
         let mut sum = self.zone_load(now);
-        for load in self.told_zones(now).flat_map(|told| &told.digest.loads) {
+        for load in self.told_zones(now).flat_map(|told| told.digest.loads.iter().flatten()) {
             add(&mut sum, load);
         }
         sum
@@ -273,7 +275,7 @@
     fn zone_load(&self, now: Timestamp) -> HashMap<ServerKey, ServerLoad> {
         let mut sum = HashMap::new();
         let peers = self.direct.alive(now).filter(|peer| self.counts_here(&peer.heartbeat.zone));
-        for load in peers.flat_map(|peer| &peer.heartbeat.loads) {
+        for load in peers.flat_map(|peer| peer.heartbeat.loads.iter().flatten()) {
             add(&mut sum, load);
         }
         sum
@@ -311,7 +313,7 @@
 }
 
 /// Takes a digest, unless a later one of the same hub came before it.
-fn take(known: &mut BTreeMap<SocketAddrV4, Told>, digest: Digest, now: Timestamp) {
+fn take(known: &mut BTreeMap<SocketAddrV4, Told>, mut digest: Digest, now: Timestamp) {
     let order = |digest: &Digest| (digest.incarnation, digest.sequence);
     let before = known.get(&digest.hub);
     if before.is_some_and(|before| order(&before.digest) >= order(&digest)) {
@@ -320,7 +322,9 @@
     let members = match (&digest.zones, before) {
         (Some(zones), _) => told_members(zones),
         (None, Some(before)) => before.members.clone(),
-        (None, None) => Vec::new(),
+        // What it told before was lost: it will tell it again.
+        (None, None) => return,
     };
+    digest.loads = digest.loads.or_else(|| before.and_then(|before| before.digest.loads.clone()));
     known.insert(digest.hub, Told { digest, members, heard: now });
 }
--- a/crates/cometmoor-gateway/src/membership/peers.rs
+++ b/crates/cometmoor-gateway/src/membership/peers.rs
@@ -15,6 +15,9 @@
 /// Silence after which a node is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// Bits of a rank that its share leaves out.
+const SHARE_SHIFT: u32 = 8;
+
 /// Place of a node in an order that all nodes agree on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank(u64, SocketAddrV4);
@@ -24,6 +27,12 @@
     pub fn of(address: SocketAddrV4) -> Rank {
         Rank(xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes()), address)
     }
+
+    /// Which of so many parts of the nodes this one belongs to.
+    pub(super) fn share(self, parts: usize) -> usize {
+        let parts = u64::try_from(parts.max(1)).unwrap_or(1);
+        usize::try_from((self.0 >> SHARE_SHIFT) % parts).unwrap_or(0)
+    }
 }
 
 /// What is known of another node.
@@ -85,7 +94,7 @@
 
 impl DirectPeers {
     /// Takes a heartbeat, unless a later one came before it.
-    pub(super) fn receive(&mut self, heartbeat: Heartbeat, now: Timestamp) -> PeerChange {
+    pub(super) fn receive(&mut self, mut heartbeat: Heartbeat, now: Timestamp) -> PeerChange {
         let address = heartbeat.peer_address;
         let order = |beat: &Heartbeat| (beat.incarnation, beat.sequence);
         let known = self.peers.get(&address);
@@ -97,6 +106,9 @@
             None => PeerChange::Up,
         };
         let rank = known.map_or_else(|| Rank::of(address), |peer| peer.rank);
+        if let Some(peer) = known.filter(|peer| is_same_process(&peer.heartbeat, &heartbeat)) {
+            heartbeat.loads = heartbeat.loads.or_else(|| peer.heartbeat.loads.clone());
+        }
         self.peers.insert(address, Peer { heartbeat, heard: now, rank });
         change
     }
@@ -124,6 +136,10 @@
     }
 }
 
+fn is_same_process(one: &Heartbeat, other: &Heartbeat) -> bool {
+    one.incarnation == other.incarnation
+}
+
 /// Members of the zones as a hub told.
 pub(super) fn told_members(zones: &[ZoneMembers]) -> Vec<Member> {
     let members = zones.iter().flat_map(|zone| {
--- a/crates/cometmoor-gateway/src/mirror.rs
+++ b/crates/cometmoor-gateway/src/mirror.rs
@@ -37,8 +37,9 @@
     forgotten: u64,
 }
 
-/// Keys that are gone and still remembered.
-const MAX_GONE: usize = 256;
+/// Keys that are gone and still remembered: more than end within a minute at the
+/// largest size. A peer that lags further back is told everything.
+const MAX_GONE: usize = 2048;
 
 /// What changed in a copy since a revision, for a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -261,7 +261,7 @@
             return SmallAnswer::status(404);
         }
         let fleet = board.fleet.load();
-        let addresses = addresses(&fleet, dialect.directory_zone(head));
+        let addresses = addresses(&fleet.nodes, dialect.directory_zone(head));
         if addresses.is_empty() {
             return SmallAnswer::status(503);
         }
--- a/crates/cometmoor-gateway/src/store.rs
+++ b/crates/cometmoor-gateway/src/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dialect::{Commit, Committed, Dialect, FormatError, Lease, Watched};
+use crate::dialect::{Commit, Committed, Dialect, FormatError, Item, Lease, Watched};
 use crate::http::client::{Answer, Call, CallClient, CallError};
 use crate::mirror::Mirror;
 
@@ -43,6 +43,21 @@
     client: CallClient,
 }
 
+/// A read of all items under a prefix, page by page. The copy is as of the first
+/// page: what later pages bring beyond it is told again by the watch.
+#[derive(Debug, Default)]
+pub struct PagedRead {
+    items: Vec<Item>,
+    at: Option<u64>,
+}
+
+impl PagedRead {
+    /// The copy, when all pages have been read.
+    pub fn finish(self) -> Mirror {
+        Mirror::from_items(self.items, self.at.unwrap_or_default())
+    }
+}
+
 impl Store {
     /// A client of the store at the address.
     pub fn new(dialect: Arc<dyn Dialect>, address: SocketAddrV4) -> Store {
@@ -53,28 +68,34 @@
         self.client.call(call, within).await.map_err(StoreError::Call)
     }
 
-    /// Reads all items under a prefix. The copy is as of the first page: what
-    /// later pages bring beyond it is told again by the watch.
+    /// Reads all items under a prefix.
     pub async fn read(&self, prefix: &str) -> Result<Mirror, StoreError> {
         self.read_within(prefix, CALL_TIMEOUT).await
     }
 
     /// The same with a time for each page.
     pub async fn read_within(&self, prefix: &str, page: Duration) -> Result<Mirror, StoreError> {
-        let mut items = Vec::new();
-        let mut first_at = None;
-        loop {
-            let after = items.last().map(|item: &crate::dialect::Item| item.key.as_str());
-            let call = self.dialect.read_range(prefix, after);
-            let answer = self.call(&call, page).await?;
-            let told = self.dialect.parse_range(&answer)?;
-            let at = *first_at.get_or_insert(told.at);
-            let empty = told.items.is_empty();
-            items.extend(told.items);
-            if !told.more || empty {
-                return Ok(Mirror::from_items(items, at));
-            }
-        }
+        let mut read = PagedRead::default();
+        while self.read_page(prefix, &mut read, page).await? {}
+        Ok(read.finish())
+    }
+
+    /// Reads the next page of a prefix, with a time for the answer; tells whether
+    /// there are more.
+    pub async fn read_page(
+        &self,
+        prefix: &str,
+        read: &mut PagedRead,
+        within: Duration,
+    ) -> Result<bool, StoreError> {
+        let after = read.items.last().map(|item| item.key.as_str());
+        let call = self.dialect.read_range(prefix, after);
+        let answer = self.call(&call, within).await?;
+        let told = self.dialect.parse_range(&answer)?;
+        read.at.get_or_insert(told.at);
+        let more = told.more && !told.items.is_empty();
+        read.items.extend(told.items);
+        Ok(more)
     }
 
     /// Waits for changes under a prefix after a revision.
