--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
@@ -20,6 +20,9 @@
 use crate::peer::Subject;
 use crate::published::{Phase, StopTimes};
 
+/// Time after its start by which a node has heard others.
+const OTHERS_KNOWN_AFTER: Duration = Duration::from_secs(1);
+
 /// A full read of a prefix.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -317,7 +320,7 @@
     Read,
     /// Wait for a peer's copy.
     LeaveToPeers,
-    /// There is a copy already, and others read the store.
+    /// A peer's copy has come.
     HasCopy,
 }
 
@@ -331,9 +334,11 @@
 
     fn handle(&mut self, get: GetReadPlan, _: &mut Context<FleetState>) -> Self::Result {
         let has_copy = self.copies[&get.0].mirror.at > 0;
-        MessageResult(match (self.reads(get.0), has_copy) {
-            (true, _) => ReadPlan::Read,
-            (false, true) => ReadPlan::HasCopy,
+        // Before it has heard the others, every node takes itself for a reader.
+        let knows_others = self.started.elapsed() >= OTHERS_KNOWN_AFTER;
+        MessageResult(match (has_copy, knows_others && self.reads(get.0)) {
+            (true, _) => ReadPlan::HasCopy,
+            (false, true) => ReadPlan::Read,
             (false, false) => ReadPlan::LeaveToPeers,
         })
     }
