--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! State of the fleet as this node believes it.
 
+mod changes;
 mod messages;
 
 use std::collections::{BTreeSet, HashMap};
@@ -11,7 +12,7 @@
 use actix::{Actor, AsyncContext, Context};
 use bytes::Bytes;
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
-use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::time::Timestamp;
 use spdlog::{error, info};
 
@@ -53,8 +54,6 @@
 const GATHER_FAR: Duration = Duration::from_millis(600);
 /// Least time between two heartbeats that tell the load in a large fleet.
 const LOADS_EACH: Duration = Duration::from_millis(180);
-/// Most servers or nodes that are logged one by one when they change at once.
-const MOST_LINES: usize = 16;
 /// Time between two sums of the other nodes' load.
 const LOAD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -289,23 +288,6 @@
         self.servers = servers;
     }
 
-    fn log_server_changes(&self, fresh: &HashMap<Arc<str>, KnownServer>) {
-        let state = |id: &Arc<str>| self.servers.get(id).map(|known| known.record.state);
-        let changed = fresh.iter().filter(|(id, known)| state(id) != Some(known.record.state));
-        let changed: Vec<&KnownServer> = changed.map(|(_, known)| known).collect();
-        let gone: Vec<&Arc<str>> =
-            self.servers.keys().filter(|id| !fresh.contains_key(*id)).collect();
-        if changed.len() + gone.len() > MOST_LINES {
-            let (changed, gone, servers) = (changed.len(), gone.len(), fresh.len());
-            info!("[servers] many servers came, went or are leaving", kv: { changed, gone, servers });
-            return;
-        }
-        changed.into_iter().for_each(log_server);
-        for id in gone {
-            info!("[servers] a server is gone", kv: { server = &**id });
-        }
-    }
-
     fn publish(&mut self) {
         let now = self.now();
         self.generation += 1;
@@ -529,27 +511,6 @@
         });
     }
 
-    /// Tells which nodes came and went since the last tick.
-    fn log_member_changes(&mut self) {
-        let members: BTreeSet<SocketAddrV4> =
-            self.peers.members().iter().map(Member::address).collect();
-        let nodes = members.len() + 1;
-        let come: Vec<&SocketAddrV4> = members.difference(&self.logged_members).collect();
-        let gone: Vec<&SocketAddrV4> = self.logged_members.difference(&members).collect();
-        if come.len() + gone.len() > MOST_LINES {
-            let (come, gone) = (come.len(), gone.len());
-            info!("[peers] many nodes came or went", kv: { come, gone, nodes });
-        } else {
-            for peer in come {
-                info!("[peers] a node is there", kv: { peer = peer.to_string(), nodes });
-            }
-            for peer in gone {
-                info!("[peers] a node is gone", kv: { peer = peer.to_string(), nodes });
-            }
-        }
-        self.logged_members = members;
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         self.peers.tick(now);
@@ -560,22 +521,6 @@
     }
 }
 
-fn log_server(known: &KnownServer) {
-    let KnownServer { created, ref record, .. } = *known;
-    let server = &*record.id;
-    let address = record.address.to_string();
-    let service = record.service.as_str();
-    let software = record.software.as_str();
-    match record.state {
-        ServerState::Ready => {
-            info!("[servers] a server is known", kv: { server, address, service, software, created });
-        }
-        ServerState::Draining => {
-            info!("[servers] a server is leaving", kv: { server, address, service, created });
-        }
-    }
-}
-
 /// Time that this node's own watch has to bring what a peer already has.
 fn watch_lead(subject: Subject) -> Duration {
     match subject {
