A forgotten history is read again over all pages

A node with a copy was told that it had one, read one page, and watched from the same revision again, for ever: with more than some 500 servers its entries would have stood still.

Change: the watcher's next step is a value (first read, read again, watch), and only a first read is left to peers.

--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -35,6 +35,17 @@
 /// Longest time for a try of a full read, where the store is slow.
 const LONGEST_READ: Duration = Duration::from_millis(1600);
 
+/// What a watcher does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Read everything, as a node that has no copy yet.
+    FirstRead,
+    /// Read everything, because the store has forgotten what has changed since.
+    ReadAgain,
+    /// Wait for changes.
+    Watch,
+}
+
 /// Starts a task for each prefix.
 pub fn start(context: &Rc<ControlContext>, fleet: &Addr<FleetState>) {
     for subject in Subject::ALL {
@@ -61,11 +72,11 @@
     async fn run(self) {
         let mut pause = FIRST_PAUSE;
         let mut read_time = FIRST_READ;
-        let mut read_first = true;
+        let mut next = Step::FirstRead;
         loop {
-            match self.step(read_first, read_time).await {
-                Ok(forgotten) => {
-                    read_first = forgotten;
+            match self.step(next, read_time).await {
+                Ok(following) => {
+                    next = following;
                     pause = FIRST_PAUSE;
                     read_time = FIRST_READ;
                 }
@@ -80,18 +91,17 @@
         }
     }
 
-    /// Reads everything, or waits for changes; tells whether everything has
-    /// to be read next.
-    async fn step(&self, read_first: bool, read_time: Duration) -> Result<bool, StoreError> {
-        if read_first {
-            self.read(read_time).await?;
-            return Ok(false);
+    /// Reads everything, or waits for changes; tells what comes next.
+    async fn step(&self, step: Step, read_time: Duration) -> Result<Step, StoreError> {
+        if step != Step::Watch {
+            self.read(step == Step::FirstRead, read_time).await?;
+            return Ok(Step::Watch);
         }
         // The actor ends only with the process.
         let plan = self.fleet.send(GetWatchPlan(self.subject)).await;
         let Ok(WatchPlan::WatchAfter(after)) = plan else {
             tokio::time::sleep(LEFT_TO_READERS).await;
-            return Ok(false);
+            return Ok(Step::Watch);
         };
         match self.context.store.watch(self.prefix(), after, WATCH_WAIT).await? {
             Watched::Events { events, at } => {
@@ -100,20 +110,20 @@
                 if gathers {
                     tokio::time::sleep(GATHER).await;
                 }
-                Ok(false)
+                Ok(Step::Watch)
             }
-            Watched::Forgotten => Ok(true),
+            Watched::Forgotten => Ok(Step::ReadAgain),
         }
     }
 
-    /// Reads everything. Where that is more than a page, nodes that do not read the
-    /// store leave the rest to peers for a while: at the largest size a copy is
-    /// megabytes, and all nodes may start at once.
-    async fn read(&self, read_time: Duration) -> Result<(), StoreError> {
+    /// Reads everything. Where that is more than a page, nodes that have no copy yet
+    /// leave the rest to peers for a while: at the largest size a copy is megabytes,
+    /// and all nodes may start at once.
+    async fn read(&self, is_first: bool, read_time: Duration) -> Result<(), StoreError> {
         let mut read = PagedRead::default();
         let store = &self.context.store;
         let mut more = store.read_page(self.prefix(), &mut read, read_time).await?;
-        if more && self.peers_bring_it().await {
+        if more && is_first && self.peers_bring_it().await {
             return Ok(());
         }
         while more {
