A hub tells the load when its own heartbeat does, and reckons the hubs once

Found in a reading of the change: the pause between two tellings of the load stood twice (heartbeats and digests, 180 ms each, each with its own clock). Where the two were out of step, a digest left out the hub's own load, and nodes sent to servers as if its requests were not there. The second clock is gone: a digest tells the load when the heartbeat that is sent with it does. All nodes were ranked twice for each sending of a large fleet; the hubs are one value now, reckoned once.

Measured: the membership test with every second heartbeat leaving the load out: before, 56 to 57 of 59 were told; now 59. The other five tests as before.

--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -80,7 +80,7 @@
             .collect()
     }
 
-    /// Load with this node's own added, which its last heartbeats told.
+    /// Load with this node's own added, where its heartbeat tells it.
     fn with_own(
         &self,
         own: &Heartbeat,
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -16,8 +16,6 @@
 const MOST_HUBS: usize = 6;
 /// Nodes of a zone for each hub.
 const NODES_OF_HUB: usize = 32;
-/// Time between two digests that tell the load: less than between heartbeats.
-const LOADS_EACH: Duration = Duration::from_millis(180);
 /// Time between two digests that tell the nodes of the fleet, where they change.
 const CHANGES_EACH: Duration = Duration::from_millis(350);
 /// Time between two digests that tell them where they do not.
@@ -60,7 +58,6 @@
 struct ToldByHub {
     zones: Vec<ZoneMembers>,
     members: Option<Timestamp>,
-    loads: Option<Timestamp>,
 }
 
 impl HubDuty {
@@ -101,15 +98,6 @@
 }
 
 impl ToldByHub {
-    /// Whether the load is to be told now; notes that it is.
-    fn loads_are_due(&mut self, now: Timestamp) -> bool {
-        let due = self.loads.is_none_or(|told| now.since(told) >= LOADS_EACH);
-        if due {
-            self.loads = Some(now);
-        }
-        due
-    }
-
     /// Whether the nodes may have to be told now, if they have changed.
     fn members_may_be_due(&self, now: Timestamp) -> bool {
         self.members.is_none_or(|told| now.since(told) >= CHANGES_EACH)
@@ -137,15 +125,16 @@
         now: Timestamp,
     ) -> Vec<Outgoing> {
         self.reckon(now);
+        let hubs = self.hubs();
         let mut outgoing = Vec::new();
         if self.is_small() {
             let targets = self.members().iter().map(Member::address);
             let targets = targets.chain(self.strangers(own.sequence)).collect();
             push(&mut outgoing, Message::Heartbeat(own.clone()), targets);
         } else {
-            self.tell_hubs(own, now, &mut outgoing);
+            self.tell_hubs(own, &hubs, now, &mut outgoing);
         }
-        self.tell_as_hub(own, versions, now, &mut outgoing);
+        self.tell_as_hub(own, versions, hubs, now, &mut outgoing);
         outgoing
     }
 
@@ -165,43 +154,44 @@
         strangers
     }
 
-    /// The first nodes of each zone, this one included.
-    fn hubs(&self) -> BTreeMap<&str, Vec<SocketAddrV4>> {
+    /// The hubs: the first nodes of each zone, this one included.
+    fn hubs(&self) -> Hubs {
         let mut ranks: BTreeMap<&str, Vec<(Rank, SocketAddrV4)>> = BTreeMap::new();
         ranks.entry(&self.zone).or_default().push((self.own_rank, self.own));
         for member in self.members() {
             ranks.entry(&member.zone).or_default().push((member.rank, member.address()));
         }
-        let first = |mut ranks: Vec<(Rank, SocketAddrV4)>| {
+        let mut hubs = Hubs { near: Vec::new(), far: Vec::new(), is_own: false };
+        for (zone, mut ranks) in ranks {
             ranks.sort_unstable();
-            let hubs = hubs_of(ranks.len());
-            ranks.into_iter().take(hubs).map(|(_, address)| address).collect()
-        };
-        ranks.into_iter().map(|(zone, ranks)| (zone, first(ranks))).collect()
-    }
-
-    /// Hubs of this node's zone, and those of the others, without this node.
-    fn hubs_near_and_far(&self) -> (Vec<SocketAddrV4>, Vec<SocketAddrV4>) {
-        let mut hubs = self.hubs();
-        let near = hubs.remove(&*self.zone).unwrap_or_default();
-        (near, hubs.into_values().flatten().collect())
+            ranks.truncate(hubs_of(ranks.len()));
+            let of_zone = if zone == self.zone { &mut hubs.near } else { &mut hubs.far };
+            of_zone.extend(ranks.into_iter().map(|(_, address)| address));
+        }
+        hubs.is_own = hubs.near.contains(&self.own);
+        hubs.near.retain(|hub| *hub != self.own);
+        hubs
     }
 
     /// A node tells its hubs of itself, and asks one for digests. One that many
     /// depend on tells all hubs.
-    fn tell_hubs(&mut self, own: &Heartbeat, now: Timestamp, outgoing: &mut Vec<Outgoing>) {
-        let (near, far) = self.hubs_near_and_far();
-        let is_hub = near.contains(&self.own);
-        let mut plain: Vec<SocketAddrV4> =
-            near.iter().copied().filter(|hub| *hub != self.own).collect();
-        if !is_hub && !plain.is_empty() {
+    fn tell_hubs(
+        &mut self,
+        own: &Heartbeat,
+        hubs: &Hubs,
+        now: Timestamp,
+        outgoing: &mut Vec<Outgoing>,
+    ) {
+        let mut plain = hubs.near.clone();
+        if !hubs.is_own && !plain.is_empty() {
             let asked = plain.remove(self.own_rank.share(plain.len()));
             push(outgoing, Message::HeartbeatToHub(own.clone()), vec![asked]);
         }
-        if is_hub || own.reads_store || own.placement.is_some() {
-            plain.extend(&far);
+        if hubs.is_own || own.reads_store || own.placement.is_some() {
+            plain.extend(&hubs.far);
         }
-        plain.extend(self.leader_to_tell(own, now).filter(|leader| !near.contains(leader)));
+        let leader = self.leader_to_tell(own, now);
+        plain.extend(leader.filter(|leader| !hubs.near.contains(leader)));
         plain.extend(self.strangers(own.sequence));
         plain.sort_unstable();
         plain.dedup();
@@ -227,29 +217,29 @@
         &mut self,
         own: &Heartbeat,
         versions: CopyVersions,
+        hubs: Hubs,
         now: Timestamp,
         outgoing: &mut Vec<Outgoing>,
     ) {
         let (newcomers, askers) = self.hub.askers(now);
-        let (near, far) = self.hubs_near_and_far();
-        let is_hub = near.contains(&self.own) && !self.is_small();
+        let is_hub = hubs.is_own && !self.is_small();
         if newcomers.is_empty() && askers.is_empty() && !is_hub {
             return;
         }
         self.hub.sequence += 1;
-        let others: Vec<SocketAddrV4> =
-            near.into_iter().filter(|hub| *hub != self.own).chain(far).collect();
+        let others: Vec<SocketAddrV4> = hubs.near.into_iter().chain(hubs.far).collect();
         let uninformed = self.hub.uninformed.keys().copied().collect();
         let introduction = Heartbeat { known: others.clone(), ..own.clone() };
         push(outgoing, Message::Heartbeat(introduction), uninformed);
         let brief = self.brief_digest(own, versions, now);
-        let tells_loads = self.hub.told.loads_are_due(now);
+        // The load of others is told when this node's own is.
+        let tells_loads = own.loads.is_some();
         let zone = if tells_loads { self.zone_digest(own, &brief, now) } else { brief.clone() };
         push(outgoing, Message::ZoneDigest(zone), others);
         if newcomers.is_empty() && askers.is_empty() {
             return;
         }
-        let full = self.fleet_digest(own, &brief, tells_loads, !newcomers.is_empty(), now);
+        let full = self.fleet_digest(own, &brief, !newcomers.is_empty(), now);
         push(outgoing, Message::FleetDigest(full.for_newcomers), newcomers);
         push(outgoing, Message::FleetDigest(full.for_askers), askers);
     }
@@ -260,15 +250,14 @@
         &mut self,
         own: &Heartbeat,
         brief: &Digest,
-        tells_loads: bool,
         has_newcomers: bool,
         now: Timestamp,
     ) -> FleetDigests {
         let mut for_askers = brief.clone();
         let mut for_newcomers = brief.clone();
-        if tells_loads || has_newcomers {
+        if own.loads.is_some() || has_newcomers {
             let loads = Some(self.fleet_loads(own, now));
-            for_askers.loads = loads.clone().filter(|_| tells_loads);
+            for_askers.loads = loads.clone().filter(|_| own.loads.is_some());
             for_newcomers.loads = loads;
         }
         if has_newcomers || self.hub.told.members_may_be_due(now) {
@@ -281,6 +270,16 @@
     }
 }
 
+/// The hubs of all zones, without this node.
+struct Hubs {
+    /// Those of this node's zone.
+    near: Vec<SocketAddrV4>,
+    /// Those of the other zones.
+    far: Vec<SocketAddrV4>,
+    /// Whether this node is one.
+    is_own: bool,
+}
+
 /// Digests of the fleet, by how much those that get them have been told.
 struct FleetDigests {
     for_askers: Digest,
--- a/crates/cometmoor-gateway/tests/membership.rs
+++ b/crates/cometmoor-gateway/tests/membership.rs
@@ -35,6 +35,8 @@
     now: u64,
     nodes: BTreeMap<SocketAddrV4, Node>,
     leader: Option<SocketAddrV4>,
+    /// Whether every second heartbeat leaves the load out, as early ones do.
+    leaves_load_out: bool,
     /// Zone whose nodes are cut off from all others.
     cut: Option<usize>,
     random: u64,
@@ -51,7 +53,8 @@
 
 impl World {
     fn new(seed: u64) -> World {
-        World { now: 0, nodes: BTreeMap::new(), leader: None, cut: None, random: seed | 1 }
+        let nodes = BTreeMap::new();
+        World { now: 0, nodes, leader: None, leaves_load_out: false, cut: None, random: seed | 1 }
     }
 
     /// Starts nodes that know a few of the others, by their seeds or the store.
@@ -81,6 +84,7 @@
         let leads = self.leader == Some(own);
         let node = self.nodes.get_mut(&own).unwrap();
         node.sequence += 1;
+        let tells_load = !self.leaves_load_out || node.sequence.is_multiple_of(2);
         let load = ServerLoad { in_flight: node.load, pending: PendingWork::default() };
         Heartbeat {
             node: own.to_string(),
@@ -93,7 +97,7 @@
             versions: CopyVersions::default(),
             reads_store: node.membership.is_reader(3),
             store_fails: false,
-            loads: Some(vec![(SERVER, load)]),
+            loads: tells_load.then(|| vec![(SERVER, load)]),
             demand: Vec::new(),
             waited_for: Vec::new(),
             placement: leads.then(|| Placement {
@@ -252,8 +256,9 @@
 
 #[test]
 fn nodes_know_the_load_of_all_others_and_what_the_leader_tells() {
-    for count in [8, 60] {
+    for (count, leaves_load_out) in [(8, false), (60, false), (60, true)] {
         let mut world = World::new(3);
+        world.leaves_load_out = leaves_load_out;
         world.start(0..count);
         world.leader = Some(address(5));
         // As with who is there, a moment is waited for in which no loss shows.
