Copies of the store in a module of their own

control/fleet/mod.rs held two jobs in 549 lines: what the node believes, and how its copies of the store come from peers. The second stands in control/fleet/copies.rs now; both files are moved lines.

--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -0,0 +1,192 @@
+//! Copies of the store's prefixes, and how they come from peers.
+
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use actix::{AsyncContext, Context};
+use bytes::Bytes;
+use spdlog::info;
+
+use super::FleetState;
+use super::messages::PeerCopy;
+use crate::membership::{CopyVersions, Member};
+use crate::mirror::Mirror;
+use crate::peer::{Subject, encode_update, fetch_update};
+
+/// Pause after a peer did not give its copy; another one's heartbeat comes soon.
+const FETCH_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two fetches of a copy of the servers from a node of the same
+/// zone. With the reader's own pause it is a small part of the time within
+/// which a leaving server must get no new work.
+const GATHER_NEAR: Duration = Duration::from_millis(200);
+/// The same from a node of another zone.
+const GATHER_FAR: Duration = Duration::from_millis(600);
+
+/// A copy of one of the store's prefixes, with what is known of its age.
+#[derive(Default)]
+pub(super) struct Copy {
+    pub(super) mirror: Mirror,
+    pub(super) confirmed: Option<Instant>,
+    pub(super) watch_failing: bool,
+    pub(super) fetching: bool,
+    behind: Option<Behind>,
+    encoded: Option<EncodedUpdate>,
+}
+
+/// What was last told to a peer; others often ask for the same.
+struct EncodedUpdate {
+    at: u64,
+    after: u64,
+    bytes: Bytes,
+}
+
+/// Since when a peer has been known to have more than a copy of this revision.
+#[derive(Clone, Copy)]
+struct Behind {
+    at: u64,
+    since: Instant,
+}
+
+impl Copy {
+    /// Milliseconds since the store last confirmed it; -1 where it never did.
+    pub(super) fn age_millis(&self) -> i64 {
+        self.confirmed.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
+    }
+
+    /// What a copy of revision `after` lacks, as sent to peers; none where
+    /// nothing was read.
+    pub(super) fn encoded_since(&mut self, after: u64) -> Option<Bytes> {
+        let at = self.mirror.at;
+        let known = self.encoded.as_ref().filter(|known| (known.at, known.after) == (at, after));
+        if let Some(known) = known {
+            return Some(known.bytes.clone());
+        }
+        if at == 0 {
+            return None;
+        }
+        let bytes = Bytes::from(encode_update(&self.mirror.since(after)));
+        self.encoded = Some(EncodedUpdate { at, after, bytes: bytes.clone() });
+        Some(bytes)
+    }
+
+    /// Whether a peer is known to have a newer copy.
+    pub(super) fn is_known_behind(&self) -> bool {
+        self.behind.is_some_and(|behind| behind.at == self.mirror.at)
+    }
+
+    /// Notes that a peer has a newer copy; whether one has had it for so long
+    /// while this copy stood still. A watch that the store has forgotten, or
+    /// whose answer a partition holds up, does not fail for many seconds.
+    fn is_behind_for(&mut self, span: Duration) -> bool {
+        let (at, now) = (self.mirror.at, Instant::now());
+        match self.behind {
+            Some(behind) if behind.at == at => now.duration_since(behind.since) >= span,
+            _ => {
+                self.behind = Some(Behind { at, since: now });
+                false
+            }
+        }
+    }
+
+    /// Notes that the store has answered.
+    pub(super) fn confirm(&mut self, subject: Subject) {
+        if self.watch_failing {
+            let (what, age_millis) = (subject.name(), self.age_millis());
+            info!("[store] answers again", kv: { what, age_millis });
+        }
+        self.confirmed = Some(Instant::now());
+        self.watch_failing = false;
+    }
+}
+
+/// How new a peer's copies are.
+pub(super) struct PeerCopies {
+    pub(super) address: SocketAddrV4,
+    pub(super) zone: String,
+    pub(super) versions: CopyVersions,
+}
+
+impl FleetState {
+    /// Asks a peer for its copy where the store does not answer this node and
+    /// the peer's copy is newer.
+    pub(super) fn catch_up(&mut self, peer: &PeerCopies, context: &mut Context<FleetState>) {
+        let newer = [
+            (Subject::Configuration, peer.versions.configuration > self.configuration.version()),
+            (Subject::Servers, peer.versions.servers > self.copies[&Subject::Servers].mirror.at),
+        ];
+        for (subject, newer) in newer {
+            let learns = !self.reads(subject);
+            let copy = self.copy(subject);
+            if learns && peer.versions.confirmed && !newer {
+                copy.confirmed = Some(Instant::now());
+                copy.watch_failing = false;
+            }
+            if !newer {
+                continue;
+            }
+            let was_known = copy.is_known_behind();
+            let stands_still = copy.is_behind_for(watch_lead(subject));
+            let unanswered = copy.watch_failing || copy.confirmed.is_none();
+            let lagging = learns || unanswered || stands_still;
+            let fetching = copy.fetching;
+            if subject == Subject::Configuration && !was_known {
+                self.publish();
+            }
+            if lagging && !fetching && self.may_fetch(subject, peer) {
+                self.copy(subject).fetching = true;
+                let source = self.source_of(subject, peer);
+                self.fetch(subject, source, context);
+            }
+        }
+    }
+
+    /// Whether a peer's copy is asked for now. Changes of the servers come often:
+    /// in a large fleet, those of a moment are asked for together, at a node of
+    /// the same zone if one has them soon.
+    fn may_fetch(&mut self, subject: Subject, peer: &PeerCopies) -> bool {
+        let now = self.now();
+        if subject == Subject::Configuration || self.peers.is_small() {
+            return true;
+        }
+        let near = peer.zone == self.context.settings.zone;
+        let pause = if near { GATHER_NEAR } else { GATHER_FAR };
+        let due = self.servers_fetched.is_none_or(|fetched| now.since(fetched) >= pause);
+        if due {
+            self.servers_fetched = Some(now);
+        }
+        due
+    }
+
+    /// The node whose copy is fetched. A configuration may be large, and all nodes
+    /// that hear of it from one hub want it at once: they spread over the nodes
+    /// that read the store.
+    fn source_of(&self, subject: Subject, peer: &PeerCopies) -> SocketAddrV4 {
+        if subject == Subject::Servers || self.peers.is_small() {
+            return peer.address;
+        }
+        let readers = self.peers.members().iter().filter(|member| member.entry.reads_store);
+        let readers: Vec<SocketAddrV4> = readers.map(Member::address).collect();
+        let place = rand::random_range(0..=readers.len());
+        readers.get(place).copied().unwrap_or(peer.address)
+    }
+
+    fn fetch(&self, subject: Subject, peer: SocketAddrV4, context: &mut Context<FleetState>) {
+        let fleet = context.address();
+        let after = self.copies[&subject].mirror.at;
+        actix_rt::spawn(async move {
+            let result = fetch_update(peer, subject, after).await;
+            if result.is_err() {
+                tokio::time::sleep(FETCH_PAUSE).await;
+            }
+            fleet.do_send(PeerCopy { subject, peer, update: result.ok() });
+        });
+    }
+}
+
+/// Time that this node's own watch has to bring what a peer already has.
+fn watch_lead(subject: Subject) -> Duration {
+    match subject {
+        Subject::Configuration => Duration::from_millis(400),
+        Subject::Servers => Duration::from_millis(900),
+    }
+}
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -9,7 +9,8 @@
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 
-use super::{FleetState, PeerCopies};
+use super::FleetState;
+use super::copies::PeerCopies;
 use crate::control::demand::FleetDemandMeter;
 use crate::dialect::WatchEvent;
 use crate::load::ModelKey;
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! State of the fleet as this node believes it.
 
 mod changes;
+mod copies;
 mod messages;
 
 use std::collections::{BTreeSet, HashMap};
@@ -10,13 +11,12 @@
 use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context};
-use bytes::Bytes;
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::time::Timestamp;
 use spdlog::{error, info};
 
-use self::messages::PeerCopy;
+use self::copies::Copy;
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
     GetDemand, GetNextMessages, GetPeers, GetReadPlan, GetUpdate, GetWatchPlan, NextMessages,
@@ -25,11 +25,8 @@
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
-use crate::membership::{
-    CopyVersions, Heartbeat, Member, Membership, Outgoing, PeerPhase, Placement,
-};
-use crate::mirror::Mirror;
-use crate::peer::{Subject, encode_update, fetch_update};
+use crate::membership::{CopyVersions, Heartbeat, Membership, Outgoing, PeerPhase, Placement};
+use crate::peer::Subject;
 use crate::published::{ClientNode, Phase, PlacementView, Published, StopTimes};
 
 /// How often silent peers are noticed.
@@ -44,103 +41,11 @@
 const READERS: usize = 4;
 /// Nodes that read the servers' entries in a small fleet.
 const READERS_OF_SMALL_FLEET: usize = 3;
-/// Pause after a peer did not give its copy; another one's heartbeat comes soon.
-const FETCH_PAUSE: Duration = Duration::from_millis(50);
-/// Time between two fetches of a copy of the servers from a node of the same
-/// zone. With the reader's own pause it is a small part of the time within
-/// which a leaving server must get no new work.
-const GATHER_NEAR: Duration = Duration::from_millis(200);
-/// The same from a node of another zone.
-const GATHER_FAR: Duration = Duration::from_millis(600);
 /// Least time between two heartbeats that tell the load in a large fleet.
 const LOADS_EACH: Duration = Duration::from_millis(180);
 /// Time between two sums of the other nodes' load.
 const LOAD_PAUSE: Duration = Duration::from_millis(40);
 
-/// A copy of one of the store's prefixes, with what is known of its age.
-#[derive(Default)]
-struct Copy {
-    mirror: Mirror,
-    confirmed: Option<Instant>,
-    watch_failing: bool,
-    fetching: bool,
-    behind: Option<Behind>,
-    encoded: Option<EncodedUpdate>,
-}
-
-/// What was last told to a peer; others often ask for the same.
-struct EncodedUpdate {
-    at: u64,
-    after: u64,
-    bytes: Bytes,
-}
-
-/// Since when a peer has been known to have more than a copy of this revision.
-#[derive(Clone, Copy)]
-struct Behind {
-    at: u64,
-    since: Instant,
-}
-
-impl Copy {
-    /// Milliseconds since the store last confirmed it; -1 where it never did.
-    fn age_millis(&self) -> i64 {
-        self.confirmed.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
-    }
-
-    /// What a copy of revision `after` lacks, as sent to peers; none where
-    /// nothing was read.
-    fn encoded_since(&mut self, after: u64) -> Option<Bytes> {
-        let at = self.mirror.at;
-        let known = self.encoded.as_ref().filter(|known| (known.at, known.after) == (at, after));
-        if let Some(known) = known {
-            return Some(known.bytes.clone());
-        }
-        if at == 0 {
-            return None;
-        }
-        let bytes = Bytes::from(encode_update(&self.mirror.since(after)));
-        self.encoded = Some(EncodedUpdate { at, after, bytes: bytes.clone() });
-        Some(bytes)
-    }
-
-    /// Whether a peer is known to have a newer copy.
-    fn is_known_behind(&self) -> bool {
-        self.behind.is_some_and(|behind| behind.at == self.mirror.at)
-    }
-
-    /// Notes that a peer has a newer copy; whether one has had it for so long
-    /// while this copy stood still. A watch that the store has forgotten, or
-    /// whose answer a partition holds up, does not fail for many seconds.
-    fn is_behind_for(&mut self, span: Duration) -> bool {
-        let (at, now) = (self.mirror.at, Instant::now());
-        match self.behind {
-            Some(behind) if behind.at == at => now.duration_since(behind.since) >= span,
-            _ => {
-                self.behind = Some(Behind { at, since: now });
-                false
-            }
-        }
-    }
-
-    /// Notes that the store has answered.
-    fn confirm(&mut self, subject: Subject) {
-        if self.watch_failing {
-            let (what, age_millis) = (subject.name(), self.age_millis());
-            info!("[store] answers again", kv: { what, age_millis });
-        }
-        self.confirmed = Some(Instant::now());
-        self.watch_failing = false;
-    }
-}
-
-/// How new a peer's copies are.
-struct PeerCopies {
-    address: SocketAddrV4,
-    zone: String,
-    versions: CopyVersions,
-}
-
 /// A server's entry as it was last read.
 #[derive(Clone)]
 struct KnownServer {
@@ -426,69 +331,6 @@
         self.context.board.placement.store(Arc::new(view));
     }
 
-    /// Asks a peer for its copy where the store does not answer this node and
-    /// the peer's copy is newer.
-    fn catch_up(&mut self, peer: &PeerCopies, context: &mut Context<FleetState>) {
-        let newer = [
-            (Subject::Configuration, peer.versions.configuration > self.configuration.version()),
-            (Subject::Servers, peer.versions.servers > self.copies[&Subject::Servers].mirror.at),
-        ];
-        for (subject, newer) in newer {
-            let learns = !self.reads(subject);
-            let copy = self.copy(subject);
-            if learns && peer.versions.confirmed && !newer {
-                copy.confirmed = Some(Instant::now());
-                copy.watch_failing = false;
-            }
-            if !newer {
-                continue;
-            }
-            let was_known = copy.is_known_behind();
-            let stands_still = copy.is_behind_for(watch_lead(subject));
-            let unanswered = copy.watch_failing || copy.confirmed.is_none();
-            let lagging = learns || unanswered || stands_still;
-            let fetching = copy.fetching;
-            if subject == Subject::Configuration && !was_known {
-                self.publish();
-            }
-            if lagging && !fetching && self.may_fetch(subject, peer) {
-                self.copy(subject).fetching = true;
-                let source = self.source_of(subject, peer);
-                self.fetch(subject, source, context);
-            }
-        }
-    }
-
-    /// Whether a peer's copy is asked for now. Changes of the servers come often:
-    /// in a large fleet, those of a moment are asked for together, at a node of
-    /// the same zone if one has them soon.
-    fn may_fetch(&mut self, subject: Subject, peer: &PeerCopies) -> bool {
-        let now = self.now();
-        if subject == Subject::Configuration || self.peers.is_small() {
-            return true;
-        }
-        let near = peer.zone == self.context.settings.zone;
-        let pause = if near { GATHER_NEAR } else { GATHER_FAR };
-        let due = self.servers_fetched.is_none_or(|fetched| now.since(fetched) >= pause);
-        if due {
-            self.servers_fetched = Some(now);
-        }
-        due
-    }
-
-    /// The node whose copy is fetched. A configuration may be large, and all nodes
-    /// that hear of it from one hub want it at once: they spread over the nodes
-    /// that read the store.
-    fn source_of(&self, subject: Subject, peer: &PeerCopies) -> SocketAddrV4 {
-        if subject == Subject::Servers || self.peers.is_small() {
-            return peer.address;
-        }
-        let readers = self.peers.members().iter().filter(|member| member.entry.reads_store);
-        let readers: Vec<SocketAddrV4> = readers.map(Member::address).collect();
-        let place = rand::random_range(0..=readers.len());
-        readers.get(place).copied().unwrap_or(peer.address)
-    }
-
     /// Sums the other nodes' load, unless that was done a moment ago.
     fn sum_load(&mut self) {
         let now = self.now();
@@ -499,18 +341,6 @@
         }
     }
 
-    fn fetch(&self, subject: Subject, peer: SocketAddrV4, context: &mut Context<FleetState>) {
-        let fleet = context.address();
-        let after = self.copies[&subject].mirror.at;
-        actix_rt::spawn(async move {
-            let result = fetch_update(peer, subject, after).await;
-            if result.is_err() {
-                tokio::time::sleep(FETCH_PAUSE).await;
-            }
-            fleet.do_send(PeerCopy { subject, peer, update: result.ok() });
-        });
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         self.peers.tick(now);
@@ -521,14 +351,6 @@
     }
 }
 
-/// Time that this node's own watch has to bring what a peer already has.
-fn watch_lead(subject: Subject) -> Duration {
-    match subject {
-        Subject::Configuration => Duration::from_millis(400),
-        Subject::Servers => Duration::from_millis(900),
-    }
-}
-
 /// Drops servers whose address a later one has: they have ended, though their
 /// entries have not run out yet.
 fn drop_replaced(servers: &mut HashMap<String, KnownServer>) {
