The leader tells each move of a model that a plan holds, with its inputs

Change: one info line a planned move of a model (server, load or unload, model, the model it makes room for, whether from the store, expected seconds, loads left in the window). Adapters, dozens a plan, keep to their answers.

--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -286,6 +286,7 @@
         }
         let loads_left = self.loads_left(service, profile);
         for planned in plan(profile, &servers, &demand, loads_left) {
+            log_planned(&planned, loads_left);
             let now = self.now();
             let unloads_model =
                 planned.order.action == Action::Unload && planned.order.weights.adapter.is_none();
@@ -403,3 +404,18 @@
         servers
     }
 }
+
+/// One line for each move of a model that a plan holds, with what decided it.
+/// Adapters come in dozens a plan and are told by their answers alone.
+fn log_planned(planned: &PlannedOrder, loads_left: usize) {
+    if planned.order.weights.adapter.is_some() {
+        return;
+    }
+    let server = &*planned.server;
+    let action = format!("{:?}", planned.order.action);
+    let model = &*planned.order.weights.model;
+    let makes_room_for = planned.makes_room_for.as_deref().unwrap_or("-");
+    let takes_millis = planned.takes.as_millis() as u64;
+    let from_store = planned.from_store;
+    info!("[leader] a move is planned", kv: { server, action, model, makes_room_for, from_store, takes_millis, loads_left });
+}
