--- a/crates/cometmoor-core/src/gateway/planner/coverage.rs
+++ b/crates/cometmoor-core/src/gateway/planner/coverage.rs
@@ -13,7 +13,7 @@
 const LEAST_CAPACITY: f64 = 0.2;
 /// Seconds for which demand lasts, on average: after a time `t` it is still
 /// there with the probability `exp(-t / DEMAND_LASTS)`.
-const DEMAND_LASTS: f64 = 5.0;
+const DEMAND_LASTS: f64 = 10.0;
 /// Seconds for which a model that nobody holds is missed, on average.
 const MISSING_LASTS: f64 = 40.0;
 /// Requests a second that a model without any copy counts as missing, besides
