Mechanisms of the policy can be switched off one by one in the settings

Change: settings.mechanisms with four switches, all on where the settings are silent: promptAffinity (servers that read the same leading parts are preferred; off, ties go to a server drawn for each request and no shared part counts as kept), earlyRefusal (a request that every server would answer after its objective is refused at once; off, it is sent), waitForServer (a request that finds no server waits a little; off, it does not), modelMoves (the leader moves models; off, only adapters move). A misspelt switch is refused like any unknown field.

--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -285,7 +285,11 @@
             return;
         }
         let loads_left = self.loads_left(service, profile);
+        let moves_models = self.context.settings.mechanisms.model_moves;
         for planned in plan(profile, &servers, &demand, loads_left) {
+            if !moves_models && planned.order.weights.adapter.is_none() {
+                continue;
+            }
             log_planned(&planned, loads_left);
             let now = self.now();
             let unloads_model =
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -35,7 +35,12 @@
         stream: &StreamState,
     ) -> Found {
         let asked = Instant::now();
-        let until = asked + longest_wait(self.route.objective, self.time_left());
+        let mechanisms = self.traffic.settings.mechanisms;
+        let longest = match mechanisms.wait_for_server {
+            true => longest_wait(self.route.objective, self.time_left()),
+            false => Duration::ZERO,
+        };
+        let until = asked + longest;
         loop {
             let found = self.pick(service, tried, stream);
             // Where a server has failed already, there is no use in waiting.
@@ -82,7 +87,7 @@
         };
         let expected = Duration::from_secs_f64(choice.cost.max(0.0) / 1000.0);
         self.expected_millis.set(choice.cost.round());
-        let begun = stream.head_sent;
+        let begun = stream.head_sent || !self.traffic.settings.mechanisms.early_refusal;
         if begun || is_worth_sending(expected, self.route.objective, self.time_left()) {
             return Found::Server(servers[choice.index].clone());
         }
@@ -118,7 +123,10 @@
     }
 
     fn demand(&self) -> Demand {
-        let shared = self.shared_parts().iter().map(|part| part.tokens).sum();
+        let shared = match self.traffic.settings.mechanisms.prompt_affinity {
+            true => self.shared_parts().iter().map(|part| part.tokens).sum(),
+            false => 0,
+        };
         Demand {
             reading_millis: self.reading(self.facts.prompt_tokens).as_secs_f64() * 1000.0,
             shared_millis: self.reading(shared).as_secs_f64() * 1000.0,
@@ -159,6 +167,11 @@
     fn affinity(&self, server: &str) -> u64 {
         let mut hash = Xxh3::new();
         hash.update(server.as_bytes());
+        if !self.traffic.settings.mechanisms.prompt_affinity {
+            // Ties go to a server drawn for each request alone.
+            hash.update(self.facts.id.as_bytes());
+            return hash.digest();
+        }
         if let Some(model) = &self.facts.model {
             hash.update(model.model.as_bytes());
             hash.update(model.adapter.as_deref().unwrap_or_default().as_bytes());
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -58,6 +58,38 @@
     /// Life of the directory's answers, in milliseconds.
     #[serde(default = "default_directory_lifetime")]
     pub directory_lifetime_millis: u64,
+    /// Mechanisms of the policy that may be switched off to measure what each
+    /// is worth; all are on where the object or a field is missing.
+    #[serde(default)]
+    pub mechanisms: MechanismSettings,
+}
+
+/// Mechanisms of the policy, each on unless switched off. Only for measuring
+/// what one is worth: with any of them off, the node serves worse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct MechanismSettings {
+    /// Servers that read the same leading parts of a prompt before are
+    /// preferred, by a hash of the model and those parts.
+    pub prompt_affinity: bool,
+    /// A request that every server would answer after its objective is
+    /// refused at once instead of being sent.
+    pub early_refusal: bool,
+    /// A request that finds no server waits a little for one.
+    pub wait_for_server: bool,
+    /// The leader moves models between servers; adapters move either way.
+    pub model_moves: bool,
+}
+
+impl Default for MechanismSettings {
+    fn default() -> MechanismSettings {
+        MechanismSettings {
+            prompt_affinity: true,
+            early_refusal: true,
+            wait_for_server: true,
+            model_moves: true,
+        }
+    }
 }
 
 /// Bounds that the operator promises.
