--- a/crates/cometmoor-core/src/gateway/planner/coverage.rs
+++ b/crates/cometmoor-core/src/gateway/planner/coverage.rs
@@ -11,13 +11,9 @@
 const MISSED_WHEN_BUSY: f64 = 0.08;
 /// Least part of a server that a copy gets beside other models.
 const LEAST_CAPACITY: f64 = 0.2;
-/// Seconds for which demand that has stood for long lasts, on average: after a
-/// time `t` it is still there with the probability `exp(-t / STANDING_LASTS)`.
-const STANDING_LASTS: f64 = 10.0;
-/// Seconds for which a surge of the last seconds lasts, on average. Bursts and
-/// shifts of demand end about as soon as a copy from the weight store could
-/// come (6 s), so a move for a surge is worth less than one for what stands.
-const SURGE_LASTS: f64 = 3.0;
+/// Seconds for which demand lasts, on average: after a time `t` it is still
+/// there with the probability `exp(-t / DEMAND_LASTS)`.
+const DEMAND_LASTS: f64 = 10.0;
 /// Seconds for which a model that nobody holds is missed, on average.
 const MISSING_LASTS: f64 = 40.0;
 /// Requests a second that a model without any copy counts as missing, besides
@@ -115,14 +111,7 @@
         let span = |lasts: f64| lasts * (worth_left(from, lasts) - worth_left(until, lasts));
         let unreachable = if capacity <= 0.0 { REACHABLE * span(MISSING_LASTS) } else { 0.0 };
         let share = missed_share(self.demand.work, capacity);
-        unreachable + self.demand.requests * share * span(self.demand_lasts())
-    }
-
-    /// Seconds for which what is asked of the model lasts, on average: that of
-    /// demand that stands and that of a surge, weighed by their shares.
-    fn demand_lasts(&self) -> f64 {
-        let standing = self.demand.standing.clamp(0.0, 1.0);
-        SURGE_LASTS + (STANDING_LASTS - SURGE_LASTS) * standing
+        unreachable + self.demand.requests * share * span(DEMAND_LASTS)
     }
 }
 
--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -59,21 +59,12 @@
 }
 
 /// What is asked of a model.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ModelDemand {
     /// Work, in servers that it would keep busy.
     pub work: f64,
     /// Requests a second.
     pub requests: f64,
-    /// Share of the requests, from 0 to 1, that has been asked for long; the
-    /// rest came in the last seconds and is likely to go soon.
-    pub standing: f64,
-}
-
-impl Default for ModelDemand {
-    fn default() -> ModelDemand {
-        ModelDemand { work: 0.0, requests: 0.0, standing: 1.0 }
-    }
 }
 
 /// What is asked for.
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -361,7 +361,6 @@
             let asked = ModelDemand {
                 work: meter.meter.work(key, now),
                 requests: meter.meter.requests(key, now),
-                standing: meter.meter.standing_share(key, now),
             };
             demand.models.insert(model.name.clone(), asked);
             for number in 1..=model.adapters {
