The answer of a peer's copy lives beside the copies it feeds

Cause: control/fleet had an import circle: copies.rs sent the PeerCopy message that messages.rs declared and handled, and messages.rs built the PeerCopies that copies.rs declares.

--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-use actix::{AsyncContext, Context};
+use actix::{AsyncContext, Context, Handler, Message};
 use bytes::Bytes;
 use spdlog::info;
 
 use super::FleetState;
-use super::messages::PeerCopy;
 use crate::membership::{CopyVersions, Member};
-use crate::mirror::Mirror;
+use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::{Subject, encode_update, fetch_update};
 
 /// Pause after a peer did not give its copy; another one's heartbeat comes soon.
@@ -190,3 +189,27 @@
         Subject::Servers => Duration::from_millis(900),
     }
 }
+
+/// A peer's copy, or none where it did not answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct PeerCopy {
+    pub(super) subject: Subject,
+    pub(super) peer: SocketAddrV4,
+    pub(super) update: Option<MirrorUpdate>,
+}
+
+impl Handler<PeerCopy> for FleetState {
+    type Result = ();
+
+    fn handle(&mut self, answer: PeerCopy, _: &mut Context<FleetState>) {
+        let copy = self.copy(answer.subject);
+        copy.fetching = false;
+        let Some(update) = answer.update else { return };
+        if copy.mirror.update(update) {
+            let (what, revision) = (answer.subject.name(), copy.mirror.at);
+            info!("[peers] a newer copy was taken", kv: { what, peer = answer.peer.to_string(), revision });
+            self.take_in(answer.subject);
+        }
+    }
+}
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -17,7 +17,7 @@
 use crate::membership::{
     Digest, Heartbeat, Member, Membership, Message as PeerMessage, Outgoing, PeerChange, Placement,
 };
-use crate::mirror::{Mirror, MirrorUpdate};
+use crate::mirror::Mirror;
 use crate::peer::Subject;
 use crate::published::{Phase, StopTimes};
 
@@ -96,30 +96,6 @@
     }
 }
 
-/// A peer's copy, or none where it did not answer.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub(super) struct PeerCopy {
-    pub(super) subject: Subject,
-    pub(super) peer: SocketAddrV4,
-    pub(super) update: Option<MirrorUpdate>,
-}
-
-impl Handler<PeerCopy> for FleetState {
-    type Result = ();
-
-    fn handle(&mut self, answer: PeerCopy, _: &mut Context<FleetState>) {
-        let copy = self.copy(answer.subject);
-        copy.fetching = false;
-        let Some(update) = answer.update else { return };
-        if copy.mirror.update(update) {
-            let (what, revision) = (answer.subject.name(), copy.mirror.at);
-            info!("[peers] a newer copy was taken", kv: { what, peer = answer.peer.to_string(), revision });
-            self.take_in(answer.subject);
-        }
-    }
-}
-
 /// A datagram of another node.
 #[derive(Message)]
 #[rtype(result = "()")]
