Streams tell their first event's time and their longest pause when they end

Cause: a stream is late by its first event or by a pause between two events; the line of an answered stream told neither, so what made streams late on the lab library deployment could not be told apart from the logs.

Change: the answered line of a stream carries the expected time, the time to the first event and the longest pause; the histogram of pauses no longer counts the wait for the first event as a pause.

--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -336,7 +336,7 @@
         match relay::stream(self, received, stream, meter, &server.pool).await {
             Ok(finish) => {
                 server.note_success(Instant::now());
-                self.log_answered(&server.record().id, 200);
+                self.log_stream_answered(&server.record().id, &stream.pauses);
                 Sent::Finished(finish)
             }
             Err(RelayError::Client) => {
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -1,7 +1,7 @@
 //! Bodies on their way from a server to a client.
 
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use cometmoor_core::gateway::attempts::Attempts;
@@ -128,9 +128,34 @@
     pub head_sent: bool,
     /// Identifier of the last event that the client has whole.
     pub last_event: Option<String>,
+    /// When its events came.
+    pub pauses: EventPauses,
     passed: Option<(Passed, bool)>,
 }
 
+/// When the events of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventPauses {
+    last: Option<Instant>,
+    /// From the request's arrival to the first event.
+    pub until_first: Duration,
+    /// Longest pause between two events.
+    pub longest: Duration,
+}
+
+impl EventPauses {
+    /// Notes an event; returns the pause before it, if it is not the first.
+    fn note(&mut self, received: Instant, now: Instant) -> Option<Duration> {
+        let Some(last) = self.last.replace(now) else {
+            self.until_first = now.saturating_duration_since(received);
+            return None;
+        };
+        let pause = now.saturating_duration_since(last);
+        self.longest = self.longest.max(pause);
+        Some(pause)
+    }
+}
+
 /// Notes the first event of a stream.
 pub struct FirstEvent<'a> {
     /// The request at the server.
@@ -159,7 +184,6 @@
 ) -> Result<Finish, RelayError> {
     let mut pending = BytesMut::new();
     let mut out = Vec::new();
-    let mut last = Instant::now();
     loop {
         while let Some(piece) = next_piece(&mut received)? {
             pending.extend_from_slice(&piece);
@@ -167,11 +191,10 @@
         let done = received.decoder.is_done();
         let events = take_events(&mut pending, done);
         if !events.is_empty() {
-            forward
-                .traffic
-                .metrics
-                .observe(&forward.traffic.metrics.between_events, last.elapsed());
-            last = Instant::now();
+            if let Some(pause) = state.pauses.note(forward.received, Instant::now()) {
+                let metrics = &forward.traffic.metrics;
+                metrics.observe(&metrics.between_events, pause);
+            }
             meter.note(forward);
             push_events(forward, &received, state, &events, &mut out);
         }
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -3,6 +3,7 @@
 use spdlog::{info, warn};
 
 use super::Forward;
+use super::relay::EventPauses;
 
 impl Forward<'_> {
     pub(super) fn log_sent(&self, server: &str, reused: bool) {
@@ -23,8 +24,7 @@
     }
 
     pub(super) fn log_answered(&self, server: &str, status: u16) {
-        self.traffic.metrics.ended("answered", "server", "-");
-        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+        self.note_answered();
         if !crate::log::may_tell_good(self.traffic.started) {
             return;
         }
@@ -37,6 +37,29 @@
         });
     }
 
+    /// A stream that ended whole, with what makes it late: its first event, and
+    /// the longest pause between two events.
+    pub(super) fn log_stream_answered(&self, server: &str, pauses: &EventPauses) {
+        self.note_answered();
+        if !crate::log::may_tell_good(self.traffic.started) {
+            return;
+        }
+        info!("[forward] answered", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            server,
+            expected_millis = self.expected_millis.get(),
+            first_event_millis = pauses.until_first.as_millis() as u64,
+            longest_pause_millis = pauses.longest.as_millis() as u64,
+            age_millis = self.received.elapsed().as_millis() as u64,
+        });
+    }
+
+    fn note_answered(&self) {
+        self.traffic.metrics.ended("answered", "server", "-");
+        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+    }
+
     pub(super) fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
         let fleet = self.traffic.board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
