Demand counts the slots that a model's requests hold

The planner reckoned with prompts alone (30 live requests a second for a server), while a batch of 48 streams of 2.4 s is full at 20 a second, so it took one or two copies for enough.

Change: nodes learn for how long streams hold a slot by the tokens they allow, and tell the leader slots beside prompts; a model's work is the greater of both.

--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -67,6 +67,21 @@
     pub requests: f64,
 }
 
+/// Work of a request that fills a batch, against that of prompts which keep a
+/// server reading: a batch can be filled to about 0.8 before requests wait, a
+/// server can read for about 0.6 of its time before prompts do.
+const SLOT_WEIGHT: f64 = 0.75;
+
+impl ModelDemand {
+    /// From the servers that the reading of prompts keeps busy, those whose
+    /// batches the running requests fill, and the requests a second. Whichever
+    /// is more binds: with short prompts and long answers, batches are full long
+    /// before the reading of prompts fills a server's time.
+    pub fn new(reading: f64, batches: f64, requests: f64) -> ModelDemand {
+        ModelDemand { work: reading.max(batches * SLOT_WEIGHT), requests }
+    }
+}
+
 /// What is asked for.
 #[derive(Clone, Debug, Default)]
 pub struct FleetDemand {
--- a/crates/cometmoor-gateway/src/control/demand.rs
+++ b/crates/cometmoor-gateway/src/control/demand.rs
@@ -24,6 +24,7 @@
 pub struct FleetDemandMeter {
     last: HashMap<(Source, ModelKey), ModelDemand>,
     work: DemandMeter<ModelKey>,
+    slots: DemandMeter<ModelKey>,
     requests: DemandMeter<ModelKey>,
     first: Option<Timestamp>,
 }
@@ -41,6 +42,8 @@
             let work = demand.work_micros.saturating_sub(last.work_micros);
             self.requests.record(*key, requests as f64, now);
             self.work.record(*key, work as f64 / MICROS, now);
+            let slots = demand.slot_micros.saturating_sub(last.slot_micros);
+            self.slots.record(*key, slots as f64 / MICROS, now);
         }
     }
 
@@ -54,6 +57,11 @@
         self.work.rate(key, now)
     }
 
+    /// Slots of servers' batches that a model's requests hold.
+    pub fn slots(&self, key: ModelKey, now: Timestamp) -> f64 {
+        self.slots.rate(key, now)
+    }
+
     /// Requests a second.
     pub fn requests(&self, key: ModelKey, now: Timestamp) -> f64 {
         self.requests.rate(key, now)
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -358,10 +358,11 @@
         let mut demand = FleetDemand { is_known: watched, ..FleetDemand::default() };
         for model in &profile.models {
             let key = model_key(&model.name, None);
-            let asked = ModelDemand {
-                work: meter.meter.work(key, now),
-                requests: meter.meter.requests(key, now),
-            };
+            let asked = ModelDemand::new(
+                meter.meter.work(key, now),
+                meter.meter.slots(key, now) / f64::from(profile.batch_slots.max(1)),
+                meter.meter.requests(key, now),
+            );
             demand.models.insert(model.name.clone(), asked);
             for number in 1..=model.adapters {
                 let adapter = format!("a{number}");
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -49,6 +49,7 @@
             return;
         }
         info!("[forward] answered", kv: {
+        self.learn_stream(pauses);
             request = &*self.facts.id,
             route = &*self.route.name,
             server,
@@ -59,9 +60,12 @@
         });
     }
 
-    fn note_answered(&self) {
-        self.traffic.metrics.ended("answered", "server", "-");
-        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+    /// Learns for how long the model's streams hold a slot.
+    fn learn_stream(&self, pauses: &EventPauses) {
+        let Some(model) = &self.facts.model else { return };
+        let running = self.received.elapsed().saturating_sub(pauses.until_first);
+        let mut paces = self.traffic.paces.borrow_mut();
+        paces.record_stream(&model.model, self.facts.output_tokens, running);
     }
 
     pub(super) fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -16,7 +16,7 @@
 use crate::http::body::BodyDecoder;
 use crate::http::connection::{closed, prepare, read_some, write_all};
 use crate::http::head::{HeadError, RequestHead, take_request};
-use crate::load::model_key;
+use crate::load::{RequestWork, model_key};
 use crate::published::{Phase, Published};
 
 /// Pause after the listener failed.
@@ -250,7 +250,13 @@
 fn record_demand(traffic: &Traffic, facts: &RequestFacts) {
     let Some(model) = &facts.model else { return };
     let now = Instant::now();
-    let work = traffic.paces.borrow().work(&model.model, facts.prompt_tokens);
+    let work = {
+        let paces = traffic.paces.borrow();
+        RequestWork {
+            reading: paces.work(&model.model, facts.prompt_tokens),
+            running: paces.running(&model.model, facts.output_tokens),
+        }
+    };
     traffic.loads.record_demand(model_key(&model.model, None), work, now);
     if let Some(adapter) = &model.adapter {
         traffic.loads.record_demand(model_key(&model.model, Some(adapter)), work, now);
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -109,6 +109,22 @@
     pub requests: u64,
     /// Time that a server takes to read their prompts, in microseconds.
     pub work_micros: u64,
+    /// Time for which they are likely to hold a slot of a server's batch, in
+    /// microseconds.
+    pub slot_micros: u64,
+}
+
+/// What one request is likely to take of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestWork {
+    /// Time to read its prompt.
+    pub reading: Duration,
+    /// Time for which it holds a slot of the batch.
+    pub running: Duration,
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// How long requests are told to wait for weights.
@@ -162,13 +178,14 @@
     }
 
     /// Notes that a model or adapter was asked for.
-    pub fn record_demand(&self, key: ModelKey, work: Duration, now: Instant) {
+    pub fn record_demand(&self, key: ModelKey, work: RequestWork, now: Instant) {
         let fresh = NotedDemand { demand: ModelDemand::default(), changed: now };
         let mut board = self.lock();
         let noted = board.models.entry(key).or_insert(fresh);
         noted.changed = now;
         noted.demand.requests += 1;
-        noted.demand.work_micros += u64::try_from(work.as_micros()).unwrap_or(0);
+        noted.demand.work_micros += micros(work.reading);
+        noted.demand.slot_micros += micros(work.running);
     }
 
     /// Notes that a request waits for a model or adapter.
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -7,7 +7,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 12;
+const FORMAT: u8 = 13;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
