Running streams move with their memory before their model or server goes

Servers taken at short notice cut what they run. Ruled out: orders in doubt (13 of 292), withdrawal itself (0.3 s).

Change: when the leader withdraws a model, or a server leaves, each stream's node has the run's memory copied to another server that holds the model and has a slot free, first while it runs, then for good, and goes on there behind the last event that the client has. It counts as the same run, so routes that forbid repeats allow it; whatever fails after the run was stopped ends the stream as cut. Moves come out of the fleet's budget of repeats.

--- a/crates/cometmoor-core/src/gateway/configuration.rs
+++ b/crates/cometmoor-core/src/gateway/configuration.rs
@@ -124,6 +124,8 @@
     pub host_megabytes: f64,
     /// Weight copies that a server keeps on disk, in megabytes.
     pub disk_megabytes: f64,
+    /// Whether servers copy the memory of a run to one another.
+    pub moves_runs: bool,
 }
 
 impl ModelProfile {
@@ -192,9 +194,9 @@
     /// Bounds on clients.
     pub limits: ClientLimits,
     routes: HashMap<String, Vec<Arc<Route>>>,
+    event_pauses: HashMap<String, Duration>,
 }
 
-    event_pauses: HashMap<String, Duration>,
 impl GatewayConfiguration {
     /// Builds a configuration.
     pub fn new(
@@ -203,9 +205,9 @@
         services: Vec<Service>,
         limits: ClientLimits,
     ) -> GatewayConfiguration {
+        let event_pauses = shortest_pauses(&routes);
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
-        let event_pauses = shortest_pauses(&routes);
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
@@ -223,20 +225,18 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Number of routes.
-    pub fn route_count(&self) -> usize {
     /// Shortest of the pauses that keep the streams of a service's routes in
     /// time; none where no route tells one.
     pub fn shortest_event_pause(&self, service: &str) -> Option<Duration> {
         self.event_pauses.get(service).copied()
     }
 
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
     }
 }
 
-/// The configuration in force; its version only rises.
-#[derive(Clone, Debug, Default)]
 fn shortest_pauses(routes: &[Route]) -> HashMap<String, Duration> {
     let mut pauses: HashMap<String, Duration> = HashMap::new();
     for route in routes {
@@ -249,6 +249,8 @@
     pauses
 }
 
+/// The configuration in force; its version only rises.
+#[derive(Clone, Debug, Default)]
 pub struct ConfigurationInForce {
     current: Option<Arc<GatewayConfiguration>>,
 }
--- a/crates/cometmoor-core/tests/gateway_planner.rs
+++ b/crates/cometmoor-core/tests/gateway_planner.rs
@@ -38,6 +38,7 @@
         loads_per_second: 1.0,
         host_megabytes: 100.0,
         disk_megabytes: 400.0,
+        moves_runs: false,
     }
 }
 
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -72,6 +72,42 @@
     pub urgency: Option<u8>,
     /// The last event that the client has, where a stream goes on.
     pub resume_after: Option<&'a str>,
+    /// The copy of a run's memory from which the stream goes on.
+    pub run_copy: Option<&'a RunCopy>,
+}
+
+/// Asks a server to copy the memory of a run to another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunMove<'a> {
+    /// Incarnation that runs the request.
+    pub server: &'a str,
+    /// Identifier of the request.
+    pub request: &'a str,
+    /// Address of the server that gets the memory.
+    pub target: SocketAddrV4,
+    /// Whether the run stops, so that it can go on at the other server.
+    pub stops_run: bool,
+}
+
+/// A copy of a run's memory that one request may go on from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunCopy {
+    /// Address of the server that ran the request.
+    pub source: SocketAddrV4,
+    /// The source's name for the copy.
+    pub handle: String,
+}
+
+/// What a server answered to a move of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunMoveAnswer {
+    /// The copy is at the other server; the source's name for it.
+    Copied(String),
+    /// There is no room at the other server, or no way there. A run that was
+    /// stopped can go on at its source from the copy of this name.
+    NoRoom(Option<String>),
+    /// The server does not run the request, or is moving it already.
+    NotMoved(u16),
 }
 
 /// Load that a server tells with an answer.
@@ -301,6 +337,10 @@
     fn order(&self, order: &Order<'_>) -> Call;
     /// Reads the answer.
     fn parse_order(&self, answer: &Answer) -> OrderAnswer;
+    /// Asks a model server to copy a run's memory to another one.
+    fn move_run(&self, run_move: &RunMove<'_>) -> Call;
+    /// Reads the answer.
+    fn parse_run_move(&self, answer: &Answer) -> RunMoveAnswer;
     /// Asks a model server for its state.
     fn report(&self, server: &str) -> Call;
     /// Reads the answer.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 use super::{Forward, encode};
-use crate::dialect::SendFacts;
+use crate::dialect::{RunCopy, SendFacts};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::read_some;
 use crate::http::head::{AnswerHead, take_answer};
@@ -111,12 +111,14 @@
         record: &Arc<ServerRecord>,
         lent: Lent,
         resume_after: Option<&str>,
+        run_copy: Option<&RunCopy>,
     ) -> Result<Received, SendError> {
         let facts = SendFacts {
             server: &record.id,
             time_left: self.time_left(),
             urgency: self.facts.model.as_ref().map(|_| self.route.priority),
             resume_after,
+            run_copy,
         };
         let dialect = &*self.traffic.dialect;
         let bytes = encode::request(dialect, self.head, self.body, &facts);
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod encode;
 mod exchange;
+mod migration;
 mod outcome;
 mod pick;
 mod relay;
@@ -25,12 +26,13 @@
 use tokio::net::TcpStream;
 
 use self::exchange::{Received, SendError};
+use self::migration::Continuation;
 use self::outcome::Refusal;
 pub use self::outcome::{Finish, OwnAnswer};
 use self::pick::{Estimate, Found};
 use self::relay::{FirstEvent, RelayError, StreamState};
 pub use self::traffic::Traffic;
-use crate::dialect::RequestFacts;
+use crate::dialect::{RequestFacts, RunCopy};
 use crate::http::head::RequestHead;
 use crate::load::PendingWork;
 use crate::published::Phase;
@@ -95,6 +97,19 @@
     ServerError(Box<Received>, Vec<u8>),
     /// The stream broke after events went to the client.
     Broken,
+    /// The run was moved; the stream goes on there.
+    Moved(Continuation),
+}
+
+impl Sent {
+    /// The same for a stream that was to go on from a copy: whatever failed, the
+    /// client has a part of it, and another run may not take its place.
+    fn of_continuation(self) -> Sent {
+        match self {
+            Sent::Finished(_) | Sent::Moved(_) => self,
+            _ => Sent::Broken,
+        }
+    }
 }
 
 impl<'a> Forward<'a> {
@@ -173,7 +188,17 @@
         let mut unreachable = 0;
         let mut stream = StreamState::default();
         let mut kept_error = None;
+        let mut moved: Option<Continuation> = None;
         loop {
+            if let Some(Continuation { server, copy }) = moved.take() {
+                match self.send(&server, &mut stream, Some(&copy)).await.of_continuation() {
+                    Sent::Finished(finish) => return finish,
+                    Sent::Moved(continuation) => moved = Some(continuation),
+                    _ if self.may_follow_broken_stream(service, &server) => {}
+                    _ => return Finish::Cut,
+                }
+                continue;
+            }
             let server = match self.wait_for_server(service, &tried, &stream).await {
                 Found::Server(server) | Found::Disturbed(server) => server,
                 Found::TooBusy(expected) => {
@@ -186,8 +211,9 @@
             };
             let record = server.record();
             tried.push(record.id.clone());
-            match self.send(&server, &mut stream).await {
+            match self.send(&server, &mut stream, None).await {
                 Sent::Finished(finish) => return finish,
+                Sent::Moved(continuation) => moved = Some(continuation),
                 Sent::Unreachable => {
                     unreachable += 1;
                     if unreachable >= MAX_UNREACHABLE {
@@ -219,9 +245,7 @@
                     kept_error = Some((received, body));
                 }
                 Sent::Broken => {
-                    self.log_failure("broken", "stream", &record.id, "the stream broke off");
-                    if !self.may_send_again(service, Failure::StreamBroken) {
-                        self.traffic.metrics.ended("cut", "stream", "the stream broke off");
+                    if !self.may_follow_broken_stream(service, &server) {
                         return Finish::Cut;
                     }
                 }
@@ -229,6 +253,16 @@
         }
     }
 
+    /// Whether a stream of which the client has a part may go on as another run.
+    fn may_follow_broken_stream(&self, service: &str, server: &Server) -> bool {
+        self.log_failure("broken", "stream", &server.record().id, "the stream broke off");
+        let follows = self.may_send_again(service, Failure::StreamBroken);
+        if !follows {
+            self.traffic.metrics.ended("cut", "stream", "the stream broke off");
+        }
+        follows
+    }
+
     fn may_send_again(&self, service: &str, failure: Failure) -> bool {
         let allowed = self.attempts.get().may_follow(failure) && self.traffic.may_repeat(service);
         if allowed {
@@ -264,7 +298,13 @@
         }
     }
 
-    async fn send(&self, server: &Rc<Server>, stream: &mut StreamState) -> Sent {
+    /// Sends the request to a server, or lets it go on there from a copy.
+    async fn send(
+        &self,
+        server: &Rc<Server>,
+        stream: &mut StreamState,
+        copy: Option<&RunCopy>,
+    ) -> Sent {
         let record = server.record();
         let asked = Instant::now();
         let checkout = server.pool.checkout(self.time_left()).await;
@@ -280,18 +320,25 @@
         if !server.takes_work() {
             return Sent::Unreachable;
         }
-        let sent_at = self.traffic.is_idle(&record.id).then(Instant::now);
-        let reading = self.reading(self.facts.prompt_tokens);
-        let pending = PendingWork::of(reading, self.route.priority);
+        let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.id);
+        let sent_at = waits_for_nobody.then(Instant::now);
+        let pending = match copy {
+            Some(_) => PendingWork::default(),
+            None => self.pending_work(),
+        };
         let mut guard = self.traffic.loads.sent(&record.id, pending);
-        self.note(Attempts::begin_send);
+        if copy.is_none() {
+            self.note(Attempts::begin_send);
+        }
         self.server.replace(Some(record.id.clone()));
         self.log_sent(&record.id, lent.reused);
         let received =
-            match self.exchange(server, &record, lent, stream.last_event.as_deref()).await {
+            match self.exchange(server, &record, lent, stream.last_event.as_deref(), copy).await {
                 Ok(received) => received,
                 Err(SendError::NotSent(_)) => {
-                    self.note(Attempts::note_not_sent);
+                    if copy.is_none() {
+                        self.note(Attempts::note_not_sent);
+                    }
                     return Sent::Unreachable;
                 }
                 Err(error) => {
@@ -305,7 +352,9 @@
             let (status, misdirected) = (received.head.status, facts.misdirected);
             self.note_not_run(server, misdirected);
             let _ = received.drain(&server.pool).await;
-            self.note(Attempts::note_not_run);
+            if copy.is_none() {
+                self.note(Attempts::note_not_run);
+            }
             return Sent::NotRun { status, misdirected };
         }
         let success = (200..300).contains(&received.head.status);
@@ -317,6 +366,11 @@
         self.relay_answer(server, received, stream).await
     }
 
+    /// The prompt as work that waits at a server.
+    fn pending_work(&self) -> PendingWork {
+        PendingWork::of(self.reading(self.facts.prompt_tokens), self.route.priority)
+    }
+
     fn note_not_run(&self, server: &Server, misdirected: bool) {
         let now = Instant::now();
         match (&self.facts.model, misdirected) {
@@ -333,7 +387,7 @@
         stream: &mut StreamState,
         meter: &mut FirstEvent<'_>,
     ) -> Sent {
-        match relay::stream(self, received, stream, meter, &server.pool).await {
+        match relay::stream(self, received, stream, meter, server).await {
             Ok(finish) => {
                 server.note_success(Instant::now());
                 self.log_stream_answered(&server.record().id, &stream.pauses);
@@ -344,6 +398,7 @@
                 self.log_failure("client left", "stream", &server.record().id, reason);
                 Sent::Finished(Finish::Cut)
             }
+            Err(RelayError::Moved(continuation)) => Sent::Moved(continuation),
             Err(RelayError::Server(error)) => {
                 server.note_failure(Instant::now());
                 if stream.head_sent { Sent::Broken } else { Sent::Failed(SendError::Broken(error)) }
@@ -404,9 +459,9 @@
 
     /// Tells the client that the request was not run and when to come back.
     async fn refuse(&self, refusal: Refusal, come_back: Duration) -> Finish {
-        self.log_failure("refused", "queue", "-", refusal.name());
-        self.traffic.metrics.ended("refused", "queue", refusal.name());
         let after = come_back_in(come_back, self.client_time_left());
+        self.log_refused(refusal.name(), after);
+        self.traffic.metrics.ended("refused", "queue", refusal.name());
         self.answer(OwnAnswer::not_run(after)).await
     }
 
@@ -421,5 +476,3 @@
         self.write(&bytes, keep).await
     }
 }
-        self.log_refused(refusal.name(), after);
-        self.traffic.metrics.ended("refused", "queue", refusal.name());
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -141,11 +141,11 @@
         }
     }
 
-    fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
+    pub(super) fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
         self.facts.model.as_ref().is_none_or(|model| server.holds(model, placement, now))
     }
 
-    fn cost_model(&self) -> &'static CostModel {
+    pub(super) fn cost_model(&self) -> &'static CostModel {
         match self.facts.model {
             Some(_) => &CostModel::ENGINE,
             None => &CostModel::PLAIN,
@@ -182,7 +182,7 @@
         }
     }
 
-    fn candidate(&self, server: &Server, now: Instant) -> Candidate {
+    pub(super) fn candidate(&self, server: &Server, now: Instant) -> Candidate {
         let record = server.record();
         let own = self.traffic.loads.of(&record.id);
         let remote = self.traffic.board.remote_load.load();
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -1,6 +1,7 @@
 //! Bodies on their way from a server to a client.
 
 use std::io;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -8,11 +9,13 @@
 
 use super::encode::{self, Passed};
 use super::exchange::{Received, invalid};
+use super::migration::{Continuation, Migration};
 use super::{Finish, Forward};
 use crate::http::connection::write_all;
 use crate::http::head::Framing;
 use crate::load::Sent;
 use crate::pool::Pool;
+use crate::servers::Server;
 
 /// Largest body that is read whole before it is passed on, in bytes.
 const MAX_COLLECTED_BYTES: usize = 64 << 10;
@@ -20,12 +23,13 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Which side broke off.
-#[derive(Debug)]
-pub enum RelayError {
+pub(super) enum RelayError {
     /// The client.
     Client,
     /// The server.
     Server(io::Error),
+    /// Neither: the run goes on at another server.
+    Moved(Continuation),
 }
 
 /// A body, or the beginning of a long one.
@@ -175,13 +179,15 @@
 }
 
 /// Passes a stream on, whole events only.
-pub async fn stream(
+pub(super) async fn stream(
     forward: &Forward<'_>,
     mut received: Received,
     state: &mut StreamState,
     meter: &mut FirstEvent<'_>,
-    pool: &Pool,
+    server: &Rc<Server>,
 ) -> Result<Finish, RelayError> {
+    let pool = &server.pool;
+    let mut migration = Migration::new(forward, server);
     let mut pending = BytesMut::new();
     let mut out = Vec::new();
     loop {
@@ -208,7 +214,14 @@
         if pending.len() > MAX_EVENT_BYTES {
             return Err(RelayError::Server(invalid()));
         }
-        if !received.read_more().await.map_err(RelayError::Server)? {
+        migration.begin_if_wanted(state);
+        let more = migration.read_more(&mut received).await;
+        if !matches!(more, Ok(true)) {
+            // A run that was moved has ended its connection, whatever its framing.
+            if let Some(continuation) = migration.finish().await {
+                return Err(RelayError::Moved(continuation));
+            }
+            more.map_err(RelayError::Server)?;
             if !received.decoder.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -1,20 +1,24 @@
 //! Log lines that tell a request's story.
 
+use std::time::Duration;
+
 use spdlog::{info, warn};
 
 use super::Forward;
 use super::relay::EventPauses;
+use crate::dialect::RunMoveAnswer;
+use crate::metrics::StateLabels;
 
 impl Forward<'_> {
     pub(super) fn log_sent(&self, server: &str, reused: bool) {
         if !crate::log::may_tell_good(self.traffic.started) {
             return;
         }
+        let estimate = self.estimate.get();
         info!("[forward] sent", kv: {
             request = &*self.facts.id,
             route = &*self.route.name,
             model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
-        let estimate = self.estimate.get();
             server,
             reused,
             sends = self.attempts.get().sends(),
@@ -45,11 +49,11 @@
     /// the longest pause between two events.
     pub(super) fn log_stream_answered(&self, server: &str, pauses: &EventPauses) {
         self.note_answered();
+        self.learn_stream(pauses);
         if !crate::log::may_tell_good(self.traffic.started) {
             return;
         }
         info!("[forward] answered", kv: {
-        self.learn_stream(pauses);
             request = &*self.facts.id,
             route = &*self.route.name,
             server,
@@ -68,23 +72,31 @@
         paces.record_stream(&model.model, self.facts.output_tokens, running);
     }
 
-    pub(super) fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
-        let fleet = self.traffic.board.fleet.load();
-        let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
-        warn!("[forward] {what}", kv: {
+    /// A run that was stopped to go on elsewhere, with the answer to its move.
+    pub(super) fn log_move(&self, from: &str, to: &str, reason: &str, answer: &RunMoveAnswer) {
+        let outcome = match answer {
+            RunMoveAnswer::Copied(_) => "moved",
+            RunMoveAnswer::NoRoom(_) => "no room",
+            RunMoveAnswer::NotMoved(_) => "not moved",
+        };
+        self.traffic.metrics.run_moves.get_or_create(&StateLabels { state: outcome }).inc();
+        info!("[forward] a run is moved", kv: {
             request = &*self.facts.id,
             route = &*self.route.name,
-            step,
-            server,
+            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
+            from,
+            to,
             reason,
-            sends = self.attempts.get().sends(),
+            outcome,
             age_millis = self.received.elapsed().as_millis() as u64,
-            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
-            configuration = version,
-            servers = fleet.servers.len() as u64,
         });
     }
-}
+
+    fn note_answered(&self) {
+        self.traffic.metrics.ended("answered", "server", "-");
+        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+    }
+
     /// A refusal with what decided it. Where servers held the model, the best of
     /// them is told; `candidates` is 0 where none did.
     pub(super) fn log_refused(&self, reason: &str, come_back: Duration) {
@@ -109,3 +121,20 @@
         });
     }
 
+    pub(super) fn log_failure(&self, what: &str, step: &str, server: &str, reason: &str) {
+        let fleet = self.traffic.board.fleet.load();
+        let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
+        warn!("[forward] {what}", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            step,
+            server,
+            reason,
+            sends = self.attempts.get().sends(),
+            age_millis = self.received.elapsed().as_millis() as u64,
+            model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
+            configuration = version,
+            servers = fleet.servers.len() as u64,
+        });
+    }
+}
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Sends to servers beyond the first of a request.
     pub repeats: Counter,
+    /// Runs that were stopped to go on at another server, by what came of it.
+    pub run_moves: Family<StateLabels, Counter>,
     /// Time in the queue for a server.
     pub queue: Histogram,
     /// Time to get a connection to a server.
@@ -79,6 +81,7 @@
             registry: Registry::with_prefix("cometmoor"),
             requests: Family::default(),
             repeats: Counter::default(),
+            run_moves: Family::default(),
             queue: histogram(),
             connect: histogram(),
             first_byte: histogram(),
@@ -103,6 +106,7 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("repeats", "Sends beyond a request's first", self.repeats.clone());
+        registry.register("run_moves", "Runs moved to other servers", self.run_moves.clone());
         let times = [
             ("queue_seconds", "Time in the queue for a server", &self.queue),
             ("connect_seconds", "Time to get a connection to a server", &self.connect),
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -10,6 +10,7 @@
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 
 use crate::dialect::ModelName;
+use crate::http::client::CallClient;
 use crate::load::{ModelKey, ServerKey, model_key, server_key};
 use crate::pool::Pool;
 use crate::published::{PlacementView, Published};
@@ -30,6 +31,8 @@
     record: RefCell<Arc<ServerRecord>>,
     /// Connections to it.
     pub pool: Pool,
+    /// Calls beside the requests.
+    pub calls: CallClient,
     gone: Cell<bool>,
     paused_until: Cell<Option<Instant>>,
     pauses: Cell<u32>,
@@ -41,9 +44,11 @@
 impl Server {
     fn new(record: Arc<ServerRecord>) -> Server {
         let pool = Pool::new(record.address);
+        let calls = CallClient::new(record.address);
         Server {
             record: RefCell::new(record),
             pool,
+            calls,
             gone: Cell::new(false),
             paused_until: Cell::new(None),
             pauses: Cell::new(0),
