Lab: an emulator of the systems served, and an experiment tool on the product's core

Change: cometmoor-lab experiment and compare. Model servers with batches, prompts read between tokens, memory, prompt parts kept, weights and copies on disk; clients with a second try; demand shifts, crashes, notices, slow servers, bursts. The choice of servers, admission, refusals, demand and plans are the product's own code (cometmoor-core, the load and pace tables of the gateway); baselines are least-loaded, static, reactive, and one with eight seconds of foresight; each mechanism can be left out by its name in the settings.

--- a/crates/cometmoor-lab/src/flags.rs
+++ b/crates/cometmoor-lab/src/flags.rs
@@ -35,6 +35,29 @@
             /// Prints JSON.
             optional --json
         }
+        /// Plays an emulated day under one policy.
+        cmd experiment {
+            /// Scenario file.
+            required --scenario scenario: PathBuf
+            /// Seed of the arrivals.
+            optional --seed seed: u64
+            /// product, least-loaded, static, reactive, foresight, or
+            /// product-without-MECHANISM.
+            optional --policy policy: String
+            /// Prints JSON.
+            optional --json
+        }
+        /// Plays the same emulated days under several policies.
+        cmd compare {
+            /// Scenario file.
+            required --scenario scenario: PathBuf
+            /// First and last seed, as in 1..8.
+            optional --seeds seeds: String
+            /// Names of policies, separated by commas; all without it.
+            optional --policies policies: String
+            /// Prints JSON.
+            optional --json
+        }
         /// Sends a system through a schedule of faults and counts violations.
         cmd faults {
             /// Seed of the schedule.
--- a/crates/cometmoor-lab/src/lib.rs
+++ b/crates/cometmoor-lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod cluster;
+pub mod emulator;
 pub mod faults;
 pub mod flags;
 pub mod memory;
--- a/crates/cometmoor-lab/src/main.rs
+++ b/crates/cometmoor-lab/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use cometmoor_lab::emulator::command::{compare, experiment};
 use cometmoor_lab::flags::{CometmoorLab, CometmoorLabCmd};
 use cometmoor_lab::scale::ScaleRun;
 
@@ -26,6 +27,12 @@
             };
             cometmoor_lab::scale::main(run, scale.json)
         }
+        CometmoorLabCmd::Experiment(run) => {
+            experiment(&run.scenario, run.policy.as_deref(), run.seed, run.json)
+        }
+        CometmoorLabCmd::Compare(run) => {
+            compare(&run.scenario, run.policies.as_deref(), run.seeds.as_deref(), run.json)
+        }
         CometmoorLabCmd::Faults(faults) => {
             cometmoor_lab::faults::command::main(faults.seed, faults.fault.as_deref(), faults.json)
         }
