--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -123,6 +123,8 @@
         if !self.traffic.settings.mechanisms.run_migration {
             return None;
         }
+        // Without other requests nobody else brings the table up to date.
+        self.traffic.servers.borrow_mut().update(&self.traffic.board.fleet.load());
         if !source.takes_work() {
             return Some(MoveReason::ServerLeaves);
         }
