A model that a server denies again and again is tried ever more rarely

Ruled out: copies of the entry that lag between nodes (all nodes had the same one).

Change: a denial counts for 0.7 s as before, and twice as long each time it is repeated, 12 s at most, until a newer entry tells of other models; a model that the leader has just announced is tried after 0.7 s.

--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -23,8 +23,42 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Weight of the newest answer among the recent ones.
 const NEWEST_WEIGHT: f64 = 0.15;
-/// Time for which a model counts as missing after the server said so.
+/// Time for which a model counts as missing after the server said so: about as
+/// long as its entry may lag behind.
 const MISSING_FOR: Duration = Duration::from_millis(700);
+/// The same at the most, where it says so again and again while its entry tells
+/// otherwise: entries stand still while the store is down. Each such answer
+/// refuses a request that may go to one server only.
+const MISSING_FOR_AT_MOST: Duration = Duration::from_secs(12);
+
+/// A model that a server said it does not hold.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    noted: Instant,
+    pause: Duration,
+}
+
+impl Missing {
+    fn first(now: Instant) -> Missing {
+        Missing { noted: now, pause: MISSING_FOR }
+    }
+
+    /// Whether the model counts as missing. Where the leader tells that the
+    /// server has just got it, only for as long as that may cross the denial.
+    fn counts(self, now: Instant, was_added: bool) -> bool {
+        let pause = if was_added { MISSING_FOR } else { self.pause };
+        now < self.noted + pause
+    }
+
+    /// The server has said so once more, after the model was tried again.
+    fn again(self, now: Instant) -> Missing {
+        if self.counts(now, false) {
+            return self;
+        }
+        let pause = (self.pause * 2).min(MISSING_FOR_AT_MOST);
+        Missing { noted: now, pause }
+    }
+}
 
 /// One incarnation of a server.
 pub struct Server {
@@ -38,7 +72,7 @@
     pauses: Cell<u32>,
     failure_share: Cell<f64>,
     failure_noted: Cell<Instant>,
-    missing: RefCell<HashMap<ModelKey, Instant>>,
+    missing: RefCell<HashMap<ModelKey, Missing>>,
 }
 
 impl Server {
@@ -116,7 +150,18 @@
     /// Notes that the server said it does not hold the model or adapter.
     pub fn note_missing(&self, model: &ModelName, now: Instant) {
         let key = model_key(&model.model, model.adapter.as_deref());
-        self.missing.borrow_mut().insert(key, now + MISSING_FOR);
+        let mut missing = self.missing.borrow_mut();
+        let known = missing.get(&key).map(|known| known.again(now));
+        missing.insert(key, known.unwrap_or_else(|| Missing::first(now)));
+    }
+
+    /// Takes its newer entry; what it said before is forgotten where that tells
+    /// of other models.
+    fn take_record(&self, record: &Arc<ServerRecord>) {
+        if self.record.borrow().models != record.models {
+            self.missing.borrow_mut().clear();
+        }
+        self.record.replace(record.clone());
     }
 
     /// Whether it holds the model, and the adapter where one is named, as far
@@ -143,8 +188,11 @@
         placement: &PlacementView,
         now: Instant,
     ) -> bool {
-        let said_missing = self.missing.borrow().get(&key).is_some_and(|until| now < *until);
-        !said_missing && !placement.withdrawn.contains(&(server, key))
+        let place = (server, key);
+        let was_added = placement.added.contains(&place);
+        let missing = self.missing.borrow().get(&key).copied();
+        let is_missing = missing.is_some_and(|missing| missing.counts(now, was_added));
+        !is_missing && !placement.withdrawn.contains(&place)
     }
 }
 
@@ -168,7 +216,7 @@
         for record in &fleet.servers {
             let server = match self.by_id.remove(&record.id) {
                 Some(server) => {
-                    server.record.replace(record.clone());
+                    server.take_record(record);
                     server
                 }
                 None => Rc::new(Server::new(record.clone())),
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/servers.rs
@@ -0,0 +1,59 @@
+//! What a node remembers of a server beside its entry.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cometmoor_core::gateway::registry::{HeldModel, ServerRecord, ServerState};
+use cometmoor_gateway::dialect::ModelName;
+use cometmoor_gateway::published::{PlacementView, Published};
+use cometmoor_gateway::servers::ServerTable;
+
+fn record(models: &[&str]) -> ServerRecord {
+    let held = |name: &&str| HeldModel { name: (*name).to_owned(), adapters: Vec::new() };
+    ServerRecord {
+        id: "i-1".into(),
+        service: "app".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
+        zone: "zone-a".to_owned(),
+        software: "v1".to_owned(),
+        slots: 8,
+        state: ServerState::Ready,
+        models: models.iter().map(held).collect(),
+        in_host_memory: Vec::new(),
+        on_disk: Vec::new(),
+        remaining: None,
+    }
+}
+
+fn publish(table: &mut ServerTable, generation: u64, models: &[&str]) {
+    let servers = vec![Arc::new(record(models))];
+    table.update(&Published { generation, servers, ..Published::default() });
+}
+
+/// While the store is down, a server's entry goes on to tell of a model that was
+/// unloaded: it is tried again ever more rarely, and at once when a newer entry
+/// tells of other models.
+#[test]
+fn a_model_that_a_server_denies_again_and_again_is_tried_ever_more_rarely() {
+    let mut table = ServerTable::default();
+    publish(&mut table, 1, &["m", "n"]);
+    let server = table.of_service("app")[0].clone();
+    let model = ModelName { model: "m".to_owned(), adapter: None };
+    let view = PlacementView::default();
+    let mut now = Instant::now();
+    let mut tries = 0;
+    for _ in 0..200 {
+        now += Duration::from_millis(100);
+        if server.holds(&model, &view, now) {
+            tries += 1;
+            server.note_missing(&model, now);
+            server.note_missing(&model, now);
+        }
+    }
+    assert!((4..=6).contains(&tries), "{tries} tries in 20 s; 28 with a pause of 0.7 s");
+    let other = ModelName { model: "n".to_owned(), adapter: None };
+    assert!(server.holds(&other, &view, now));
+    publish(&mut table, 2, &["m"]);
+    assert!(server.holds(&model, &view, now), "its entry is newer");
+}
