--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -15,8 +15,8 @@
 
 use cometmoor_core::gateway::selection::select;
 
+use super::Forward;
 use super::exchange::Received;
-use super::{Forward, relay::StreamState};
 use crate::dialect::{RunCopy, RunMove, RunMoveAnswer};
 use crate::load::{PendingWork, model_key, server_key};
 use crate::servers::Server;
@@ -78,10 +78,10 @@
 
     /// Begins to move the run, if it should leave its server and another one
     /// can take it. To be called behind each event that the client has.
-    pub(super) fn begin_if_wanted(&mut self, stream: &StreamState) {
+    pub(super) fn begin_if_wanted(&mut self) {
         let State::Staying(look) = self.state else { return };
         let now = Instant::now();
-        if now < look || stream.last_event.is_none() {
+        if now < look {
             return;
         }
         let Some(reason) = self.forward.reason_to_move(self.source) else { return };
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -10,11 +10,11 @@
 mod outcome;
 mod pick;
 mod relay;
+mod send;
 mod story;
 mod traffic;
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,16 +25,16 @@
 use spdlog::info;
 use tokio::net::TcpStream;
 
-use self::exchange::{Received, SendError};
+use self::exchange::Received;
 use self::migration::Continuation;
 use self::outcome::Refusal;
 pub use self::outcome::{Finish, OwnAnswer};
 use self::pick::{Estimate, Found};
-use self::relay::{FirstEvent, RelayError, StreamState};
+use self::relay::StreamState;
+use self::send::Sent;
 pub use self::traffic::Traffic;
-use crate::dialect::{RequestFacts, RunCopy};
+use crate::dialect::RequestFacts;
 use crate::http::head::RequestHead;
-use crate::load::PendingWork;
 use crate::published::Phase;
 use crate::servers::Server;
 
@@ -83,35 +83,6 @@
     }
 }
 
-/// What became of one send.
-enum Sent {
-    /// The client has its answer, or what there is of it.
-    Finished(Finish),
-    /// Nothing left for the server.
-    Unreachable,
-    /// The server did not run the request.
-    NotRun { status: u16, misdirected: bool },
-    /// The request may have run; nothing went to the client.
-    Failed(SendError),
-    /// The server's own failure, whole.
-    ServerError(Box<Received>, Vec<u8>),
-    /// The stream broke after events went to the client.
-    Broken,
-    /// The run was moved; the stream goes on there.
-    Moved(Continuation),
-}
-
-impl Sent {
-    /// The same for a stream that was to go on from a copy: whatever failed, the
-    /// client has a part of it, and another run may not take its place.
-    fn of_continuation(self) -> Sent {
-        match self {
-            Sent::Finished(_) | Sent::Moved(_) => self,
-            _ => Sent::Broken,
-        }
-    }
-}
-
 impl<'a> Forward<'a> {
     /// A request that was read whole.
     pub fn new(
@@ -298,150 +269,6 @@
         }
     }
 
-    /// Sends the request to a server, or lets it go on there from a copy.
-    async fn send(
-        &self,
-        server: &Rc<Server>,
-        stream: &mut StreamState,
-        copy: Option<&RunCopy>,
-    ) -> Sent {
-        let record = server.record();
-        let asked = Instant::now();
-        let checkout = server.pool.checkout(self.time_left()).await;
-        self.traffic.metrics.observe(&self.traffic.metrics.connect, asked.elapsed());
-        let lent = match checkout {
-            Ok(lent) => lent,
-            Err(error) => {
-                server.note_unreachable(Instant::now());
-                self.log_failure("unreachable", "connect", &record.id, &error.to_string());
-                return Sent::Unreachable;
-            }
-        };
-        if !server.takes_work() {
-            return Sent::Unreachable;
-        }
-        let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.id);
-        let sent_at = waits_for_nobody.then(Instant::now);
-        let pending = match copy {
-            Some(_) => PendingWork::default(),
-            None => self.pending_work(),
-        };
-        let mut guard = self.traffic.loads.sent(&record.id, pending);
-        if copy.is_none() {
-            self.note(Attempts::begin_send);
-        }
-        self.server.replace(Some(record.id.clone()));
-        self.log_sent(&record.id, lent.reused);
-        let received =
-            match self.exchange(server, &record, lent, stream.last_event.as_deref(), copy).await {
-                Ok(received) => received,
-                Err(SendError::NotSent(_)) => {
-                    if copy.is_none() {
-                        self.note(Attempts::note_not_sent);
-                    }
-                    return Sent::Unreachable;
-                }
-                Err(error) => {
-                    server.note_failure(Instant::now());
-                    return Sent::Failed(error);
-                }
-            };
-        self.traffic.metrics.observe(&self.traffic.metrics.first_byte, self.received.elapsed());
-        let facts = self.traffic.dialect.answer_facts(&received.head);
-        if facts.not_run {
-            let (status, misdirected) = (received.head.status, facts.misdirected);
-            self.note_not_run(server, misdirected);
-            let _ = received.drain(&server.pool).await;
-            if copy.is_none() {
-                self.note(Attempts::note_not_run);
-            }
-            return Sent::NotRun { status, misdirected };
-        }
-        let success = (200..300).contains(&received.head.status);
-        if self.route.repeat.is_stream() && success {
-            let mut meter = FirstEvent { guard: &mut guard, sent_at };
-            return self.relay_stream(server, received, stream, &mut meter).await;
-        }
-        guard.first_event();
-        self.relay_answer(server, received, stream).await
-    }
-
-    /// The prompt as work that waits at a server.
-    fn pending_work(&self) -> PendingWork {
-        PendingWork::of(self.reading(self.facts.prompt_tokens), self.route.priority)
-    }
-
-    fn note_not_run(&self, server: &Server, misdirected: bool) {
-        let now = Instant::now();
-        match (&self.facts.model, misdirected) {
-            (Some(model), true) => server.note_missing(model, now),
-            (None, true) => server.note_replaced(),
-            (_, false) => {}
-        }
-    }
-
-    async fn relay_stream(
-        &self,
-        server: &Rc<Server>,
-        received: Received,
-        stream: &mut StreamState,
-        meter: &mut FirstEvent<'_>,
-    ) -> Sent {
-        match relay::stream(self, received, stream, meter, server).await {
-            Ok(finish) => {
-                server.note_success(Instant::now());
-                self.log_stream_answered(&server.record().id, &stream.pauses);
-                Sent::Finished(finish)
-            }
-            Err(RelayError::Client) => {
-                let reason = "the client takes no more bytes";
-                self.log_failure("client left", "stream", &server.record().id, reason);
-                Sent::Finished(Finish::Cut)
-            }
-            Err(RelayError::Moved(continuation)) => Sent::Moved(continuation),
-            Err(RelayError::Server(error)) => {
-                server.note_failure(Instant::now());
-                if stream.head_sent { Sent::Broken } else { Sent::Failed(SendError::Broken(error)) }
-            }
-        }
-    }
-
-    async fn relay_answer(
-        &self,
-        server: &Rc<Server>,
-        mut received: Received,
-        stream: &StreamState,
-    ) -> Sent {
-        let status = received.head.status;
-        if stream.head_sent {
-            // A stream that went on elsewhere got a failure for an answer.
-            return Sent::Broken;
-        }
-        let collected = match relay::collect(&mut received).await {
-            Ok(collected) => collected,
-            Err(error) => {
-                server.note_failure(Instant::now());
-                return Sent::Failed(SendError::Broken(error));
-            }
-        };
-        if !collected.whole {
-            let finish = relay::pass_long(self, received, collected.bytes).await;
-            return Sent::Finished(finish);
-        }
-        let received = received.settle(&server.pool);
-        if status < 500 {
-            server.note_success(Instant::now());
-            self.log_answered(&server.record().id, status);
-            return Sent::Finished(self.pass_whole(received, collected.bytes).await);
-        }
-        server.note_failure(Instant::now());
-        self.log_failure("server error", "answer", &server.record().id, &status.to_string());
-        if self.route.repeat.may_run_again() {
-            return Sent::ServerError(Box::new(received), collected.bytes);
-        }
-        Sent::Finished(self.pass_whole(received, collected.bytes).await)
-    }
-
     async fn pass_whole(&self, received: Received, body: Vec<u8>) -> Finish {
         self.note(Attempts::note_answering);
         let keep = self.keeps_connection();
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -214,7 +214,9 @@
         if pending.len() > MAX_EVENT_BYTES {
             return Err(RelayError::Server(invalid()));
         }
-        migration.begin_if_wanted(state);
+        if state.last_event.is_some() {
+            migration.begin_if_wanted();
+        }
         let more = migration.read_more(&mut received).await;
         if !matches!(more, Ok(true)) {
             // A run that was moved has ended its connection, whatever its framing.
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -32,8 +32,7 @@
     }
 
     pub(super) fn log_answered(&self, server: &str, status: u16) {
-        self.note_answered();
-        if !crate::log::may_tell_good(self.traffic.started) {
+        if !self.note_answered() {
             return;
         }
         info!("[forward] answered", kv: {
@@ -48,9 +47,8 @@
     /// A stream that ended whole, with what makes it late: its first event, and
     /// the longest pause between two events.
     pub(super) fn log_stream_answered(&self, server: &str, pauses: &EventPauses) {
-        self.note_answered();
         self.learn_stream(pauses);
-        if !crate::log::may_tell_good(self.traffic.started) {
+        if !self.note_answered() {
             return;
         }
         info!("[forward] answered", kv: {
@@ -92,9 +90,11 @@
         });
     }
 
-    fn note_answered(&self) {
+    /// Counts a good answer; tells whether its line may be written.
+    fn note_answered(&self) -> bool {
         self.traffic.metrics.ended("answered", "server", "-");
         self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+        crate::log::may_tell_good(self.traffic.started)
     }
 
     /// A refusal with what decided it. Where servers held the model, the best of
