--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -322,7 +322,7 @@
         if told.is_some() || self.placement.is_some() {
             self.leader_heard = Some(Instant::now());
         }
-        let newest = told.into_iter().chain(&self.placement).max_by_key(|known| known.version());
+        let newest = told.into_iter().chain(&self.placement).max_by_key(|known| known.token);
         let view = newest.map_or_else(PlacementView::default, |placement| PlacementView {
             token: placement.token,
             added: placement.added.iter().copied().collect(),
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -23,8 +23,8 @@
         now: Timestamp,
     ) -> Digest {
         let told = self.placement(now);
-        let known = own.placement.as_ref().into_iter().chain(told);
-        let placement = known.max_by_key(|placement| placement.version());
+        let placement =
+            own.placement.as_ref().into_iter().chain(told).max_by_key(|placement| placement.token);
         Digest {
             hub: self.own,
             zone: self.zone.clone(),
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -7,7 +7,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 14;
+const FORMAT: u8 = 13;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,8 +26,6 @@
 pub struct Placement {
     /// Fencing token of the node's term; 0 while it may not order yet.
     pub token: u64,
-    /// Rises with each change within a term.
-    pub sequence: u64,
     /// The node.
     pub leader: SocketAddrV4,
     /// Models and adapters that servers have got.
@@ -36,14 +34,6 @@
     pub withdrawn: Vec<(ServerKey, ModelKey)>,
 }
 
-impl Placement {
-    /// Tells the newer of two apart. Within a term the token alone does not: hubs
-    /// that pass on what other hubs told would keep an old one for each other.
-    pub fn version(&self) -> (u64, u64) {
-        (self.token, self.sequence)
-    }
-}
-
 /// How new a node's copies of the store are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyVersions {
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -233,7 +233,7 @@
         let told = told.filter(|told| told.is_alive(now));
         heard
             .chain(told.filter_map(|told| told.digest.placement.as_ref()))
-            .max_by_key(|placement| placement.version())
+            .max_by_key(|placement| placement.token)
     }
 
     /// Models and adapters that requests of other nodes wait for.
