--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -43,6 +43,13 @@
     pub event_pause_millis: Option<f64>,
 }
 
+impl Demand {
+    /// Time to read what the server is not believed to keep of the prompt.
+    fn unread_millis(&self, candidate: &Candidate) -> f64 {
+        (self.reading_millis - candidate.kept_millis).max(0.0)
+    }
+}
+
 /// Figures that costs are reckoned with, in milliseconds unless told.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostModel {
@@ -93,17 +100,16 @@
     /// of them late at once: one live stream in ten, on a calm day.
     pub fn interference(&self, candidate: &Candidate, demand: &Demand) -> f64 {
         let Some(pause) = demand.event_pause_millis else { return 0.0 };
-        let unread = (demand.reading_millis - candidate.kept_millis).max(0.0);
-        let excess = candidate.backlog_millis + unread - pause * READING_SHARE_OF_PAUSE;
+        let reading = candidate.backlog_millis + demand.unread_millis(candidate);
+        let excess = reading - pause * READING_SHARE_OF_PAUSE;
         let streams = candidate.in_flight.min(candidate.slots);
         excess.max(0.0) * f64::from(streams) * self.per_disturbed_stream
     }
 
     /// Expected milliseconds until the first byte.
     pub fn cost(&self, candidate: &Candidate, demand: &Demand) -> f64 {
-        let unread = (demand.reading_millis - candidate.kept_millis).max(0.0);
         let waiting = candidate.in_flight.saturating_sub(candidate.slots);
-        let mut cost = candidate.pending_millis + unread;
+        let mut cost = candidate.pending_millis + demand.unread_millis(candidate);
         cost += self.per_running * f64::from(candidate.in_flight);
         cost += self.per_waiting * f64::from(waiting);
         if !candidate.same_zone {
@@ -127,26 +133,22 @@
     pub disturbs: bool,
 }
 
-/// The candidate with the least cost, interference with others included. The one with the highest affinity counts
-/// the shared parts as kept; it wins a tie.
+/// The candidate with the least cost, interference with others included. The one
+/// with the highest affinity counts the shared parts as kept; it wins a tie.
 pub fn select(candidates: &[Candidate], demand: &Demand, model: &CostModel) -> Option<Choice> {
     let favourite = (0..candidates.len()).max_by_key(|index| candidates[*index].affinity)?;
-    let costs = |index: usize| {
-        let mut candidate = candidates[index];
+    let reckoned = candidates.iter().enumerate().map(|(index, known)| {
+        let mut candidate = *known;
         if index == favourite {
             candidate.kept_millis = candidate.kept_millis.max(demand.shared_millis);
         }
-        (model.cost(&candidate, demand), model.interference(&candidate, demand))
-    };
-    let total = |index: usize| {
-        let (cost, interference) = costs(index);
-        cost + interference
-    };
-    let index = (0..candidates.len()).min_by(|left, right| {
-        total(*left)
-            .total_cmp(&total(*right))
-            .then(candidates[*right].affinity.cmp(&candidates[*left].affinity))
-    })?;
-    let (cost, interference) = costs(index);
-    Some(Choice { index, cost, disturbs: interference > 0.0 })
+        let cost = model.cost(&candidate, demand);
+        let interference = model.interference(&candidate, demand);
+        (cost + interference, Choice { index, cost, disturbs: interference > 0.0 })
+    });
+    let affinity = |choice: &Choice| candidates[choice.index].affinity;
+    let best = reckoned.min_by(|(left, of_left), (right, of_right)| {
+        left.total_cmp(right).then(affinity(of_right).cmp(&affinity(of_left)))
+    });
+    best.map(|(_, choice)| choice)
 }
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -146,12 +146,9 @@
         let placement = self.traffic.board.placement.load();
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
-        let able = table.of_service(&service).iter().filter(|server| {
-            server.takes_work()
-                && server.record().id != source.record().id
-                && !server.is_paused(now)
-                && self.is_able(server, &placement, now)
-        });
+        let able = self
+            .able_servers(table.of_service(&service), &placement, now)
+            .filter(|server| !server.is_paused(now) && server.record().id != source.record().id);
         let with_slot: Vec<_> = able
             .map(|server| (server, self.candidate(server, now)))
             .filter(|(_, candidate)| candidate.in_flight < candidate.slots)
@@ -169,21 +166,18 @@
     ) -> Option<Continuation> {
         let place = target.record().id.clone();
         let _slot = self.traffic.loads.sent(&place, PendingWork::default());
-        if let RunMoveAnswer::Copied(_) = self.copy_run(source, &target, false).await? {
-            let moved = self.copy_run(source, &target, true).await?;
-            self.log_move(&source.record().id, &place, reason.name(), &moved);
-            let copy = |handle| RunCopy { source: source.record().address, handle };
-            return match moved {
-                RunMoveAnswer::Copied(handle) => {
-                    Some(Continuation { server: target, copy: copy(handle) })
-                }
-                RunMoveAnswer::NoRoom(handle) => {
-                    handle.map(|handle| Continuation { server: source.clone(), copy: copy(handle) })
-                }
-                RunMoveAnswer::NotMoved(_) => None,
-            };
-        }
-        None
+        let RunMoveAnswer::Copied(_) = self.copy_run(source, &target, false).await? else {
+            return None;
+        };
+        let moved = self.copy_run(source, &target, true).await?;
+        self.log_move(&source.record().id, &place, reason.name(), &moved);
+        let (server, handle) = match moved {
+            RunMoveAnswer::Copied(handle) => (target, handle),
+            RunMoveAnswer::NoRoom(handle) => (source.clone(), handle?),
+            RunMoveAnswer::NotMoved(_) => return None,
+        };
+        let copy = RunCopy { source: source.record().address, handle };
+        Some(Continuation { server, copy })
     }
 
     /// Copies what the run has in memory; no answer tells nothing.
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -171,7 +171,7 @@
                 continue;
             }
             let server = match self.wait_for_server(service, &tried, &stream).await {
-                Found::Server(server) | Found::Disturbed(server) => server,
+                Found::Server { server, .. } => server,
                 Found::TooBusy(expected) => {
                     let after = come_back_after_queue(expected, self.route.objective);
                     return self.no_server(kept_error, &stream, Refusal::TooBusy, after).await;
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -32,9 +32,12 @@
 /// What was found for a request.
 pub(super) enum Found {
     /// A server that is expected to answer in time.
-    Server(Rc<Server>),
-    /// The same, but streams that run there would pause for too long.
-    Disturbed(Rc<Server>),
+    Server {
+        /// The server.
+        server: Rc<Server>,
+        /// Whether streams that run there would pause for too long.
+        disturbs: bool,
+    },
     /// Every server would answer too late; the best one after this time.
     TooBusy(Duration),
     /// No server can answer.
@@ -60,16 +63,13 @@
             let found = self.pick(service, tried, stream);
             // Where a server has failed already, there is no use in waiting.
             let pointless = !tried.is_empty() && !stream.head_sent;
-            let done = matches!(found, Found::Server(_)) || pointless;
+            let done = matches!(found, Found::Server { disturbs: false, .. }) || pointless;
             if let Found::Nobody(Refusal::NoAdapter) = found {
                 self.note_wait();
             }
             if done || Instant::now() >= until {
                 self.traffic.metrics.observe(&self.traffic.metrics.queue, asked.elapsed());
-                return match found {
-                    Found::Disturbed(server) => Found::Server(server),
-                    other => other,
-                };
+                return found;
             }
             tokio::time::sleep(WAIT_POLL).await;
         }
@@ -89,10 +89,8 @@
         table.update(&fleet);
         let now = Instant::now();
         let placement = self.traffic.board.placement.load();
-        let able: Vec<&Rc<Server>> = table
-            .of_service(service)
-            .iter()
-            .filter(|server| server.takes_work() && self.is_able(server, &placement, now))
+        let able: Vec<&Rc<Server>> = self
+            .able_servers(table.of_service(service), &placement, now)
             .filter(|server| !tried.contains(&server.record().id))
             .collect();
         let reachable: Vec<&Rc<Server>> =
@@ -116,10 +114,7 @@
         let begun = stream.head_sent || !self.traffic.settings.mechanisms.early_refusal;
         if begun || is_worth_sending(expected, self.route.objective, self.time_left()) {
             let server = servers[choice.index].clone();
-            return match choice.disturbs && !begun {
-                true => Found::Disturbed(server),
-                false => Found::Server(server),
-            };
+            return Found::Server { server, disturbs: choice.disturbs && !begun };
         }
         Found::TooBusy(expected)
     }
@@ -141,7 +136,19 @@
         }
     }
 
-    pub(super) fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
+    /// Servers that take work and hold what is asked for, as far as is known.
+    pub(super) fn able_servers<'t>(
+        &self,
+        servers: &'t [Rc<Server>],
+        placement: &PlacementView,
+        now: Instant,
+    ) -> impl Iterator<Item = &'t Rc<Server>> {
+        let able =
+            move |server: &&Rc<Server>| server.takes_work() && self.is_able(server, placement, now);
+        servers.iter().filter(able)
+    }
+
+    fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
         self.facts.model.as_ref().is_none_or(|model| server.holds(model, placement, now))
     }
 
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -7,7 +7,7 @@
 
 use super::exchange::{Received, SendError};
 use super::migration::Continuation;
-use super::relay::{self, FirstEvent, RelayError, StreamState};
+use super::relay::{self, EventPauses, FirstEvent, RelayError, StreamState};
 use super::{Finish, Forward};
 use crate::dialect::RunCopy;
 use crate::load::PendingWork;
@@ -72,18 +72,20 @@
             None => self.pending_work(),
         };
         let mut guard = self.traffic.loads.sent(&record.id, pending);
-        if copy.is_none() {
-            self.note(Attempts::begin_send);
-        }
+        // A run that goes on from its copy is no further attempt.
+        let note = |change: fn(&mut Attempts)| {
+            if copy.is_none() {
+                self.note(change);
+            }
+        };
+        note(Attempts::begin_send);
         self.server.replace(Some(record.id.clone()));
         self.log_sent(&record.id, lent.reused);
         let received =
             match self.exchange(server, &record, lent, stream.last_event.as_deref(), copy).await {
                 Ok(received) => received,
                 Err(SendError::NotSent(_)) => {
-                    if copy.is_none() {
-                        self.note(Attempts::note_not_sent);
-                    }
+                    note(Attempts::note_not_sent);
                     return Sent::Unreachable;
                 }
                 Err(error) => {
@@ -97,9 +99,7 @@
             let (status, misdirected) = (received.head.status, facts.misdirected);
             self.note_not_run(server, misdirected);
             let _ = received.drain(&server.pool).await;
-            if copy.is_none() {
-                self.note(Attempts::note_not_run);
-            }
+            note(Attempts::note_not_run);
             return Sent::NotRun { status, misdirected };
         }
         let success = (200..300).contains(&received.head.status);
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Learns for how long the model's streams hold a slot.
+    fn learn_stream(&self, pauses: &EventPauses) {
+        let Some(model) = &self.facts.model else { return };
+        let running = self.received.elapsed().saturating_sub(pauses.until_first);
+        let mut paces = self.traffic.paces.borrow_mut();
+        paces.record_stream(&model.model, self.facts.output_tokens, running);
+    }
+
     async fn relay_stream(
         &self,
         server: &Rc<Server>,
@@ -135,6 +143,7 @@
         match relay::stream(self, received, stream, meter, server).await {
             Ok(finish) => {
                 server.note_success(Instant::now());
+                self.learn_stream(&stream.pauses);
                 self.log_stream_answered(&server.record().id, &stream.pauses);
                 Sent::Finished(finish)
             }
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -47,7 +47,6 @@
     /// A stream that ended whole, with what makes it late: its first event, and
     /// the longest pause between two events.
     pub(super) fn log_stream_answered(&self, server: &str, pauses: &EventPauses) {
-        self.learn_stream(pauses);
         if !self.note_answered() {
             return;
         }
@@ -62,14 +61,6 @@
         });
     }
 
-    /// Learns for how long the model's streams hold a slot.
-    fn learn_stream(&self, pauses: &EventPauses) {
-        let Some(model) = &self.facts.model else { return };
-        let running = self.received.elapsed().saturating_sub(pauses.until_first);
-        let mut paces = self.traffic.paces.borrow_mut();
-        paces.record_stream(&model.model, self.facts.output_tokens, running);
-    }
-
     /// A run that was stopped to go on elsewhere, with the answer to its move.
     pub(super) fn log_move(&self, from: &str, to: &str, reason: &str, answer: &RunMoveAnswer) {
         let outcome = match answer {
--- a/crates/cometmoor-lab/src/emulator/command.rs
+++ b/crates/cometmoor-lab/src/emulator/command.rs
@@ -44,8 +44,10 @@
     seed: Option<u64>,
     json: bool,
 ) -> ExitCode {
-    let played = read(scenario, policy.unwrap_or("product"))
-        .map(|(scenario, policy)| play(&scenario, &policy, seed.unwrap_or(DEFAULT_SEED)));
+    let played = read(scenario).and_then(|scenario| {
+        let policy = named(policy.unwrap_or("product"))?;
+        Ok(play(&scenario, &policy, seed.unwrap_or(DEFAULT_SEED)))
+    });
     match played {
         Ok(report) if json => print_json(&report),
         Ok(report) => print_day(&report),
@@ -65,9 +67,7 @@
         || Policy::NAMES.map(str::to_owned).to_vec(),
         |list| list.split(',').map(str::to_owned).collect(),
     );
-    let rows = parse_seeds(seeds.unwrap_or(DEFAULT_SEEDS))
-        .and_then(|seeds| names.iter().map(|name| row(scenario, name, &seeds)).collect());
-    let rows: Vec<ComparisonRow> = match rows {
+    let rows = match rows(scenario, &names, seeds.unwrap_or(DEFAULT_SEEDS)) {
         Ok(rows) => rows,
         Err(error) => return fail(&error),
     };
@@ -79,10 +79,12 @@
     ExitCode::SUCCESS
 }
 
-fn read(scenario: &Path, policy: &str) -> Result<(Scenario, Policy), ExperimentError> {
-    let scenario = Scenario::read(scenario).map_err(ExperimentError::Scenario)?;
-    let policy = Policy::named(policy).map_err(ExperimentError::Policy)?;
-    Ok((scenario, policy))
+fn read(scenario: &Path) -> Result<Scenario, ExperimentError> {
+    Scenario::read(scenario).map_err(ExperimentError::Scenario)
+}
+
+fn named(policy: &str) -> Result<Policy, ExperimentError> {
+    Policy::named(policy).map_err(ExperimentError::Policy)
 }
 
 /// Both ends are played.
@@ -118,13 +120,24 @@
     pub moves: f64,
 }
 
-fn row(scenario: &Path, policy: &str, seeds: &[u64]) -> Result<ComparisonRow, ExperimentError> {
-    let (scenario, policy) = read(scenario, policy)?;
-    let days: Vec<DayReport> = seeds.iter().map(|seed| play(&scenario, &policy, *seed)).collect();
+fn rows(
+    scenario: &Path,
+    names: &[String],
+    seeds: &str,
+) -> Result<Vec<ComparisonRow>, ExperimentError> {
+    let seeds = parse_seeds(seeds)?;
+    let scenario = read(scenario)?;
+    let policies: Result<Vec<Policy>, ExperimentError> =
+        names.iter().map(|name| named(name)).collect();
+    Ok(policies?.into_iter().map(|policy| row(&scenario, policy, &seeds)).collect())
+}
+
+fn row(scenario: &Scenario, policy: Policy, seeds: &[u64]) -> ComparisonRow {
+    let days: Vec<DayReport> = seeds.iter().map(|seed| play(scenario, &policy, *seed)).collect();
     let mean = |of: fn(&DayReport) -> f64| days.iter().map(of).sum::<f64>() / days.len() as f64;
     let worth = mean(|day| day.worth);
     let squares: f64 = days.iter().map(|day| (day.worth - worth).powi(2)).sum();
-    Ok(ComparisonRow {
+    ComparisonRow {
         policy: policy.name,
         days: days.len(),
         worth,
@@ -134,7 +147,7 @@
         refused: mean(|day| day.refused),
         failed: mean(|day| day.failed),
         moves: mean(|day| day.moves as f64),
-    })
+    }
 }
 
 fn print_json<Value: Serialize>(value: &Value) {
--- a/crates/cometmoor-lab/src/emulator/engine.rs
+++ b/crates/cometmoor-lab/src/emulator/engine.rs
@@ -289,18 +289,17 @@
         }
     }
 
-    /// Ends an unload that waits for no run any more; tells whether it did.
-    pub fn finish_unload(&mut self) -> bool {
-        let Some(model) = self.leaving.filter(|_| self.unload_ordered) else { return false };
+    /// Ends an unload that waits for no run any more.
+    pub fn finish_unload(&mut self) {
+        let Some(model) = self.leaving.filter(|_| self.unload_ordered) else { return };
         if self.batch.iter().any(|run| run.model == model) {
-            return false;
+            return;
         }
         self.resident.remove(&model);
         self.loaded.remove(&model);
         self.kept.retain(|(of, _)| *of != model);
         self.leaving = None;
         self.unload_ordered = false;
-        true
     }
 
     /// Ends a load: the model is there, with copies in host memory and on disk.
--- a/crates/cometmoor-lab/src/emulator/fleet.rs
+++ b/crates/cometmoor-lab/src/emulator/fleet.rs
@@ -101,7 +101,7 @@
         }
         let candidates: Vec<Candidate> =
             able.iter().map(|engine| self.candidate(scenario, policy, arrival, *engine)).collect();
-        let demand = self.demand(scenario, policy, arrival);
+        let demand = self.demand(policy, arrival);
         let Some(choice) = select(&candidates, &demand, &CostModel::ENGINE) else {
             return Found::Nobody;
         };
@@ -142,14 +142,14 @@
         }
     }
 
-    fn demand(&self, scenario: &Scenario, policy: &Policy, arrival: &Arrival) -> Demand {
+    fn demand(&self, policy: &Policy, arrival: &Arrival) -> Demand {
         let paces = &self.nodes[arrival.node].paces;
         let millis = |tokens| paces.work(&model_name(arrival.model), tokens).as_secs_f64() * 1000.0;
         let shared = match policy.mechanisms.prompt_affinity {
             true => arrival.shared_tokens,
             false => 0,
         };
-        let protects = policy.mechanisms.pause_protection && scenario.engines.slots > 0;
+        let protects = policy.mechanisms.pause_protection;
         Demand {
             reading_millis: millis(arrival.prompt_tokens),
             shared_millis: millis(shared),
--- a/crates/cometmoor-lab/src/emulator/policy.rs
+++ b/crates/cometmoor-lab/src/emulator/policy.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use cometmoor_gateway::settings::MechanismSettings;
+
 /// Which server a request goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Routing {
@@ -25,48 +27,12 @@
     Foresight,
 }
 
-/// Mechanisms that can be left out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mechanisms {
-    /// Requests that would be late are refused at once.
-    pub early_refusal: bool,
-    /// Requests on one subject favour one server.
-    pub prompt_affinity: bool,
-    /// Prompts stay away from servers whose streams would pause.
-    pub pause_protection: bool,
-    /// Runs move before their model is unloaded.
-    pub run_migration: bool,
-    /// A request that finds no server waits a little.
-    pub wait_for_server: bool,
-}
-
-impl Default for Mechanisms {
-    fn default() -> Mechanisms {
-        Mechanisms {
-            early_refusal: true,
-            prompt_affinity: true,
-            pause_protection: true,
-            run_migration: true,
-            wait_for_server: true,
-        }
-    }
-}
-
-impl Mechanisms {
-    /// All but one, by its name in the settings of a gateway node.
-    pub fn without(name: &str) -> Result<Mechanisms, PolicyError> {
-        let mut mechanisms = Mechanisms::default();
-        let switch = match name {
-            "earlyRefusal" => &mut mechanisms.early_refusal,
-            "promptAffinity" => &mut mechanisms.prompt_affinity,
-            "pauseProtection" => &mut mechanisms.pause_protection,
-            "runMigration" => &mut mechanisms.run_migration,
-            "waitForServer" => &mut mechanisms.wait_for_server,
-            _ => return Err(PolicyError::UnknownMechanism(name.to_owned())),
-        };
-        *switch = false;
-        Ok(mechanisms)
-    }
+/// All mechanisms of the product but one, by its name in the settings of a
+/// gateway node.
+fn without(name: &str) -> Result<MechanismSettings, PolicyError> {
+    let switches = serde_json::json!({ name: false });
+    let unknown = |_| PolicyError::UnknownMechanism(name.to_owned());
+    serde_json::from_value(switches).map_err(unknown)
 }
 
 /// A policy.
@@ -79,7 +45,7 @@
     /// Which server holds which model.
     pub placing: Placing,
     /// What the product's routing does.
-    pub mechanisms: Mechanisms,
+    pub mechanisms: MechanismSettings,
 }
 
 /// Why a policy cannot be had.
@@ -119,7 +85,7 @@
             name: name.to_owned(),
             routing: Routing::Product,
             placing: Placing::Product,
-            mechanisms: Mechanisms::default(),
+            mechanisms: MechanismSettings::default(),
         };
         match name {
             "product" => {}
@@ -128,10 +94,13 @@
             "reactive" => policy.placing = Placing::Reactive,
             "foresight" => policy.placing = Placing::Foresight,
             _ => match name.strip_prefix("product-without-") {
-                Some(mechanism) => policy.mechanisms = Mechanisms::without(mechanism)?,
+                Some(mechanism) => policy.mechanisms = without(mechanism)?,
                 None => return Err(PolicyError::Unknown(name.to_owned())),
             },
         }
+        if !policy.mechanisms.model_moves {
+            policy.placing = Placing::Static;
+        }
         Ok(policy)
     }
 }
--- a/crates/cometmoor-lab/src/emulator/world/placement.rs
+++ b/crates/cometmoor-lab/src/emulator/world/placement.rs
@@ -89,10 +89,6 @@
             self.take_load(run.request);
             self.refuse(run.request, COME_BACK);
         }
-        self.finish_unload(engine);
-    }
-
-    pub(super) fn finish_unload(&mut self, engine: EngineIndex) {
         self.engines[engine].finish_unload();
     }
 
--- a/crates/cometmoor-lab/src/emulator/world/servers.rs
+++ b/crates/cometmoor-lab/src/emulator/world/servers.rs
@@ -31,7 +31,7 @@
                 }
             }
         }
-        self.finish_unload(engine);
+        self.engines[engine].finish_unload();
         self.step(engine);
     }
 
@@ -97,7 +97,7 @@
         for run in runs {
             self.move_run(engine, run);
         }
-        self.finish_unload(engine);
+        self.engines[engine].finish_unload();
     }
 
     pub(super) fn move_run(&mut self, from: EngineIndex, run: Run) {
