Times that decide stand once, for the nodes and the emulator

Cause: the emulator kept copies of six of the product's times (demand known after 3 s, rounds of 0.25 s, withdrawal 0.3 s before an unload, stay of 8 s, looks each 20 ms, the time to come back without a server) and of the few requests beside which a pace is learned; a change of one in the product would not have reached it, while its page says that it drives the product's own policy.

Change: they stand in cometmoor-core beside what they belong to (planner, admission; the pace's figure in the gateway's pace module), and both use them.

No test changed.

--- a/crates/cometmoor-core/src/gateway/admission.rs
+++ b/crates/cometmoor-core/src/gateway/admission.rs
@@ -9,6 +9,11 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(20);
 /// Longest time that a request may wait for a server.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// When a client should come back that no server could take: models and servers
+/// take seconds to come. It is cut to what the client would wait.
+pub const COME_BACK: Duration = Duration::from_secs(10);
+/// Pause between two looks for a server that can take a waiting request.
+pub const WAIT_POLL: Duration = Duration::from_millis(20);
 /// Part of the time left within which a client still comes back.
 const COME_BACK_PART: u32 = 3;
 
--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -48,6 +48,15 @@
     pub promised: Option<String>,
 }
 
+/// Time for which demand has to be watched before copies are taken away by it.
+pub const DEMAND_KNOWN: Duration = Duration::from_secs(3);
+/// Longest pause between two rounds of planning.
+pub const ROUND: Duration = Duration::from_millis(250);
+/// Time between the withdrawal of a model and the order to unload it, in which
+/// all nodes learn of it.
+pub const WITHDRAWAL: Duration = Duration::from_millis(300);
+/// Time for which a copy stays after its load.
+pub const SHORTEST_STAY: Duration = Duration::from_secs(8);
 /// Seconds until an unload is announced and done.
 const UNLOAD_SECONDS: f64 = 1.0;
 
--- a/crates/cometmoor-gateway/src/control/leader/engine.rs
+++ b/crates/cometmoor-gateway/src/control/leader/engine.rs
@@ -6,15 +6,13 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::orders::{Action, ServerLedger, ServerOrder, ServerReport, Weights};
+use cometmoor_core::gateway::planner::SHORTEST_STAY;
 use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::time::Timestamp;
 
 use crate::dialect::EngineReport;
 use crate::http::client::CallClient;
 
-/// Time for which a copy stays after its load.
-const SHORTEST_STAY: Duration = Duration::from_secs(8);
-
 /// Adapters that a server brings in at once.
 const MOST_ADAPTERS_ON_THEIR_WAY: usize = 4;
 /// Time for which an adapter may be on its way.
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -17,7 +17,7 @@
 use cometmoor_core::gateway::load_rate::LoadRate;
 use cometmoor_core::gateway::orders::{Action, NextStep, Weights};
 use cometmoor_core::gateway::planner::{
-    FleetDemand, ModelDemand, PlannedOrder, PlannedServer, plan,
+    DEMAND_KNOWN, FleetDemand, ModelDemand, PlannedOrder, PlannedServer, ROUND, WITHDRAWAL, plan,
 };
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::time::Timestamp;
@@ -32,17 +32,10 @@
 
 /// Time that an order may be on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which demand has to be watched before copies are taken away by it.
-const DEMAND_KNOWN: Duration = Duration::from_secs(3);
-/// Longest pause between two rounds of planning.
-const ROUND: Duration = Duration::from_millis(250);
 /// Shortest pause, where rounds are asked for before they are due.
 const SHORTEST_ROUND: Duration = Duration::from_millis(10);
 /// Pause between two questions to one server.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
-/// Time between the withdrawal of a model and the order to unload it, in which
-/// all nodes learn of it.
-const WITHDRAWAL: Duration = Duration::from_millis(300);
 /// Time that most unloads take: the server ends what it runs first.
 const UNLOAD_TAKES: Duration = Duration::from_millis(150);
 /// Time without a new server after which the fleet counts as known.
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cometmoor_core::gateway::admission::{come_back_after_queue, come_back_in};
+use cometmoor_core::gateway::admission::{COME_BACK, come_back_after_queue, come_back_in};
 use cometmoor_core::gateway::attempts::{Attempts, Failure, Progress};
 use cometmoor_core::gateway::configuration::Route;
 use spdlog::info;
@@ -40,13 +40,6 @@
 
 /// Servers that are tried one after another when they cannot be reached.
 const MAX_UNREACHABLE: usize = 4;
-/// When a client should come back that no server could take: models and servers
-/// take seconds to come. It is cut to what the client would wait.
-const COME_BACK: Duration = Duration::from_secs(10);
-/// Running requests beside which a prompt is read at about full speed.
-const FEW_RUNNING: u32 = 6;
-/// Pause between two looks for a server that can take a waiting request.
-const WAIT_POLL: Duration = Duration::from_millis(20);
 
 /// A client's request on its way.
 pub struct Forward<'a> {
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cometmoor_core::gateway::admission::{is_worth_sending, longest_wait};
+use cometmoor_core::gateway::admission::{WAIT_POLL, is_worth_sending, longest_wait};
 use cometmoor_core::gateway::selection::{Candidate, CostModel, Demand, select};
 use xxhash_rust::xxh3::Xxh3;
 
+use super::Forward;
 use super::outcome::Refusal;
 use super::relay::StreamState;
-use super::{Forward, WAIT_POLL};
 use crate::dialect::ModelName;
 use crate::load::{model_key, server_key};
 use crate::published::PlacementView;
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -9,11 +9,10 @@
 use cometmoor_core::gateway::retry_budget::{FleetRetryBudget, RetryBounds};
 use cometmoor_core::time::Timestamp;
 
-use super::FEW_RUNNING;
 use crate::dialect::Dialect;
 use crate::load::{LoadBoard, server_key};
 use crate::metrics::Metrics;
-use crate::pace::PaceTable;
+use crate::pace::{FEW_RUNNING, PaceTable};
 use crate::published::Board;
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
--- a/crates/cometmoor-gateway/src/pace.rs
+++ b/crates/cometmoor-gateway/src/pace.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Running requests beside which a prompt is read at about full speed.
+pub const FEW_RUNNING: u32 = 6;
 /// Milliseconds for a prompt token before anything was learned.
 const FIRST_GUESS: f64 = 0.045;
 /// Least weight of the newest sample.
--- a/crates/cometmoor-lab/src/emulator/arrivals.rs
+++ b/crates/cometmoor-lab/src/emulator/arrivals.rs
@@ -1,5 +1,7 @@
 //! When requests come, and what they ask for, by a seed.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -39,6 +41,11 @@
     (value * SECOND as f64) as Micros
 }
 
+/// A time of the product's in emulated time.
+pub fn micros(time: Duration) -> Micros {
+    Micros::try_from(time.as_micros()).unwrap_or(Micros::MAX)
+}
+
 /// All requests of a day, in order.
 pub fn draw(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/cometmoor-lab/src/emulator/placement.rs
+++ b/crates/cometmoor-lab/src/emulator/placement.rs
@@ -9,11 +9,11 @@
 use cometmoor_core::gateway::load_rate::LoadRate;
 use cometmoor_core::gateway::orders::{Action, Weights};
 use cometmoor_core::gateway::planner::{
-    FleetDemand, ModelDemand, PlannedOrder, PlannedServer, plan,
+    DEMAND_KNOWN, FleetDemand, ModelDemand, PlannedOrder, PlannedServer, SHORTEST_STAY, plan,
 };
 use cometmoor_core::time::Timestamp;
 
-use super::arrivals::{Arrival, Micros, SECOND};
+use super::arrivals::{Arrival, Micros, SECOND, micros};
 use super::engine::{Engine, ModelIndex};
 use super::fleet::{EngineIndex, model_name};
 use super::policy::Placing;
@@ -21,10 +21,6 @@
 
 /// Window over which loads from the weight store are counted.
 pub const LOAD_WINDOW: Duration = Duration::from_secs(5);
-/// Time for which demand is watched before copies are taken away by it.
-const DEMAND_KNOWN: Duration = Duration::from_secs(3);
-/// Time for which a model stays that a server has got.
-const SHORTEST_STAY: Micros = 8 * SECOND;
 /// How far the policy with foresight looks ahead.
 const FORESIGHT: Micros = 8 * SECOND;
 /// Tokens of answers take longer beside prompts that are read.
@@ -222,7 +218,7 @@
 
 /// Models that the server got lately.
 fn fresh_models(engine: &Engine, now: Micros) -> BTreeSet<String> {
-    let fresh = engine.loaded.iter().filter(|(_, loaded)| now - **loaded < SHORTEST_STAY);
+    let fresh = engine.loaded.iter().filter(|(_, loaded)| now - **loaded < micros(SHORTEST_STAY));
     fresh.map(|(model, _)| model_name(*model)).collect()
 }
 
--- a/crates/cometmoor-lab/src/emulator/world/mod.rs
+++ b/crates/cometmoor-lab/src/emulator/world/mod.rs
@@ -7,7 +7,6 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::Duration;
 
 use cometmoor_gateway::load::ServerLoad;
 
@@ -19,8 +18,6 @@
 use super::policy::Policy;
 use super::scenario::Scenario;
 
-/// When a client comes back for which no server was there.
-const COME_BACK: Duration = Duration::from_secs(10);
 /// Time after the last arrival in which answers still come.
 const AFTER_END: Micros = 25 * SECOND;
 
--- a/crates/cometmoor-lab/src/emulator/world/placement.rs
+++ b/crates/cometmoor-lab/src/emulator/world/placement.rs
@@ -2,16 +2,15 @@
 
 use std::time::Duration;
 
-use super::super::arrivals::Micros;
+use cometmoor_core::gateway::admission::COME_BACK;
+use cometmoor_core::gateway::planner::{ROUND, WITHDRAWAL};
+
+use super::super::arrivals::{Micros, micros};
 use super::super::engine::{Loading, Run};
 use super::super::fleet::EngineIndex;
 use super::super::placement::{Move, timestamp};
-use super::{COME_BACK, Event, World};
+use super::{Event, World};
 
-/// Pause between two plans.
-const PLAN_PAUSE: Micros = 250_000;
-/// Time between the withdrawal of a model and the order to unload it.
-const WITHDRAWAL: Micros = 300_000;
 /// Time until the nodes have heard of a withdrawal and moved its runs.
 const RUNS_MOVE_AFTER: Micros = 60_000;
 
@@ -34,7 +33,7 @@
         for planned in moves {
             self.order(planned);
         }
-        self.after(PLAN_PAUSE, Event::Plan);
+        self.after(micros(ROUND), Event::Plan);
     }
 
     pub(super) fn order(&mut self, planned: Move) {
@@ -61,7 +60,7 @@
                 target.promised = makes_room_for;
                 let epoch = target.epoch;
                 self.after(RUNS_MOVE_AFTER, Event::MoveRuns { engine, epoch, model });
-                self.after(WITHDRAWAL, Event::Unload { engine, epoch });
+                self.after(micros(WITHDRAWAL), Event::Unload { engine, epoch });
             }
         }
     }
--- a/crates/cometmoor-lab/src/emulator/world/requests.rs
+++ b/crates/cometmoor-lab/src/emulator/world/requests.rs
@@ -2,17 +2,16 @@
 
 use std::time::Duration;
 
-use cometmoor_core::gateway::admission::{come_back_after_queue, come_back_in, longest_wait};
+use cometmoor_core::gateway::admission::{
+    COME_BACK, WAIT_POLL, come_back_after_queue, come_back_in, longest_wait,
+};
 
-use super::super::arrivals::{Arrival, Micros};
+use super::super::arrivals::{Arrival, Micros, micros};
 use super::super::engine::{RequestIndex, Run, SharedPart};
 use super::super::fleet::{EngineIndex, Found, model_name};
 use super::super::outcome::Outcome;
 use super::super::placement::Asked;
-use super::{COME_BACK, Event, World};
-
-/// Pause between two looks for a server.
-const LOOK_PAUSE: Micros = 20_000;
+use super::{Event, World};
 
 impl World<'_> {
     pub(super) fn arrive(&mut self, request: RequestIndex) {
@@ -24,7 +23,7 @@
         self.note_asked(request);
         let objective = self.objective(request);
         let wait = match self.policy.mechanisms.wait_for_server {
-            true => longest_wait(objective, self.time_left(request)).as_micros() as Micros,
+            true => micros(longest_wait(objective, self.time_left(request))),
             false => 0,
         };
         self.look(request, self.now + wait);
@@ -56,10 +55,10 @@
         let left = self.time_left(request);
         let arrival = &self.arrivals[request];
         let found = self.fleet.pick(self.scenario, self.policy, &self.engines, arrival, left);
-        let waits = self.now + LOOK_PAUSE <= until;
+        let waits = self.now + micros(WAIT_POLL) <= until;
         match found {
             Found::Server(engine) => self.send(request, engine),
-            _ if waits => self.after(LOOK_PAUSE, Event::Look(request, until)),
+            _ if waits => self.after(micros(WAIT_POLL), Event::Look(request, until)),
             Found::Disturbed(engine) => self.send(request, engine),
             Found::TooBusy(expected) => {
                 let after = come_back_after_queue(expected, self.objective(request));
@@ -94,7 +93,7 @@
             self.requests[request].outcome = Some(Outcome::Refused);
             return;
         }
-        self.after(after.as_micros() as Micros, Event::Arrive(request));
+        self.after(micros(after), Event::Arrive(request));
     }
 
     pub(super) fn reach(&mut self, request: RequestIndex, engine: EngineIndex, epoch: u64) {
--- a/crates/cometmoor-lab/src/emulator/world/servers.rs
+++ b/crates/cometmoor-lab/src/emulator/world/servers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cometmoor_gateway::load::ServerLoad;
+use cometmoor_gateway::pace::FEW_RUNNING;
 
 use super::super::arrivals::Micros;
 use super::super::engine::{ModelIndex, Progress, RequestIndex, Run};
@@ -56,7 +57,7 @@
         let arrival = &self.arrivals[request];
         let (node, model, tokens) = (arrival.node, arrival.model, arrival.prompt_tokens);
         let begun = self.requests[request].begun;
-        let alone = self.engines[engine].in_flight() <= 6;
+        let alone = self.engines[engine].in_flight() <= FEW_RUNNING as usize;
         if alone {
             let took = Duration::from_micros((self.now - begun).max(0) as u64);
             self.fleet.node(node).paces.record(&model_name(model), tokens, took);
