Sight: each send tells the age of what the node knows of the servers

Cause: the lines could not tell whether a node's copy of the servers was old, or newer and not used: nothing told who reads the store, nor how old a node takes its copy to be.

Change: servers_age_millis in the line of a send; lines where a node begins or ceases to read a copy itself; the metric of the store's age by copy.

That an older copy came back is ruled out: no copy's revision falls.

--- a/crates/cometmoor-gateway/src/control/fleet/changes.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/changes.rs
@@ -9,6 +9,7 @@
 
 use super::{FleetState, KnownServer};
 use crate::membership::Member;
+use crate::peer::Subject;
 
 /// Most servers or nodes that are logged one by one when they change at once.
 const MOST_LINES: usize = 16;
@@ -54,6 +55,28 @@
     }
 }
 
+impl FleetState {
+    /// Tells which copies this node has begun, or ceased, to read itself.
+    pub(super) fn log_reading_changes(&mut self) {
+        for subject in Subject::ALL {
+            let reads = self.reads(subject);
+            if self.logged_reading.insert(subject, reads) == Some(reads) {
+                continue;
+            }
+            let (what, nodes) = (subject.name(), self.peers.members().len() + 1);
+            let age_millis = self.copies[&subject].age_millis();
+            match reads {
+                true => {
+                    info!("[store] this node reads it", kv: { what, age_millis, nodes });
+                }
+                false => {
+                    info!("[store] others read it for this node", kv: { what, age_millis, nodes });
+                }
+            }
+        }
+    }
+}
+
 fn log_server(known: &KnownServer) {
     let KnownServer { created, ref record, .. } = *known;
     let server = &*record.id;
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -11,6 +11,7 @@
 use crate::membership::{CopyVersions, Member};
 use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::{Subject, encode_update, fetch_update};
+use crate::published::age_millis;
 
 /// Pause after a peer did not give its copy; another one's heartbeat comes soon.
 const FETCH_PAUSE: Duration = Duration::from_millis(50);
@@ -49,7 +50,7 @@
 impl Copy {
     /// Milliseconds since the store last confirmed it; -1 where it never did.
     pub(super) fn age_millis(&self) -> i64 {
-        self.confirmed.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
+        age_millis(self.confirmed)
     }
 
     /// What a copy of revision `after` lacks, as sent to peers; none where
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -71,6 +71,8 @@
     servers_fetched: Option<Timestamp>,
     peers: Membership,
     logged_members: BTreeSet<SocketAddrV4>,
+    /// Copies that this node was last logged to read itself.
+    logged_reading: HashMap<Subject, bool>,
     /// Load on the servers that was last told to others.
     told_loads: Vec<(ServerKey, ServerLoad)>,
     loads_told: Option<Timestamp>,
@@ -100,6 +102,7 @@
             servers_fetched: None,
             peers,
             logged_members: BTreeSet::new(),
+            logged_reading: HashMap::new(),
             told_loads: Vec::new(),
             loads_told: None,
             demand: FleetDemandMeter::default(),
@@ -209,6 +212,7 @@
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
             nodes: self.client_nodes(),
             confirmed,
+            servers_confirmed: self.copies[&Subject::Servers].confirmed,
             reads_store: self.reads(Subject::Servers),
             leads: self.placement.is_some(),
             leader_heard: self.leader_heard,
@@ -345,6 +349,7 @@
         let now = self.now();
         self.peers.tick(now);
         self.log_member_changes();
+        self.log_reading_changes();
         self.sum_load();
         self.publish_placement();
         self.publish();
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -26,6 +26,7 @@
             in_flight = estimate.in_flight,
             backlog_millis = estimate.backlog_millis,
             candidates = estimate.servers as u64,
+            servers_age_millis = self.traffic.board.fleet.load().servers_age_millis(),
             time_left_millis = self.time_left().as_millis() as u64,
             age_millis = self.received.elapsed().as_millis() as u64,
         });
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -32,6 +32,13 @@
     pub state: &'static str,
 }
 
+/// Labels of a copy of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CopyLabels {
+    /// `configuration` or `servers`.
+    pub copy: &'static str,
+}
+
 /// A gauge of a figure that need not be whole.
 pub type Amount = Gauge<f64, AtomicU64>;
 
@@ -58,8 +65,8 @@
     pub in_progress: Gauge,
     /// Version of the configuration in force.
     pub configuration_version: Gauge,
-    /// Age of what the store last confirmed, in seconds.
-    pub store_age: Amount,
+    /// Age of what the store last confirmed, in seconds, by copy.
+    pub store_age: Family<CopyLabels, Amount>,
     /// Whether this node leads.
     pub leads: Gauge,
     /// Nodes that take requests.
@@ -89,7 +96,7 @@
             whole: histogram(),
             in_progress: Gauge::default(),
             configuration_version: Gauge::default(),
-            store_age: Amount::default(),
+            store_age: Family::default(),
             leads: Gauge::default(),
             nodes: Gauge::default(),
             servers: Family::default(),
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -21,7 +21,7 @@
 use crate::frontend;
 use crate::http::head::RequestHead;
 use crate::load::LoadBoard;
-use crate::metrics::{Metrics, StateLabels};
+use crate::metrics::{CopyLabels, Metrics, StateLabels};
 use crate::peer::{Subject, renewal_from_path};
 use crate::published::{Board, Phase, StopTimes};
 use crate::ready::{SmallAnswer, serve as serve_small};
@@ -237,8 +237,14 @@
         metrics.in_progress.set(loads.in_progress() as i64);
         metrics.nodes.set(fleet.nodes.len() as i64);
         metrics.leads.set(i64::from(fleet.leads));
-        let age = fleet.confirmed.map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
-        metrics.store_age.set(age);
+        let copies = [
+            (Subject::Configuration, fleet.confirmed),
+            (Subject::Servers, fleet.servers_confirmed),
+        ];
+        for (subject, confirmed) in copies {
+            let age = confirmed.map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
+            metrics.store_age.get_or_create(&CopyLabels { copy: subject.name() }).set(age);
+        }
         let draining = fleet.servers.iter().filter(|s| s.state == ServerState::Draining).count();
         let state = |state| metrics.servers.get_or_create(&StateLabels { state });
         state("draining").set(draining as i64);
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -61,6 +61,8 @@
     pub nodes: Vec<ClientNode>,
     /// When the store or a peer last confirmed the configuration.
     pub confirmed: Option<Instant>,
+    /// When the store or a peer last confirmed the servers' entries.
+    pub servers_confirmed: Option<Instant>,
     /// Whether this node is among those that read the store themselves.
     pub reads_store: bool,
     /// Whether this node orders the servers.
@@ -73,6 +75,19 @@
     pub nodes_seen: usize,
 }
 
+impl Published {
+    /// Milliseconds since the servers' entries were last confirmed; -1 where
+    /// they never were.
+    pub fn servers_age_millis(&self) -> i64 {
+        age_millis(self.servers_confirmed)
+    }
+}
+
+/// Milliseconds since then, for log lines; -1 for never.
+pub fn age_millis(since: Option<Instant>) -> i64 {
+    since.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
+}
+
 /// What the leading node told of the servers' models, ahead of the registry.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementView {
