An open watch that says nothing is no word of the store: copies have an age

Cause: a node took a watch that says nothing for the store's word that nothing had changed, told others so in its heartbeats, and found out only when the watch's 10.8 s were over. Nodes that the store would have answered left the reading to such readers.

Ruled out: an older publication (sends came before the leaving was known), an older copy that came back (no revision fell).

Change: a copy's age runs from the last answer that the store gave to anybody; heartbeats and digests tell ages in place of a yes. After a time-out no connection that rested is used. A watch's answer moves a copy to the last change that it tells, not to the revision beside it. 404 is said while the copy is younger than 1.5 bounds (13 s before).

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -13,3 +13,4 @@
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
+pub mod staleness;
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -8,7 +8,7 @@
 use spdlog::info;
 
 use super::FleetState;
-use crate::membership::{CopyVersions, Member};
+use crate::membership::{CopyAge, CopyVersions, Member};
 use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::{Subject, encode_update, fetch_update};
 use crate::published::age_millis;
@@ -26,7 +26,12 @@
 #[derive(Default)]
 pub(super) struct Copy {
     pub(super) mirror: Mirror,
+    /// When the store last gave an answer, to anybody, by which the copy lacks
+    /// nothing; an open watch that says nothing is no answer.
     pub(super) confirmed: Option<Instant>,
+    /// The same, as far as other nodes told of it.
+    confirmed_to_peers: Option<Instant>,
+    /// Whether the store left this node's last call without an answer.
     pub(super) watch_failing: bool,
     pub(super) fetching: bool,
     behind: Option<Behind>,
@@ -53,6 +58,36 @@
         age_millis(self.confirmed)
     }
 
+    /// Time since the store last confirmed it; none where it never did.
+    pub(super) fn age(&self) -> Option<Duration> {
+        self.confirmed.map(|at| at.elapsed())
+    }
+
+    /// Whether the store last confirmed it longer ago than `patience`, as far as
+    /// is known here.
+    pub(super) fn is_older_than(&self, patience: Duration) -> bool {
+        self.age().is_none_or(|age| age >= patience)
+    }
+
+    /// The same, by what other nodes tell.
+    pub(super) fn is_older_to_peers_than(&self, patience: Duration) -> bool {
+        self.confirmed_to_peers.is_none_or(|at| at.elapsed() >= patience)
+    }
+
+    /// As others are told of its age.
+    pub(super) fn told_age(&self) -> CopyAge {
+        self.age().and_then(|age| u32::try_from(age.as_millis()).ok())
+    }
+
+    /// Takes a peer's word that the store confirmed a copy no newer than this one
+    /// so long ago.
+    fn confirm_through_peer(&mut self, age: CopyAge) {
+        let Some(age) = age else { return };
+        let at = Instant::now().checked_sub(Duration::from_millis(age.into()));
+        self.confirmed = self.confirmed.max(at);
+        self.confirmed_to_peers = self.confirmed_to_peers.max(at);
+    }
+
     /// What a copy of revision `after` lacks, as sent to peers; none where
     /// nothing was read.
     pub(super) fn encoded_since(&mut self, after: u64) -> Option<Bytes> {
@@ -110,23 +145,31 @@
     /// Asks a peer for its copy where the store does not answer this node and
     /// the peer's copy is newer.
     pub(super) fn catch_up(&mut self, peer: &PeerCopies, context: &mut Context<FleetState>) {
+        let told = peer.versions;
         let newer = [
-            (Subject::Configuration, peer.versions.configuration > self.configuration.version()),
-            (Subject::Servers, peer.versions.servers > self.copies[&Subject::Servers].mirror.at),
+            (
+                Subject::Configuration,
+                told.configuration > self.configuration.version(),
+                told.configuration_age,
+            ),
+            (
+                Subject::Servers,
+                told.servers > self.copies[&Subject::Servers].mirror.at,
+                told.servers_age,
+            ),
         ];
-        for (subject, newer) in newer {
+        for (subject, newer, age) in newer {
             let learns = !self.reads(subject);
+            let patience = self.patience();
             let copy = self.copy(subject);
-            if learns && peer.versions.confirmed && !newer {
-                copy.confirmed = Some(Instant::now());
-                copy.watch_failing = false;
-            }
             if !newer {
+                copy.confirm_through_peer(age);
+                copy.watch_failing &= !learns || copy.is_older_than(patience);
                 continue;
             }
             let was_known = copy.is_known_behind();
             let stands_still = copy.is_behind_for(watch_lead(subject));
-            let unanswered = copy.watch_failing || copy.confirmed.is_none();
+            let unanswered = copy.watch_failing || copy.is_older_than(patience);
             let lagging = learns || unanswered || stands_still;
             let fetching = copy.fetching;
             if subject == Subject::Configuration && !was_known {
@@ -187,7 +230,7 @@
 fn watch_lead(subject: Subject) -> Duration {
     match subject {
         Subject::Configuration => Duration::from_millis(400),
-        Subject::Servers => Duration::from_millis(900),
+        Subject::Servers => Duration::from_millis(450),
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -52,10 +52,8 @@
 pub struct CopyChanged {
     /// Which prefix.
     pub subject: Subject,
-    /// Changes in order.
+    /// Changes in order; none where there were none.
     pub events: Vec<WatchEvent>,
-    /// Revision that they lead to.
-    pub at: u64,
 }
 
 impl Handler<CopyChanged> for FleetState {
@@ -64,7 +62,7 @@
     fn handle(&mut self, changed: CopyChanged, _: &mut Context<FleetState>) {
         let copy = self.copy(changed.subject);
         copy.confirm(changed.subject);
-        if copy.mirror.apply(changed.events, changed.at) {
+        if copy.mirror.apply(changed.events) {
             self.take_in(changed.subject);
             // Nodes that do not read the store learn of it by the heartbeat.
             self.context.board.heartbeat_wanted.notify_one();
@@ -266,16 +264,27 @@
     }
 }
 
-/// What a watch is to do next.
+/// What the watcher of a copy is to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchPlan {
     /// Wait for changes after this revision.
-    WatchAfter(u64),
-    /// Leave the store alone: other nodes read it.
-    LeaveToReaders,
+    Watch {
+        /// The revision.
+        after: u64,
+        /// How long to wait.
+        wait: Duration,
+    },
+    /// Ask for changes after this revision without waiting: nobody tells that the
+    /// store has confirmed the copy lately.
+    Poll {
+        /// The revision.
+        after: u64,
+    },
+    /// Leave the store alone for a while: other nodes read it.
+    Rest(Duration),
 }
 
-/// Asks what the watch of a prefix is to do next.
+/// Asks what the watcher of a copy is to do next.
 #[derive(Message)]
 #[rtype(result = "WatchPlan")]
 pub struct GetWatchPlan(pub Subject);
@@ -284,9 +293,23 @@
     type Result = MessageResult<GetWatchPlan>;
 
     fn handle(&mut self, get: GetWatchPlan, _: &mut Context<FleetState>) -> Self::Result {
-        let at = self.copies[&get.0].mirror.at;
-        let leave = at > 0 && !self.reads(get.0);
-        MessageResult(if leave { WatchPlan::LeaveToReaders } else { WatchPlan::WatchAfter(at) })
+        MessageResult(self.watch_plan(get.0))
+    }
+}
+
+/// Asks how long an open watch of a copy may go on saying nothing: until the copy
+/// is older than this node lets it become. Zero where it is now.
+#[derive(Message)]
+#[rtype(result = "Duration")]
+pub struct GetPatienceLeft(pub Subject);
+
+impl Handler<GetPatienceLeft> for FleetState {
+    type Result = MessageResult<GetPatienceLeft>;
+
+    fn handle(&mut self, get: GetPatienceLeft, _: &mut Context<FleetState>) -> Self::Result {
+        let patience = self.patience();
+        let age = self.copies[&get.0].age();
+        MessageResult(patience.saturating_sub(age.unwrap_or(patience)))
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -13,14 +13,15 @@
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::gateway::staleness::StalenessLimits;
 use cometmoor_core::time::Timestamp;
 use spdlog::{error, info};
 
 use self::copies::Copy;
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
-    GetDemand, GetNextMessages, GetPeers, GetReadPlan, GetUpdate, GetWatchPlan, NextMessages,
-    PeerTold, ReadPlan, SetPlacement, WatchPlan,
+    GetDemand, GetNextMessages, GetPatienceLeft, GetPeers, GetReadPlan, GetUpdate, GetWatchPlan,
+    NextMessages, PeerTold, ReadPlan, SetPlacement, WatchPlan,
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
@@ -31,10 +32,10 @@
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
-/// Age up to which others may rely on this node's word that a copy is confirmed.
-const CONFIRMED_FOR_OTHERS: Duration = Duration::from_millis(1500);
-/// Age up to which a copy counts as confirmed by the store.
-const CONFIRMED_FOR: Duration = Duration::from_secs(13);
+/// Time for which a watch waits on a node that is not on duty.
+const LONG_WAIT: Duration = Duration::from_secs(10);
+/// Longest time that a watcher rests before it looks whether its plan has changed.
+const LONGEST_REST: Duration = Duration::from_millis(250);
 /// Nodes that read the configuration in a small fleet: all of them.
 const READERS_OF_CONFIGURATION: usize = 16;
 /// Nodes that read the store in a larger fleet; the others learn from them.
@@ -59,6 +60,7 @@
 /// The actor that holds the state of the fleet.
 pub struct FleetState {
     context: Rc<ControlContext>,
+    staleness: StalenessLimits,
     started: Instant,
     phase: Phase,
     copies: HashMap<Subject, Copy>,
@@ -90,8 +92,10 @@
         let settings = &context.settings;
         let mut peers = Membership::new(settings.peer_address, &settings.zone);
         settings.seeds.iter().for_each(|seed| peers.add_contact(*seed, Timestamp(0)));
+        let staleness = settings.staleness();
         FleetState {
             context,
+            staleness,
             started: Instant::now(),
             phase: Phase::Starting,
             copies: HashMap::from_iter(Subject::ALL.map(|subject| (subject, Copy::default()))),
@@ -198,11 +202,10 @@
 
     fn publish(&mut self) {
         let now = self.now();
+        let current_for = self.staleness.current_for();
         self.generation += 1;
         let copy = self.copy(Subject::Configuration);
-        let current = !copy.watch_failing
-            && !copy.is_known_behind()
-            && copy.confirmed.is_some_and(|confirmed| confirmed.elapsed() < CONFIRMED_FOR);
+        let current = !copy.is_known_behind() && !copy.is_older_than(current_for);
         let confirmed = copy.confirmed;
         let published = Published {
             generation: self.generation,
@@ -240,17 +243,39 @@
         nodes
     }
 
-    /// How new this node's copies are. Others rely on what it says only where the
-    /// store, or a node that reads it, has just confirmed them.
+    /// How new this node's copies are, and when the store last said so.
     fn versions(&self) -> CopyVersions {
-        let confirmed = |copy: &Copy| {
-            copy.confirmed.is_some_and(|confirmed| confirmed.elapsed() < CONFIRMED_FOR_OTHERS)
-        };
         CopyVersions {
             configuration: self.configuration.version(),
+            configuration_age: self.copies[&Subject::Configuration].told_age(),
             servers: self.copies[&Subject::Servers].mirror.at,
-            confirmed: self.copies.values().all(confirmed),
+            servers_age: self.copies[&Subject::Servers].told_age(),
+        }
+    }
+
+    /// Age of a copy from which on this node asks the store itself.
+    fn patience(&self) -> Duration {
+        self.staleness.patience(self.peers.place(), self.peers.is_small())
+    }
+
+    /// What the watcher of a copy is to do next.
+    fn watch_plan(&self, subject: Subject) -> WatchPlan {
+        let copy = &self.copies[&subject];
+        let patience = self.patience();
+        let after = copy.mirror.at;
+        if after > 0 && !self.reads(subject) {
+            let rest = patience.saturating_sub(copy.age().unwrap_or(patience));
+            return match rest.is_zero() {
+                true => WatchPlan::Poll { after },
+                false => WatchPlan::Rest(rest.min(LONGEST_REST)),
+            };
         }
+        let is_on_duty = self.peers.place() == 0 || copy.is_older_to_peers_than(patience);
+        let wait = match is_on_duty {
+            true => self.staleness.duty_wait().saturating_sub(copy.age().unwrap_or_default()),
+            false => LONG_WAIT,
+        };
+        WatchPlan::Watch { after, wait }
     }
 
     fn heartbeat(&mut self) -> Heartbeat {
@@ -270,7 +295,7 @@
                 Phase::Ready => PeerPhase::Ready,
                 Phase::Draining | Phase::Closing => PeerPhase::Leaving,
             },
-            versions: CopyVersions { confirmed: reads_store, ..self.versions() },
+            versions: self.versions(),
             reads_store,
             store_fails: self.store_fails(),
             loads: tells_loads.then(|| self.context.loads.all()),
@@ -288,9 +313,7 @@
         let heartbeat = self.heartbeat();
         self.demand.receive(&heartbeat, now);
         self.ask_for_plan(!heartbeat.waited_for.is_empty());
-        let mut versions = self.versions();
-        versions.confirmed |= heartbeat.reads_store;
-        let outgoing = self.peers.outgoing(&heartbeat, versions, now);
+        let outgoing = self.peers.outgoing(&heartbeat, now);
         if let Some(loads) = heartbeat.loads {
             self.told_loads = loads;
         }
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -1,26 +1,26 @@
 //! Keeps the copies of the store's prefixes new.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix::Addr;
+use cometmoor_core::gateway::staleness::StalenessLimits;
+use futures::future::{Either, select};
 
 use super::ControlContext;
 use super::fleet::{
-    CopyChanged, CopyFailed, CopyRead, FleetState, GetReadPlan, GetWatchPlan, ReadPlan, WatchPlan,
+    CopyChanged, CopyFailed, CopyRead, FleetState, GetPatienceLeft, GetReadPlan, GetWatchPlan,
+    ReadPlan, WatchPlan,
 };
 use crate::dialect::Watched;
 use crate::peer::Subject;
 use crate::store::{PagedRead, StoreError};
 
-/// Time that a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Pause after changes of the servers, so that those that come close together
 /// are told by one answer. It is a small part of the time within which a
 /// leaving server must get no new work.
 const GATHER: Duration = Duration::from_millis(350);
-/// Pause of a node that learns from others before it looks whether it still does.
-const LEFT_TO_READERS: Duration = Duration::from_millis(250);
 /// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures.
@@ -32,8 +32,12 @@
 const LOOK_FOR_PEERS: Duration = Duration::from_millis(100);
 /// Such looks before a node reads the store itself.
 const LOOKS_FOR_PEERS: u32 = 25;
-/// Longest time for a try of a full read, where the store is slow.
-const LONGEST_READ: Duration = Duration::from_millis(1600);
+/// Longest time for a try of a full read or a poll, where the store is slow.
+const LONGEST_TRY: Duration = Duration::from_millis(1200);
+/// Shortest pause before an open watch is looked at again.
+const SHORTEST_LOOK: Duration = Duration::from_millis(20);
+/// A watch that the store answers at once.
+const NO_WAIT: Duration = Duration::ZERO;
 
 /// What a watcher does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +46,21 @@
     FirstRead,
     /// Read everything, because the store has forgotten what has changed since.
     ReadAgain,
-    /// Wait for changes.
-    Watch,
+    /// Wait for changes, or leave that to others, as the fleet's state tells.
+    Follow,
+    /// The same, but ask without waiting before the store is waited for: it has
+    /// left something without an answer.
+    FollowDoubting,
+}
+
+impl Step {
+    /// What comes after a call that was not answered.
+    fn after_failure(self) -> Step {
+        match self {
+            Step::Follow => Step::FollowDoubting,
+            step => step,
+        }
+    }
 }
 
 /// Starts a task for each prefix.
@@ -70,47 +87,116 @@
     }
 
     async fn run(self) {
-        let mut pause = FIRST_PAUSE;
-        let mut read_time = FIRST_READ;
+        let mut failures = 0;
         let mut next = Step::FirstRead;
         loop {
-            match self.step(next, read_time).await {
+            match self.step(next, failures).await {
                 Ok(following) => {
                     next = following;
-                    pause = FIRST_PAUSE;
-                    read_time = FIRST_READ;
+                    failures = 0;
                 }
                 Err(error) => {
                     let reason = error.to_string();
                     self.fleet.do_send(CopyFailed { subject: self.subject, reason });
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
-                    read_time = (read_time * 2).min(LONGEST_READ);
+                    tokio::time::sleep(self.pause_after(failures).await).await;
+                    next = next.after_failure();
+                    failures += 1;
                 }
             }
         }
     }
 
-    /// Reads everything, or waits for changes; tells what comes next.
-    async fn step(&self, step: Step, read_time: Duration) -> Result<Step, StoreError> {
-        if step != Step::Watch {
-            self.read(step == Step::FirstRead, read_time).await?;
-            return Ok(Step::Watch);
-        }
+    /// Pause after a failure that others came before. It stays short while nobody
+    /// tells that the store answers.
+    async fn pause_after(&self, failures: u32) -> Duration {
+        let longest = match self.patience_left().await.is_zero() {
+            true => self.limits().longest_retry_pause(),
+            false => LONGEST_PAUSE,
+        };
+        doubled(FIRST_PAUSE, failures, longest)
+    }
+
+    fn limits(&self) -> StalenessLimits {
+        self.context.settings.staleness()
+    }
+
+    async fn patience_left(&self) -> Duration {
         // The actor ends only with the process.
-        let plan = self.fleet.send(GetWatchPlan(self.subject)).await;
-        let Ok(WatchPlan::WatchAfter(after)) = plan else {
-            tokio::time::sleep(LEFT_TO_READERS).await;
-            return Ok(Step::Watch);
+        self.fleet.send(GetPatienceLeft(self.subject)).await.unwrap_or(LONGEST_PAUSE)
+    }
+
+    /// Reads everything, or follows the changes; tells what comes next.
+    async fn step(&self, step: Step, failures: u32) -> Result<Step, StoreError> {
+        match step {
+            Step::FirstRead | Step::ReadAgain => {
+                let time = doubled(FIRST_READ, failures, LONGEST_TRY);
+                self.read(step == Step::FirstRead, time).await?;
+                Ok(Step::Follow)
+            }
+            Step::Follow | Step::FollowDoubting => self.follow(step, failures).await,
+        }
+    }
+
+    async fn follow(&self, step: Step, failures: u32) -> Result<Step, StoreError> {
+        let Ok(plan) = self.fleet.send(GetWatchPlan(self.subject)).await else {
+            return Ok(Step::Follow);
         };
-        match self.context.store.watch(self.prefix(), after, WATCH_WAIT).await? {
-            Watched::Events { events, at } => {
+        match plan {
+            WatchPlan::Rest(rest) => {
+                tokio::time::sleep(rest).await;
+                Ok(step)
+            }
+            WatchPlan::Watch { after, wait } if step == Step::Follow => {
+                self.watch(after, wait).await
+            }
+            WatchPlan::Watch { after, .. } | WatchPlan::Poll { after } => {
+                self.poll(after, failures).await
+            }
+        }
+    }
+
+    /// Waits for changes. A watch that says nothing is given up when the copy has
+    /// become too old: its connection may have gone silent. Waiting for the
+    /// watch's own time to pass instead left nodes without news for 10.8 s (played
+    /// days on which the store turns nodes away in silence).
+    async fn watch(&self, after: u64, wait: Duration) -> Result<Step, StoreError> {
+        let store = &self.context.store;
+        let watch = store.watch(self.prefix(), after, wait, self.limits().watch_slack());
+        match select(pin!(watch), pin!(self.copy_becomes_too_old())).await {
+            Either::Left((watched, _)) => self.take(watched?).await,
+            Either::Right(((), _)) => {
+                store.distrust_connections();
+                Ok(Step::FollowDoubting)
+            }
+        }
+    }
+
+    async fn copy_becomes_too_old(&self) {
+        loop {
+            let left = self.patience_left().await;
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.max(SHORTEST_LOOK)).await;
+        }
+    }
+
+    /// Asks for changes without waiting.
+    async fn poll(&self, after: u64, failures: u32) -> Result<Step, StoreError> {
+        let time = doubled(self.limits().first_poll(), failures, LONGEST_TRY);
+        let watched = self.context.store.watch(self.prefix(), after, NO_WAIT, time).await?;
+        self.take(watched).await
+    }
+
+    async fn take(&self, watched: Watched) -> Result<Step, StoreError> {
+        match watched {
+            Watched::Events(events) => {
                 let gathers = self.subject == Subject::Servers && !events.is_empty();
-                self.fleet.do_send(CopyChanged { subject: self.subject, events, at });
+                self.fleet.do_send(CopyChanged { subject: self.subject, events });
                 if gathers {
                     tokio::time::sleep(GATHER).await;
                 }
-                Ok(Step::Watch)
+                Ok(Step::Follow)
             }
             Watched::Forgotten => Ok(Step::ReadAgain),
         }
@@ -145,3 +231,8 @@
         false
     }
 }
+
+/// A time that doubles with each failure, up to the longest.
+fn doubled(first: Duration, failures: u32, longest: Duration) -> Duration {
+    first.saturating_mul(2_u32.saturating_pow(failures)).min(longest)
+}
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -173,16 +173,21 @@
     },
 }
 
+impl WatchEvent {
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            WatchEvent::Written(item) => item.revision,
+            WatchEvent::Gone { revision, .. } => *revision,
+        }
+    }
+}
+
 /// What a watch answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
-    /// Changes, and where to go on.
-    Events {
-        /// Changes in order.
-        events: Vec<WatchEvent>,
-        /// Revision to go on from.
-        at: u64,
-    },
+    /// Changes in order; none where there were none while it waited.
+    Events(Vec<WatchEvent>),
     /// The store has forgotten what came after the revision.
     Forgotten,
 }
--- a/crates/cometmoor-gateway/src/http/client.rs
+++ b/crates/cometmoor-gateway/src/http/client.rs
@@ -130,7 +130,11 @@
         let exchange = exchange(&stream, &bytes, call.method == "HEAD");
         let (answer, reusable) = match tokio::time::timeout(left, exchange).await {
             Ok(result) => result.map_err(CallError::Unanswered)?,
-            Err(_) => return Err(CallError::Unanswered(io::ErrorKind::TimedOut.into())),
+            Err(_) => {
+                // Those that rest may have gone silent with this one.
+                self.drop_idle();
+                return Err(CallError::Unanswered(io::ErrorKind::TimedOut.into()));
+            }
         };
         if reusable && self.idle.borrow().len() < MAX_IDLE {
             self.idle.borrow_mut().push(stream);
@@ -138,6 +142,11 @@
         Ok(answer)
     }
 
+    /// Closes the connections that rest.
+    pub fn drop_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     async fn checkout(&self, within: Duration) -> io::Result<TcpStream> {
         while let Some(stream) = self.pop_idle() {
             if is_quiet(&stream) {
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -6,7 +6,7 @@
 
 use cometmoor_core::time::Timestamp;
 
-use super::message::{CopyVersions, Digest, Heartbeat, MemberEntry, ZoneMembers};
+use super::message::{Digest, Heartbeat, MemberEntry, ZoneMembers};
 use super::{Membership, add};
 use crate::load::{ServerKey, ServerLoad};
 
@@ -16,12 +16,7 @@
 impl Membership {
     /// A digest that tells only how new copies are, and what the node says that
     /// orders the servers.
-    pub(super) fn brief_digest(
-        &self,
-        own: &Heartbeat,
-        versions: CopyVersions,
-        now: Timestamp,
-    ) -> Digest {
+    pub(super) fn brief_digest(&self, own: &Heartbeat, now: Timestamp) -> Digest {
         let told = self.placement(now);
         let placement =
             own.placement.as_ref().into_iter().chain(told).max_by_key(|placement| placement.token);
@@ -30,7 +25,7 @@
             zone: self.zone.clone(),
             incarnation: own.incarnation,
             sequence: self.hub.sequence,
-            versions,
+            versions: own.versions,
             zones: None,
             loads: None,
             placement: placement.cloned(),
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -7,7 +7,7 @@
 use cometmoor_core::time::Timestamp;
 
 use super::Membership;
-use super::message::{CopyVersions, Digest, Heartbeat, Message, ZoneMembers};
+use super::message::{Digest, Heartbeat, Message, ZoneMembers};
 use super::peers::{Member, Rank};
 
 /// Fewest hubs of a zone, which share its nodes; each can take all.
@@ -116,14 +116,8 @@
 }
 
 impl Membership {
-    /// What this node sends now, given its own heartbeat and how new its copies
-    /// are as others may rely on them.
-    pub fn outgoing(
-        &mut self,
-        own: &Heartbeat,
-        versions: CopyVersions,
-        now: Timestamp,
-    ) -> Vec<Outgoing> {
+    /// What this node sends now, given its own heartbeat.
+    pub fn outgoing(&mut self, own: &Heartbeat, now: Timestamp) -> Vec<Outgoing> {
         self.reckon(now);
         let hubs = self.hubs();
         let mut outgoing = Vec::new();
@@ -134,7 +128,7 @@
         } else {
             self.tell_hubs(own, &hubs, now, &mut outgoing);
         }
-        self.tell_as_hub(own, versions, hubs, now, &mut outgoing);
+        self.tell_as_hub(own, hubs, now, &mut outgoing);
         outgoing
     }
 
@@ -216,7 +210,6 @@
     fn tell_as_hub(
         &mut self,
         own: &Heartbeat,
-        versions: CopyVersions,
         hubs: Hubs,
         now: Timestamp,
         outgoing: &mut Vec<Outgoing>,
@@ -231,7 +224,7 @@
         let uninformed = self.hub.uninformed.keys().copied().collect();
         let introduction = Heartbeat { known: others.clone(), ..own.clone() };
         push(outgoing, Message::Heartbeat(introduction), uninformed);
-        let brief = self.brief_digest(own, versions, now);
+        let brief = self.brief_digest(own, now);
         // The load of others is told when this node's own is.
         let tells_loads = own.loads.is_some();
         let zone = if tells_loads { self.zone_digest(own, &brief, now) } else { brief.clone() };
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -7,7 +7,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 13;
+const FORMAT: u8 = 14;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,10 +41,17 @@
     pub configuration: u64,
     /// Revision of its copy of the servers.
     pub servers: u64,
-    /// Whether the store, or a node that reads it, has just confirmed both.
-    pub confirmed: bool,
+    /// Age of the store's last answer by which the configuration is of that
+    /// version, whoever got it.
+    pub configuration_age: CopyAge,
+    /// The same of the servers.
+    pub servers_age: CopyAge,
 }
 
+/// Milliseconds since the store last answered anybody in a way that shows that a
+/// copy lacks nothing; none where that is not known.
+pub type CopyAge = Option<u32>;
+
 /// What a node tells of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -20,7 +20,8 @@
 
 pub use self::hubs::Outgoing;
 pub use self::message::{
-    CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement, ZoneMembers,
+    CopyAge, CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement,
+    ZoneMembers,
 };
 use self::peers::{DirectPeers, HUB_SUSPECT_AFTER, SUSPECT_AFTER, told_members};
 pub use self::peers::{Member, PeerChange, Rank};
@@ -215,10 +216,21 @@
     /// rank, among itself and the others whom the store answers. Where it
     /// answers nobody, not all nodes have to find that out.
     pub fn is_reader(&self, readers: usize) -> bool {
+        let (answered, failing) = self.ahead();
+        answered < readers && failing < readers * FAILING_READERS
+    }
+
+    /// The number of nodes ahead of this one by rank whom the store answers.
+    pub fn place(&self) -> usize {
+        self.ahead().0
+    }
+
+    /// Nodes ahead by rank: those whom the store answers, and the others.
+    fn ahead(&self) -> (usize, usize) {
         let ahead = self.members.iter().filter(|member| member.rank < self.own_rank);
         let (failing, answered): (Vec<&Member>, Vec<&Member>) =
             ahead.partition(|member| member.entry.store_fails);
-        answered.len() < readers && failing.len() < readers * FAILING_READERS
+        (answered.len(), failing.len())
     }
 
     /// Whether a node told itself that it led when it was last heard.
--- a/crates/cometmoor-gateway/src/mirror.rs
+++ b/crates/cometmoor-gateway/src/mirror.rs
@@ -107,14 +107,16 @@
         true
     }
 
-    /// Takes changes up to a revision; tells whether an item changed. Changes
-    /// that another copy has already brought are passed over.
-    pub fn apply(&mut self, events: Vec<WatchEvent>, at: u64) -> bool {
+    /// Takes changes; tells whether an item changed. Changes that another copy has
+    /// already brought are passed over. The copy is then of the last change's
+    /// revision, not of the one that the store names beside them: a store that
+    /// hands changes out late may name one beyond a change that it has yet to tell.
+    pub fn apply(&mut self, events: Vec<WatchEvent>) -> bool {
         let mut changed = false;
         for event in events {
+            self.at = self.at.max(event.revision());
             changed |= self.apply_one(event);
         }
-        self.at = self.at.max(at);
         changed
     }
 
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cometmoor_core::gateway::staleness::StalenessLimits;
 use serde::{Deserialize, Serialize};
 
 /// Why settings cannot be used.
@@ -116,6 +117,17 @@
     pub lease_millis: u64,
     /// Window in which loads from the weight store are counted, in seconds.
     pub load_window_seconds: f64,
+    /// Milliseconds from the store's answer until a leaving server gets no new
+    /// work.
+    #[serde(default = "default_bound_millis")]
+    pub drain_millis: u64,
+    /// Milliseconds from the store's answer until a configuration is in force.
+    #[serde(default = "default_bound_millis")]
+    pub apply_millis: u64,
+}
+
+fn default_bound_millis() -> u64 {
+    2000
 }
 
 fn default_max_connections() -> usize {
@@ -149,6 +161,8 @@
             ("bounds.retryWindowSeconds", self.bounds.retry_window_seconds),
             ("bounds.leaseMillis", self.bounds.lease_millis as f64),
             ("bounds.loadWindowSeconds", self.bounds.load_window_seconds),
+            ("bounds.drainMillis", self.bounds.drain_millis as f64),
+            ("bounds.applyMillis", self.bounds.apply_millis as f64),
             ("directoryLifetimeMillis", self.directory_lifetime_millis as f64),
             ("maxConnections", self.max_connections as f64),
         ];
@@ -175,6 +189,12 @@
         Duration::from_millis(self.directory_lifetime_millis)
     }
 
+    /// How old this node's copies of the store may become.
+    pub fn staleness(&self) -> StalenessLimits {
+        let millis = self.bounds.drain_millis.min(self.bounds.apply_millis);
+        StalenessLimits::new(Duration::from_millis(millis))
+    }
+
     /// Window in which repeated sends are counted.
     pub fn retry_window(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.retry_window_seconds)
--- a/crates/cometmoor-gateway/src/store.rs
+++ b/crates/cometmoor-gateway/src/store.rs
@@ -10,8 +10,6 @@
 
 /// Time for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Time for an answer beyond the time that a watch waits.
-const WATCH_SLACK: Duration = Duration::from_millis(800);
 
 /// Why a call to the store failed.
 #[derive(Debug)]
@@ -98,18 +96,26 @@
         Ok(more)
     }
 
-    /// Waits for changes under a prefix after a revision.
+    /// Waits for changes under a prefix after a revision. `slack` is the time
+    /// for the answer beyond the wait.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
+        slack: Duration,
     ) -> Result<Watched, StoreError> {
         let call = self.dialect.watch(prefix, after, wait);
-        let answer = self.call(&call, wait + WATCH_SLACK).await?;
+        let answer = self.call(&call, wait + slack).await?;
         Ok(self.dialect.parse_watch(&answer)?)
     }
 
+    /// Uses none of the connections that rest: what was sent on another one has
+    /// no answer, and they may have gone silent with it.
+    pub fn distrust_connections(&self) {
+        self.client.drop_idle();
+    }
+
     /// Writes under conditions.
     pub async fn commit(&self, commit: &Commit) -> Result<Committed, StoreError> {
         let answer = self.call(&self.dialect.commit(commit), CALL_TIMEOUT).await?;
--- a/crates/cometmoor-gateway/tests/membership.rs
+++ b/crates/cometmoor-gateway/tests/membership.rs
@@ -141,7 +141,7 @@
     fn send(&mut self, own: SocketAddrV4, now: Timestamp) {
         let heartbeat = self.heartbeat(own);
         let membership = &mut self.nodes.get_mut(&own).unwrap().membership;
-        let outgoing = membership.outgoing(&heartbeat, CopyVersions::default(), now);
+        let outgoing = membership.outgoing(&heartbeat, now);
         for outgoing in outgoing {
             let bytes = outgoing.message.encode();
             for target in outgoing.targets {
--- a/crates/cometmoor-gateway/tests/mirror.rs
+++ b/crates/cometmoor-gateway/tests/mirror.rs
@@ -27,7 +27,7 @@
             } else {
                 written(key, revision)
             };
-            watching.apply(vec![event], revision);
+            watching.apply(vec![event]);
             if random.random_bool(0.2) {
                 learning.update(watching.since(learning.at));
                 assert_eq!(learning.items, watching.items, "seed {seed}, revision {revision}");
@@ -39,7 +39,7 @@
 #[test]
 fn an_older_update_changes_nothing_and_a_far_one_is_whole() {
     let mut mirror = Mirror::from_items(Vec::new(), 10);
-    mirror.apply(vec![written(1, 12)], 12);
+    mirror.apply(vec![written(1, 12)]);
     let old = Mirror::from_items(Vec::new(), 11);
     assert!(!mirror.update(MirrorUpdate::Whole(old)));
     assert_eq!(mirror.items.len(), 1);
@@ -50,11 +50,11 @@
 #[test]
 fn a_key_that_is_gone_does_not_come_back_by_an_older_write() {
     let mut mirror = Mirror::from_items(Vec::new(), 1);
-    mirror.apply(vec![written(1, 2)], 2);
-    mirror.apply(vec![WatchEvent::Gone { key: "k1".to_owned(), revision: 5 }], 5);
-    assert!(!mirror.apply(vec![written(1, 3)], 5));
+    mirror.apply(vec![written(1, 2)]);
+    mirror.apply(vec![WatchEvent::Gone { key: "k1".to_owned(), revision: 5 }]);
+    assert!(!mirror.apply(vec![written(1, 3)]));
     assert!(mirror.items.is_empty());
-    assert!(mirror.apply(vec![written(1, 6)], 6));
+    assert!(mirror.apply(vec![written(1, 6)]));
 }
 
 #[test]
