--- a/crates/cometmoor-core/src/gateway/staleness.rs
+++ b/crates/cometmoor-core/src/gateway/staleness.rs
@@ -16,9 +16,15 @@
 const WATCH_SLACK: f64 = 0.15;
 /// Part of the bound for which a call may take that the store answers at once.
 const FIRST_POLL: f64 = 0.15;
-/// Longest pause between two calls that the store does not answer, as a part of
-/// the bound, while nobody tells that it answers others.
-const LONGEST_RETRY_PAUSE: f64 = 0.2;
+/// Longest time for such a call, where the store is slow.
+const LONGEST_POLL: Duration = Duration::from_millis(1200);
+/// First pause after a call that the store did not answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
+/// The same as a part of the bound, while nobody tells that the store answers
+/// others.
+const LONGEST_URGENT_PAUSE: f64 = 0.2;
 /// Part of the bound that a copy's age may reach on the first node of a small
 /// fleet: the wait of the watch on duty, and a heartbeat.
 const SMALL_FLEET_PATIENCE: f64 = 0.375;
@@ -37,6 +43,41 @@
 /// Part of the bound up to which a copy is taken to be the store's state.
 const CURRENT_FOR: f64 = 1.5;
 
+/// Time for which the watch of a node waits that hears from others how old its
+/// copy is.
+const LONG_WAIT: Duration = Duration::from_secs(10);
+/// Longest time that a node leaves the store alone before it decides again.
+const LONGEST_REST: Duration = Duration::from_millis(250);
+
+/// What a node knows of one of its copies, and of its part in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyView {
+    /// Whether there is a copy.
+    pub exists: bool,
+    /// Whether this node is among those that read it from the store.
+    pub is_reader: bool,
+    /// Number of nodes ahead of this one by rank whom the store answers.
+    pub place: usize,
+    /// Whether all nodes hear one another.
+    pub is_small_fleet: bool,
+    /// Time since the store last confirmed the copy to anybody, as far as this
+    /// node knows; none where that is not known.
+    pub age: Option<Duration>,
+    /// The same by what other nodes told alone.
+    pub told_age: Option<Duration>,
+}
+
+/// What a node does next about a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextCall {
+    /// Wait at the store for a change, for so long at the most.
+    Watch(Duration),
+    /// Ask the store for changes without waiting.
+    Poll,
+    /// Leave the store alone for so long: others read it.
+    Rest(Duration),
+}
+
 /// The limits that follow from the time within which nodes have to know what the
 /// store has taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,15 +102,20 @@
         self.bound.mul_f64(WATCH_SLACK)
     }
 
-    /// Time for the first try of a call that the store answers at once.
-    pub fn first_poll(&self) -> Duration {
-        self.bound.mul_f64(FIRST_POLL)
+    /// Time for a call that the store answers at once, after so many tries that it
+    /// did not answer: it may be slow.
+    pub fn poll_time(&self, failures: u32) -> Duration {
+        doubled(self.bound.mul_f64(FIRST_POLL), failures, LONGEST_POLL)
     }
 
-    /// Longest pause before the store is asked again that has not answered, while
-    /// the copy is older than it should be.
-    pub fn longest_retry_pause(&self) -> Duration {
-        self.bound.mul_f64(LONGEST_RETRY_PAUSE)
+    /// Pause before the store is asked again after it has not answered, for the
+    /// first time or after other failures.
+    pub fn retry_pause(&self, failures: u32, view: &CopyView) -> Duration {
+        let longest = match self.patience_left(view).is_zero() {
+            true => self.bound.mul_f64(LONGEST_URGENT_PAUSE),
+            false => LONGEST_PAUSE,
+        };
+        doubled(FIRST_PAUSE, failures, longest)
     }
 
     /// Age of a copy from which on a node asks the store itself. `place` is the
@@ -86,9 +132,44 @@
         soon.saturating_add(PATIENCE_FOR_LATE_PLACE.saturating_mul(late))
     }
 
+    /// What a node does next about a copy. It depends on nothing but what the
+    /// node knows, so that it holds whoever else is silent.
+    pub fn next_call(&self, view: &CopyView) -> NextCall {
+        let left = self.patience_left(view);
+        if view.exists && !view.is_reader {
+            return if left.is_zero() {
+                NextCall::Poll
+            } else {
+                NextCall::Rest(left.min(LONGEST_REST))
+            };
+        }
+        let patience = self.patience(view.place, view.is_small_fleet);
+        let others_are_silent = view.told_age.is_none_or(|age| age >= patience);
+        match view.place == 0 || others_are_silent {
+            // The pause after changes is a part of the wait.
+            true => {
+                let age = view.age.unwrap_or_default();
+                NextCall::Watch(self.duty_wait().saturating_sub(age))
+            }
+            false => NextCall::Watch(LONG_WAIT),
+        }
+    }
+
+    /// Time for which an open watch may go on saying nothing: until the copy is
+    /// older than the node lets it become.
+    pub fn patience_left(&self, view: &CopyView) -> Duration {
+        let patience = self.patience(view.place, view.is_small_fleet);
+        patience.saturating_sub(view.age.unwrap_or(patience))
+    }
+
     /// Age up to which a copy is taken to be the store's state: what it lacks is
     /// taken not to exist.
     pub fn current_for(&self) -> Duration {
         self.bound.mul_f64(CURRENT_FOR)
     }
 }
+
+/// A time that doubles with each failure, up to the longest.
+pub fn doubled(first: Duration, failures: u32, longest: Duration) -> Duration {
+    first.saturating_mul(2_u32.saturating_pow(failures)).min(longest)
+}
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -69,9 +69,9 @@
         self.age().is_none_or(|age| age >= patience)
     }
 
-    /// The same, by what other nodes tell.
-    pub(super) fn is_older_to_peers_than(&self, patience: Duration) -> bool {
-        self.confirmed_to_peers.is_none_or(|at| at.elapsed() >= patience)
+    /// Time since the store last confirmed it, by what other nodes told.
+    pub(super) fn age_told_by_peers(&self) -> Option<Duration> {
+        self.confirmed_to_peers.map(|at| at.elapsed())
     }
 
     /// As others are told of its age.
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -6,6 +6,7 @@
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
+use cometmoor_core::gateway::staleness::NextCall;
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 
@@ -264,41 +265,21 @@
     }
 }
 
-/// What the watcher of a copy is to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WatchPlan {
-    /// Wait for changes after this revision.
-    Watch {
-        /// The revision.
-        after: u64,
-        /// How long to wait.
-        wait: Duration,
-    },
-    /// Ask for changes after this revision without waiting: nobody tells that the
-    /// store has confirmed the copy lately.
-    Poll {
-        /// The revision.
-        after: u64,
-    },
-    /// Leave the store alone for a while: other nodes read it.
-    Rest(Duration),
-}
-
-/// Asks what the watcher of a copy is to do next.
+/// Asks what the watcher of a copy is to do next, and after which revision.
 #[derive(Message)]
-#[rtype(result = "WatchPlan")]
-pub struct GetWatchPlan(pub Subject);
+#[rtype(result = "(NextCall, u64)")]
+pub struct GetNextCall(pub Subject);
 
-impl Handler<GetWatchPlan> for FleetState {
-    type Result = MessageResult<GetWatchPlan>;
+impl Handler<GetNextCall> for FleetState {
+    type Result = MessageResult<GetNextCall>;
 
-    fn handle(&mut self, get: GetWatchPlan, _: &mut Context<FleetState>) -> Self::Result {
-        MessageResult(self.watch_plan(get.0))
+    fn handle(&mut self, get: GetNextCall, _: &mut Context<FleetState>) -> Self::Result {
+        let next = self.staleness.next_call(&self.copy_view(get.0));
+        MessageResult((next, self.copies[&get.0].mirror.at))
     }
 }
 
-/// Asks how long an open watch of a copy may go on saying nothing: until the copy
-/// is older than this node lets it become. Zero where it is now.
+/// Asks how long an open watch of a copy may go on saying nothing.
 #[derive(Message)]
 #[rtype(result = "Duration")]
 pub struct GetPatienceLeft(pub Subject);
@@ -307,9 +288,21 @@
     type Result = MessageResult<GetPatienceLeft>;
 
     fn handle(&mut self, get: GetPatienceLeft, _: &mut Context<FleetState>) -> Self::Result {
-        let patience = self.patience();
-        let age = self.copies[&get.0].age();
-        MessageResult(patience.saturating_sub(age.unwrap_or(patience)))
+        MessageResult(self.staleness.patience_left(&self.copy_view(get.0)))
+    }
+}
+
+/// Asks how long to wait before the store is asked again about a copy, after so
+/// many failures before the last one.
+#[derive(Message)]
+#[rtype(result = "Duration")]
+pub struct GetRetryPause(pub Subject, pub u32);
+
+impl Handler<GetRetryPause> for FleetState {
+    type Result = MessageResult<GetRetryPause>;
+
+    fn handle(&mut self, get: GetRetryPause, _: &mut Context<FleetState>) -> Self::Result {
+        MessageResult(self.staleness.retry_pause(get.1, &self.copy_view(get.0)))
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -13,15 +13,15 @@
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::registry::ServerRecord;
-use cometmoor_core::gateway::staleness::StalenessLimits;
+use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
 use cometmoor_core::time::Timestamp;
 use spdlog::{error, info};
 
 use self::copies::Copy;
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
-    GetDemand, GetNextMessages, GetPatienceLeft, GetPeers, GetReadPlan, GetUpdate, GetWatchPlan,
-    NextMessages, PeerTold, ReadPlan, SetPlacement, WatchPlan,
+    GetDemand, GetNextCall, GetNextMessages, GetPatienceLeft, GetPeers, GetReadPlan, GetRetryPause,
+    GetUpdate, NextMessages, PeerTold, ReadPlan, SetPlacement,
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
@@ -32,10 +32,6 @@
 
 /// How often silent peers are noticed.
 const TICK: Duration = Duration::from_millis(250);
-/// Time for which a watch waits on a node that is not on duty.
-const LONG_WAIT: Duration = Duration::from_secs(10);
-/// Longest time that a watcher rests before it looks whether its plan has changed.
-const LONGEST_REST: Duration = Duration::from_millis(250);
 /// Nodes that read the configuration in a small fleet: all of them.
 const READERS_OF_CONFIGURATION: usize = 16;
 /// Nodes that read the store in a larger fleet; the others learn from them.
@@ -258,24 +254,17 @@
         self.staleness.patience(self.peers.place(), self.peers.is_small())
     }
 
-    /// What the watcher of a copy is to do next.
-    fn watch_plan(&self, subject: Subject) -> WatchPlan {
+    /// What this node knows of one of its copies, and of its part in the fleet.
+    fn copy_view(&self, subject: Subject) -> CopyView {
         let copy = &self.copies[&subject];
-        let patience = self.patience();
-        let after = copy.mirror.at;
-        if after > 0 && !self.reads(subject) {
-            let rest = patience.saturating_sub(copy.age().unwrap_or(patience));
-            return match rest.is_zero() {
-                true => WatchPlan::Poll { after },
-                false => WatchPlan::Rest(rest.min(LONGEST_REST)),
-            };
+        CopyView {
+            exists: copy.mirror.at > 0,
+            is_reader: self.reads(subject),
+            place: self.peers.place(),
+            is_small_fleet: self.peers.is_small(),
+            age: copy.age(),
+            told_age: copy.age_told_by_peers(),
         }
-        let is_on_duty = self.peers.place() == 0 || copy.is_older_to_peers_than(patience);
-        let wait = match is_on_duty {
-            true => self.staleness.duty_wait().saturating_sub(copy.age().unwrap_or_default()),
-            false => LONG_WAIT,
-        };
-        WatchPlan::Watch { after, wait }
     }
 
     fn heartbeat(&mut self) -> Heartbeat {
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use actix::Addr;
-use cometmoor_core::gateway::staleness::StalenessLimits;
+use cometmoor_core::gateway::staleness::{NextCall, StalenessLimits, doubled};
 use futures::future::{Either, select};
 
 use super::ControlContext;
 use super::fleet::{
-    CopyChanged, CopyFailed, CopyRead, FleetState, GetPatienceLeft, GetReadPlan, GetWatchPlan,
-    ReadPlan, WatchPlan,
+    CopyChanged, CopyFailed, CopyRead, FleetState, GetNextCall, GetPatienceLeft, GetReadPlan,
+    GetRetryPause, ReadPlan,
 };
 use crate::dialect::Watched;
 use crate::peer::Subject;
@@ -21,10 +21,8 @@
 /// are told by one answer. It is a small part of the time within which a
 /// leaving server must get no new work.
 const GATHER: Duration = Duration::from_millis(350);
-/// First pause after a failure.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after failures.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
+/// Pause where the state of the fleet is gone, which ends with the process.
+const LONGEST_REST: Duration = Duration::from_millis(1500);
 /// Time for the first try of a full read, far above what an answer takes: a
 /// call on a connection that has lost an answer never gets one.
 const FIRST_READ: Duration = Duration::from_millis(400);
@@ -32,8 +30,8 @@
 const LOOK_FOR_PEERS: Duration = Duration::from_millis(100);
 /// Such looks before a node reads the store itself.
 const LOOKS_FOR_PEERS: u32 = 25;
-/// Longest time for a try of a full read or a poll, where the store is slow.
-const LONGEST_TRY: Duration = Duration::from_millis(1200);
+/// Longest time for a try of a full read, where the store is slow.
+const LONGEST_READ: Duration = Duration::from_millis(1600);
 /// Shortest pause before an open watch is looked at again.
 const SHORTEST_LOOK: Duration = Duration::from_millis(20);
 /// A watch that the store answers at once.
@@ -98,7 +96,8 @@
                 Err(error) => {
                     let reason = error.to_string();
                     self.fleet.do_send(CopyFailed { subject: self.subject, reason });
-                    tokio::time::sleep(self.pause_after(failures).await).await;
+                    let pause = self.fleet.send(GetRetryPause(self.subject, failures)).await;
+                    tokio::time::sleep(pause.unwrap_or(LONGEST_REST)).await;
                     next = next.after_failure();
                     failures += 1;
                 }
@@ -106,30 +105,15 @@
         }
     }
 
-    /// Pause after a failure that others came before. It stays short while nobody
-    /// tells that the store answers.
-    async fn pause_after(&self, failures: u32) -> Duration {
-        let longest = match self.patience_left().await.is_zero() {
-            true => self.limits().longest_retry_pause(),
-            false => LONGEST_PAUSE,
-        };
-        doubled(FIRST_PAUSE, failures, longest)
-    }
-
     fn limits(&self) -> StalenessLimits {
         self.context.settings.staleness()
     }
 
-    async fn patience_left(&self) -> Duration {
-        // The actor ends only with the process.
-        self.fleet.send(GetPatienceLeft(self.subject)).await.unwrap_or(LONGEST_PAUSE)
-    }
-
     /// Reads everything, or follows the changes; tells what comes next.
     async fn step(&self, step: Step, failures: u32) -> Result<Step, StoreError> {
         match step {
             Step::FirstRead | Step::ReadAgain => {
-                let time = doubled(FIRST_READ, failures, LONGEST_TRY);
+                let time = doubled(FIRST_READ, failures, LONGEST_READ);
                 self.read(step == Step::FirstRead, time).await?;
                 Ok(Step::Follow)
             }
@@ -138,20 +122,16 @@
     }
 
     async fn follow(&self, step: Step, failures: u32) -> Result<Step, StoreError> {
-        let Ok(plan) = self.fleet.send(GetWatchPlan(self.subject)).await else {
-            return Ok(Step::Follow);
-        };
-        match plan {
-            WatchPlan::Rest(rest) => {
+        // The actor ends only with the process.
+        let asked = self.fleet.send(GetNextCall(self.subject)).await;
+        let (next, after) = asked.unwrap_or((NextCall::Rest(LONGEST_REST), 0));
+        match next {
+            NextCall::Rest(rest) => {
                 tokio::time::sleep(rest).await;
                 Ok(step)
             }
-            WatchPlan::Watch { after, wait } if step == Step::Follow => {
-                self.watch(after, wait).await
-            }
-            WatchPlan::Watch { after, .. } | WatchPlan::Poll { after } => {
-                self.poll(after, failures).await
-            }
+            NextCall::Watch(wait) if step == Step::Follow => self.watch(after, wait).await,
+            NextCall::Watch(_) | NextCall::Poll => self.poll(after, failures).await,
         }
     }
 
@@ -173,7 +153,8 @@
 
     async fn copy_becomes_too_old(&self) {
         loop {
-            let left = self.patience_left().await;
+            let left = self.fleet.send(GetPatienceLeft(self.subject)).await;
+            let left = left.unwrap_or(LONGEST_REST);
             if left.is_zero() {
                 return;
             }
@@ -183,7 +164,7 @@
 
     /// Asks for changes without waiting.
     async fn poll(&self, after: u64, failures: u32) -> Result<Step, StoreError> {
-        let time = doubled(self.limits().first_poll(), failures, LONGEST_TRY);
+        let time = self.limits().poll_time(failures);
         let watched = self.context.store.watch(self.prefix(), after, NO_WAIT, time).await?;
         self.take(watched).await
     }
@@ -231,8 +212,3 @@
         false
     }
 }
-
-/// A time that doubles with each failure, up to the longest.
-fn doubled(first: Duration, failures: u32, longest: Duration) -> Duration {
-    first.saturating_mul(2_u32.saturating_pow(failures)).min(longest)
-}
