Red test: hubs keep a dead leader's word alive for one another

After the leader's death 59 of 59 nodes of a fleet of 60 still believe its word after eight seconds, and a word that is believed keeps others from campaigning. Small fleets hear the leader itself and are not concerned.

--- a/crates/cometmoor-gateway/tests/membership.rs
+++ b/crates/cometmoor-gateway/tests/membership.rs
@@ -300,6 +300,24 @@
     }
 }
 
+/// Hubs pass the leader's word on to one another: once it has died, none may keep it
+/// alive for the others, or nobody takes its place.
+#[test]
+fn the_word_of_a_leader_that_died_is_forgotten() {
+    for (seed, count) in [(1, 8), (2, 60), (3, 120)] {
+        let mut world = World::new(seed);
+        world.start(0..count);
+        world.leader = Some(address(0));
+        world.run(6);
+        world.nodes.remove(&address(0));
+        world.run(8);
+        let now = Timestamp(world.now);
+        let believing =
+            world.nodes.values().filter(|node| node.membership.placement(now).is_some()).count();
+        assert_eq!(believing, 0, "of {count} nodes, eight seconds later");
+    }
+}
+
 #[test]
 fn readers_of_the_store_are_the_same_few_for_all_nodes() {
     let mut world = World::new(5);
