The leader's word has a number and an age, and is told whole when it is new

Cause: hubs pass the leader's word on to one another. Without a number within the term they kept its first one; without an age they kept the word of a leader that had died, and a word that is heard keeps others from campaigning.

Change: a placement's number rises with each change; heartbeats and digests tell the age since the leader itself spoke; older than 2.5 s it counts no more; a digest tells it whole when its number is new, each 0.6 s, and to newcomers.

--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -334,11 +334,14 @@
     /// Publishes what the newest leading node tells, this one included.
     fn publish_placement(&mut self) {
         let now = self.now();
+        let said = |at: Timestamp| Instant::now().checked_sub(now.since(at));
         let told = self.peers.placement(now);
-        if told.is_some() || self.placement.is_some() {
-            self.leader_heard = Some(Instant::now());
+        let own = self.placement.as_ref().map(|placement| (placement, now));
+        if let Some((_, at)) = told.into_iter().chain(own).max_by_key(|(_, at)| *at) {
+            self.leader_heard = self.leader_heard.max(said(at));
         }
-        let newest = told.into_iter().chain(&self.placement).max_by_key(|known| known.token);
+        let known = told.into_iter().chain(own).map(|(placement, _)| placement);
+        let newest = known.max_by_key(|placement| placement.version());
         let view = newest.map_or_else(PlacementView::default, |placement| PlacementView {
             token: placement.token,
             added: placement.added.iter().copied().collect(),
--- a/crates/cometmoor-gateway/src/control/leader/announcements.rs
+++ b/crates/cometmoor-gateway/src/control/leader/announcements.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Announcements {
     changes: HashMap<Place, Change>,
+    sequence: u64,
+    told: Option<Placement>,
 }
 
 impl Announcements {
@@ -68,6 +70,20 @@
             keys.sort_unstable();
             keys
         };
-        Placement { token, leader, added: keys(true), withdrawn: keys(false) }
+        let (added, withdrawn) = (keys(true), keys(false));
+        let sequence = self.sequence;
+        let placement = Placement { token, sequence, leader, added, withdrawn };
+        self.numbered(placement)
+    }
+
+    /// The placement with the next number, where it differs from the last one.
+    fn numbered(&mut self, placement: Placement) -> Placement {
+        if self.told.as_ref() == Some(&placement) {
+            return placement;
+        }
+        self.sequence += 1;
+        let placement = Placement { sequence: self.sequence, ..placement };
+        self.told = Some(placement.clone());
+        placement
     }
 }
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -6,7 +6,7 @@
 
 use cometmoor_core::time::Timestamp;
 
-use super::message::{Digest, Heartbeat, MemberEntry, ZoneMembers};
+use super::message::{Digest, Heartbeat, MemberEntry, ToldPlacement, ZoneMembers};
 use super::{Membership, add};
 use crate::load::{ServerKey, ServerLoad};
 
@@ -17,9 +17,6 @@
     /// A digest that tells only how new copies are, and what the node says that
     /// orders the servers.
     pub(super) fn brief_digest(&self, own: &Heartbeat, now: Timestamp) -> Digest {
-        let told = self.placement(now);
-        let placement =
-            own.placement.as_ref().into_iter().chain(told).max_by_key(|placement| placement.token);
         Digest {
             hub: self.own,
             zone: self.zone.clone(),
@@ -28,10 +25,24 @@
             versions: own.versions,
             zones: None,
             loads: None,
-            placement: placement.cloned(),
+            placement: self.told_placement(own, now),
         }
     }
 
+    /// The newest of the leader's word, its own where this node leads, whole.
+    fn told_placement(&self, own: &Heartbeat, now: Timestamp) -> Option<ToldPlacement> {
+        let own = own.placement.as_ref().map(|placement| (placement, now));
+        let known = own.into_iter().chain(self.placement(now));
+        let (placement, said) = known.max_by_key(|(placement, _)| placement.version())?;
+        let age = now.since(said).as_millis();
+        Some(ToldPlacement {
+            leader: placement.leader,
+            version: placement.version(),
+            age_millis: u32::try_from(age).unwrap_or(u32::MAX),
+            whole: Some(placement.clone()),
+        })
+    }
+
     /// The nodes of this zone and their load, by their own heartbeats only.
     pub(super) fn zone_digest(&self, own: &Heartbeat, brief: &Digest, now: Timestamp) -> Digest {
         let in_zone = self.direct.alive(now).filter(|peer| peer.heartbeat.zone == self.zone);
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -7,6 +7,7 @@
 use cometmoor_core::time::Timestamp;
 
 use super::Membership;
+use super::leader_word::ToldWord;
 use super::message::{Digest, Heartbeat, Message, ZoneMembers};
 use super::peers::{Member, Rank};
 
@@ -58,6 +59,7 @@
 struct ToldByHub {
     zones: Vec<ZoneMembers>,
     members: Option<Timestamp>,
+    leader_word: ToldWord,
 }
 
 impl HubDuty {
@@ -98,6 +100,16 @@
 }
 
 impl ToldByHub {
+    /// The digest without the leader's placement, where that was told a moment ago.
+    fn without_known_placement(&mut self, mut digest: Digest, now: Timestamp) -> Digest {
+        if let Some(told) = &mut digest.placement
+            && !self.leader_word.whole_is_due(told.version, now)
+        {
+            told.whole = None;
+        }
+        digest
+    }
+
     /// Whether the nodes may have to be told now, if they have changed.
     fn members_may_be_due(&self, now: Timestamp) -> bool {
         self.members.is_none_or(|told| now.since(told) >= CHANGES_EACH)
@@ -194,7 +206,7 @@
 
     /// The node that orders the servers, if it is to be told now.
     fn leader_to_tell(&mut self, own: &Heartbeat, now: Timestamp) -> Option<SocketAddrV4> {
-        let leader = self.placement(now)?.leader;
+        let leader = self.placement(now)?.0.leader;
         let interval = LEADER_INTERVAL * u32::try_from(self.members().len()).unwrap_or(u32::MAX);
         let is_due = self.hub.leader_told.is_none_or(|told| now.since(told) >= interval);
         if leader == self.own || (!is_due && own.waited_for.is_empty()) {
@@ -224,7 +236,8 @@
         let uninformed = self.hub.uninformed.keys().copied().collect();
         let introduction = Heartbeat { known: others.clone(), ..own.clone() };
         push(outgoing, Message::Heartbeat(introduction), uninformed);
-        let brief = self.brief_digest(own, now);
+        let whole = self.brief_digest(own, now);
+        let brief = self.hub.told.without_known_placement(whole.clone(), now);
         // The load of others is told when this node's own is.
         let tells_loads = own.loads.is_some();
         let zone = if tells_loads { self.zone_digest(own, &brief, now) } else { brief.clone() };
@@ -232,7 +245,8 @@
         if newcomers.is_empty() && askers.is_empty() {
             return;
         }
-        let full = self.fleet_digest(own, &brief, !newcomers.is_empty(), now);
+        let mut full = self.fleet_digest(own, &brief, !newcomers.is_empty(), now);
+        full.for_newcomers.placement = whole.placement;
         push(outgoing, Message::FleetDigest(full.for_newcomers), newcomers);
         push(outgoing, Message::FleetDigest(full.for_askers), askers);
     }
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -26,6 +26,8 @@
 pub struct Placement {
     /// Fencing token of the node's term; 0 while it may not order yet.
     pub token: u64,
+    /// Rises with each change within a term.
+    pub sequence: u64,
     /// The node.
     pub leader: SocketAddrV4,
     /// Models and adapters that servers have got.
@@ -34,6 +36,36 @@
     pub withdrawn: Vec<(ServerKey, ModelKey)>,
 }
 
+/// Tells the newer of two placements: a later term's, or within a term the one with
+/// the higher number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct PlacementVersion {
+    /// Fencing token of the term.
+    pub token: u64,
+    /// Number within the term.
+    pub sequence: u64,
+}
+
+impl Placement {
+    /// What tells it from others.
+    pub fn version(&self) -> PlacementVersion {
+        PlacementVersion { token: self.token, sequence: self.sequence }
+    }
+}
+
+/// What a hub passes on of the leader's word.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldPlacement {
+    /// The leader.
+    pub leader: SocketAddrV4,
+    /// Which placement it told last.
+    pub version: PlacementVersion,
+    /// Milliseconds since the leader itself said so.
+    pub age_millis: u32,
+    /// The placement; left out where it was told a moment ago.
+    pub whole: Option<Placement>,
+}
+
 /// How new a node's copies of the store are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyVersions {
@@ -132,7 +164,7 @@
     /// servers first; left out where it was told a moment ago.
     pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// The newest that was heard of the node that orders the servers.
-    pub placement: Option<Placement>,
+    pub placement: Option<ToldPlacement>,
 }
 
 /// A datagram between nodes.
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -9,6 +9,7 @@
 
 mod digests;
 mod hubs;
+mod leader_word;
 mod message;
 mod peers;
 
@@ -19,6 +20,7 @@
 use cometmoor_core::time::Timestamp;
 
 pub use self::hubs::Outgoing;
+use self::leader_word::LeaderWord;
 pub use self::message::{
     CopyAge, CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement,
     ZoneMembers,
@@ -72,6 +74,7 @@
     /// When nodes were last known to be there.
     seen: HashMap<SocketAddrV4, Timestamp>,
     hub: hubs::HubDuty,
+    leader_word: LeaderWord,
     /// All nodes that are there, reckoned at a time.
     members: Vec<Member>,
     is_large: bool,
@@ -91,6 +94,7 @@
             contacts: BTreeMap::new(),
             seen: HashMap::new(),
             hub: hubs::HubDuty::default(),
+            leader_word: LeaderWord::default(),
             members: Vec::new(),
             is_large: false,
             reckoned: None,
@@ -110,6 +114,9 @@
             self.hub.needs_digest(address, now);
         }
         self.seen.insert(address, now);
+        if self.direct.is_newer(&heartbeat) {
+            self.leader_word.hear(address, heartbeat.placement.as_ref(), now);
+        }
         let change = self.direct.receive(heartbeat, now);
         if change != PeerChange::None {
             self.reckoned = None;
@@ -130,14 +137,22 @@
 
     /// Takes what another hub told of its zone.
     pub fn receive_zone(&mut self, digest: Digest, now: Timestamp) {
+        self.take_leader_word(&digest, now);
         take(&mut self.zones, digest, now);
     }
 
     /// Takes what a hub told of the fleet.
     pub fn receive_fleet(&mut self, digest: Digest, now: Timestamp) {
+        self.take_leader_word(&digest, now);
         take(&mut self.fleet, digest, now);
     }
 
+    fn take_leader_word(&mut self, digest: &Digest, now: Timestamp) {
+        if let Some(told) = &digest.placement {
+            self.leader_word.take_told(told, now);
+        }
+    }
+
     /// Notes an address at which a node may be.
     pub fn add_contact(&mut self, address: SocketAddrV4, now: Timestamp) {
         if address != self.own {
@@ -148,6 +163,7 @@
     /// Drops what was not heard for long, and reckons anew who is there.
     pub fn tick(&mut self, now: Timestamp) {
         self.direct.forget(now);
+        self.leader_word.forget(now);
         self.contacts.retain(|_, noted| now.since(*noted) < CONTACT_WINDOW);
         self.zones.retain(|_, told| told.is_alive(now));
         self.fleet.retain(|_, told| told.is_alive(now));
@@ -238,14 +254,9 @@
         self.direct.get(address).is_some_and(|peer| peer.heartbeat.placement.is_some())
     }
 
-    /// What the leading node tells, by the newest term that anybody told of.
-    pub fn placement(&self, now: Timestamp) -> Option<&Placement> {
-        let heard = self.direct.alive(now).filter_map(|peer| peer.heartbeat.placement.as_ref());
-        let told = self.zones.values().chain(self.fleet.values());
-        let told = told.filter(|told| told.is_alive(now));
-        heard
-            .chain(told.filter_map(|told| told.digest.placement.as_ref()))
-            .max_by_key(|placement| placement.token)
+    /// What the leading node tells, and when it said so itself.
+    pub fn placement(&self, now: Timestamp) -> Option<(&Placement, Timestamp)> {
+        self.leader_word.newest(now)
     }
 
     /// Models and adapters that requests of other nodes wait for.
--- a/crates/cometmoor-gateway/src/membership/peers.rs
+++ b/crates/cometmoor-gateway/src/membership/peers.rs
@@ -93,13 +93,21 @@
 }
 
 impl DirectPeers {
+    /// Whether no later heartbeat of the node came before this one.
+    pub(super) fn is_newer(&self, heartbeat: &Heartbeat) -> bool {
+        let order = |beat: &Heartbeat| (beat.incarnation, beat.sequence);
+        let known = self.peers.get(&heartbeat.peer_address);
+        known.is_none_or(|peer| order(&peer.heartbeat) < order(heartbeat))
+    }
+
     /// Takes a heartbeat, unless a later one came before it.
     pub(super) fn receive(&mut self, mut heartbeat: Heartbeat, now: Timestamp) -> PeerChange {
         let address = heartbeat.peer_address;
-        let order = |beat: &Heartbeat| (beat.incarnation, beat.sequence);
+        if !self.is_newer(&heartbeat) {
+            return PeerChange::None;
+        }
         let known = self.peers.get(&address);
         let change = match known {
-            Some(peer) if order(&peer.heartbeat) >= order(&heartbeat) => return PeerChange::None,
             Some(peer) if !peer.is_alive(now) => PeerChange::Up,
             Some(peer) if peer.heartbeat.phase != heartbeat.phase => PeerChange::Phase,
             Some(_) => PeerChange::None,
--- a/crates/cometmoor-gateway/tests/membership.rs
+++ b/crates/cometmoor-gateway/tests/membership.rs
@@ -37,7 +37,7 @@
     leader: Option<SocketAddrV4>,
     /// Whether every second heartbeat leaves the load out, as early ones do.
     leaves_load_out: bool,
-    placement: u32,
+    placement: u64,
     /// Zone whose nodes are cut off from all others.
     cut: Option<usize>,
     random: u64,
@@ -111,8 +111,9 @@
             waited_for: Vec::new(),
             placement: leads.then(|| Placement {
                 token: 5,
+                sequence: self.placement,
                 leader: own,
-                added: vec![(SERVER, self.placement)],
+                added: vec![(SERVER, self.placement as u32)],
                 withdrawn: Vec::new(),
             }),
             members: node.membership.count(),
@@ -256,7 +257,7 @@
     let check = |(own, node): (&SocketAddrV4, &Node)| {
         let load: HashMap<u32, ServerLoad> = node.membership.load(&told, now);
         let in_flight = load.get(&SERVER).map_or(0, |load| load.in_flight);
-        let leader = node.membership.placement(now).map(|placement| placement.leader);
+        let leader = node.membership.placement(now).map(|(placement, _)| placement.leader);
         let knows_leader = Some(*own) == world.leader || leader == world.leader;
         (in_flight != others || !knows_leader).then(|| format!("{own}: {in_flight}, {leader:?}"))
     };
@@ -292,7 +293,7 @@
             world.placement = placement;
             world.run(2);
             let now = Timestamp(world.now);
-            let heard = |node: &Node| node.membership.placement(now).map(|told| told.added[0].1);
+            let heard = |node: &Node| node.membership.placement(now).map(|(told, _)| told.sequence);
             let others = world.nodes.iter().filter(|(own, _)| **own != address(0));
             let late = others.filter(|(_, node)| heard(node) != Some(placement)).count();
             assert_eq!(late, 0, "seed {seed}: nodes that go by placement {placement}'s forerunner");
