Soak: real gateway processes under drawn faults from outside, promises checked as seen

Change: cometmoor-lab soak draws faults from a seed (processes stopped, killed, frozen; ways to the store and to servers slow, cut, cut one way, reset, or silent for good while new connections work; a busy store; servers that leave with a word or without; configurations) and holds nine promises against what clients and servers saw. Each check has a test that plants its violation.

Not in this slice: ways between nodes, a store that loses answers or forgets, reused addresses, model engines, the own front end (docs/design/soak.md).

--- a/crates/cometmoor-lab/src/flags.rs
+++ b/crates/cometmoor-lab/src/flags.rs
@@ -12,6 +12,26 @@
             /// Settings file of the node.
             required --settings settings: PathBuf
         }
+        /// Runs a gateway node, for experiments that need it as a process.
+        cmd gateway {
+            /// Settings file of the node.
+            required --settings settings: PathBuf
+        }
+        /// Plays drawn faults from outside against gateway processes.
+        cmd soak {
+            /// One seed, or the first and the last as in 1..50.
+            optional --seeds seeds: String
+            /// Seconds of faults.
+            optional --seconds seconds: u64
+            /// Node processes.
+            optional --processes processes: usize
+            /// Folder for schedule, verdict and logs of seeds that fall short.
+            optional --out out: PathBuf
+            /// Program with a gateway command, in place of this one.
+            optional --program program: PathBuf
+            /// Prints JSON.
+            optional --json
+        }
         /// Starts a whole system on loopback and sends it requests.
         cmd quickstart {
             /// Stays up and prints commands to try.
--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -0,0 +1,177 @@
+//! Whether the promises were kept, from what was seen.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::history::{Ended, History, Kind, RequestRecord, Whom};
+
+/// Operators' bound on leaving servers and on configurations, in the settings of
+/// every node of a run.
+pub const BOUND: Duration = Duration::from_secs(2);
+/// What a busy machine may add.
+const SLACK: Duration = Duration::from_millis(1500);
+/// Time without a disturbance before a node is held to the bounds.
+const CALM: Duration = Duration::from_secs(3);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub what: String,
+}
+
+/// All broken promises.
+pub fn check(history: &History) -> Vec<Violation> {
+    let checks = [at_most_once, not_run_is_true, whole_and_own, leaving_gets_nothing];
+    let checks = checks.into_iter().chain([in_force_in_time, never_back, stops_cut_nothing]);
+    let broken = checks.chain([no_own_ends, is_alive]).flat_map(|check| check(history));
+    broken.collect()
+}
+
+fn violation(promise: &'static str, what: String) -> Violation {
+    Violation { promise, what }
+}
+
+fn runs_by_id(history: &History) -> HashMap<&str, usize> {
+    let mut runs = HashMap::new();
+    for run in &history.runs {
+        *runs.entry(run.id.as_str()).or_default() += 1;
+    }
+    runs
+}
+
+impl History {
+    /// Whether nothing disturbed it from [`CALM`] before one time until another.
+    fn is_calm(&self, whom: Whom, from: Duration, until: Duration) -> bool {
+        let from = from.saturating_sub(CALM);
+        let struck = self.disturbances.iter().filter(|disturbance| disturbance.whom == whom);
+        !struck.clone().any(|disturbance| disturbance.from <= until && disturbance.until >= from)
+    }
+}
+
+fn at_most_once(history: &History) -> Vec<Violation> {
+    let runs = runs_by_id(history);
+    let once =
+        history.requests.iter().filter(|request| matches!(request.kind, Kind::Once | Kind::Stream));
+    let doubled = once.filter_map(|request| {
+        let count = *runs.get(request.id.as_str())?;
+        (count > 1).then(|| violation("at most once", format!("{request:?} ran {count} times")))
+    });
+    doubled.collect()
+}
+
+fn not_run_is_true(history: &History) -> Vec<Violation> {
+    let runs = runs_by_id(history);
+    let told = history.requests.iter().filter(|request| matches!(request.ended, Ended::NotRun(_)));
+    told.filter(|request| runs.contains_key(request.id.as_str()))
+        .map(|request| violation("not run is true", format!("{request:?} has run")))
+        .collect()
+}
+
+fn whole_and_own(history: &History) -> Vec<Violation> {
+    let wrong = history.requests.iter().filter(|request| matches!(request.ended, Ended::Wrong(_)));
+    wrong
+        .map(|request| violation("each caller its own whole answer", format!("{request:?}")))
+        .collect()
+}
+
+fn leaving_gets_nothing(history: &History) -> Vec<Violation> {
+    let requests: HashMap<&str, &RequestRecord> =
+        history.requests.iter().map(|request| (request.id.as_str(), request)).collect();
+    let mut broken = Vec::new();
+    for run in &history.runs {
+        let leaving = history.leavings.iter().find(|(server, _)| *server == run.server);
+        let Some((_, told)) = leaving.filter(|(_, told)| run.at > *told + BOUND + SLACK) else {
+            continue;
+        };
+        let Some(request) = requests.get(run.id.as_str()) else { continue };
+        let calm = history.is_calm(Whom::Node(request.node), run.at, run.at)
+            && history.is_calm(Whom::Server(run.server), run.at, run.at);
+        if calm {
+            let what = format!("server {} leaves at {told:?}; {run:?}, {request:?}", run.server);
+            broken.push(violation("a leaving server gets no new work", what));
+        }
+    }
+    broken
+}
+
+fn in_force_in_time(history: &History) -> Vec<Violation> {
+    let unknown = history.requests.iter().filter_map(|request| {
+        let Kind::Probe(version) = request.kind else { return None };
+        let (_, taken) = history.configurations.iter().find(|(known, _)| *known == version)?;
+        let late = request.sent > *taken + BOUND + SLACK;
+        let calm = history.is_calm(Whom::Node(request.node), request.sent, request.done);
+        let broken = request.ended == Ended::NoRoute && late && calm;
+        let what = || format!("version {version} taken at {taken:?}; {request:?}");
+        broken.then(|| violation("a configuration is in force in time", what()))
+    });
+    unknown.collect()
+}
+
+fn never_back(history: &History) -> Vec<Violation> {
+    let mut served: HashMap<(usize, u64), Duration> = HashMap::new();
+    for request in &history.requests {
+        if let (Kind::Probe(version), Ended::Whole) = (request.kind, &request.ended) {
+            let first = served.entry((request.node, version)).or_insert(request.done);
+            *first = request.done.min(*first);
+        }
+    }
+    let back = history.requests.iter().filter_map(|request| {
+        let Kind::Probe(version) = request.kind else { return None };
+        let first = served.get(&(request.node, version))?;
+        let broken = request.ended == Ended::NoRoute && request.sent > *first;
+        let what = || format!("served at {first:?}; {request:?}");
+        broken.then(|| violation("a configuration never reverts", what()))
+    });
+    back.collect()
+}
+
+fn stops_cut_nothing(history: &History) -> Vec<Violation> {
+    let mut broken = Vec::new();
+    for stop in &history.stops {
+        let cut = history.requests.iter().filter(|request| {
+            request.node == stop.node
+                && matches!(request.ended, Ended::Cut | Ended::Failed(_))
+                && request.sent < stop.ended
+                && request.done >= stop.at
+                && request.done <= stop.ended + SLACK
+        });
+        for request in cut {
+            let ran = history.runs.iter().find(|run| run.id == request.id);
+            // Bytes that cross the end of a connection are not taken.
+            let Some(run) = ran else { continue };
+            let server = Whom::Server(run.server);
+            // The stop itself disturbs the node; nothing else may have.
+            let others = history.disturbances.iter().filter(|disturbance| {
+                disturbance.whom == Whom::Node(stop.node) && disturbance.from != stop.at
+            });
+            let from = stop.at.saturating_sub(CALM);
+            let struck = others.clone().any(|d| d.from <= request.done && d.until >= from);
+            if !struck && history.is_calm(server, request.sent, request.done) {
+                let what =
+                    format!("stopped at {:?}, ended at {:?}; {request:?}", stop.at, stop.ended);
+                broken.push(violation("a planned stop cuts nothing off", what));
+            }
+        }
+    }
+    broken
+}
+
+fn no_own_ends(history: &History) -> Vec<Violation> {
+    let ends = history.own_ends.iter();
+    ends.map(|(node, at)| violation("processes go on", format!("node {node} ended at {at:?}")))
+        .collect()
+}
+
+fn is_alive(history: &History) -> Vec<Violation> {
+    let whole = history.requests.iter().filter(|request| request.ended == Ended::Whole).count();
+    if whole * 2 >= history.requests.len() && whole > 0 {
+        return Vec::new();
+    }
+    let all = history.requests.len();
+    vec![violation("most requests are answered", format!("{whole} of {all}"))]
+}
--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -0,0 +1,97 @@
+//! What clients, servers and the run itself saw. Times count from its start.
+
+use std::time::Duration;
+
+pub use cometmoor_platform_stand_in::caller::Ended;
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It may run once.
+    Once,
+    /// It may be repeated.
+    Safe,
+    /// Its answer is a stream; it may run once.
+    Stream,
+    /// It asks for the route that a version of the configuration brought.
+    Probe(u64),
+}
+
+/// A request, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    /// Identifier of the attempt.
+    pub id: String,
+    /// Kind.
+    pub kind: Kind,
+    /// Node that it was sent to.
+    pub node: usize,
+    /// When it was sent.
+    pub sent: Duration,
+    /// When it ended.
+    pub done: Duration,
+    /// How it ended.
+    pub ended: Ended,
+}
+
+/// The begin of work on a request at a server.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// Identifier of the attempt.
+    pub id: String,
+    /// The server.
+    pub server: usize,
+    /// When.
+    pub at: Duration,
+}
+
+/// A span in which a node is not held to bounds of time, or a server may break
+/// its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Disturbance {
+    /// What is disturbed.
+    pub whom: Whom,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
+/// What a disturbance strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whom {
+    /// A node, or its way to the store.
+    Node(usize),
+    /// The ways to a server.
+    Server(usize),
+}
+
+/// A planned stop of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedStop {
+    /// The node.
+    pub node: usize,
+    /// When it was asked to stop.
+    pub at: Duration,
+    /// When its process had ended.
+    pub ended: Duration,
+}
+
+/// Everything that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Requests.
+    pub requests: Vec<RequestRecord>,
+    /// Runs.
+    pub runs: Vec<RunRecord>,
+    /// Disturbances.
+    pub disturbances: Vec<Disturbance>,
+    /// When the store took that a server leaves, or that its entry is gone.
+    pub leavings: Vec<(usize, Duration)>,
+    /// When the store took a version of the configuration.
+    pub configurations: Vec<(u64, Duration)>,
+    /// Planned stops.
+    pub stops: Vec<PlannedStop>,
+    /// Nodes whose processes ended by themselves, and when.
+    pub own_ends: Vec<(usize, Duration)>,
+}
--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/mod.rs
@@ -0,0 +1,81 @@
+//! The real program as separate processes under drawn faults from outside them.
+//!
+//! A seed draws the faults; the promises are checked from what clients and servers
+//! saw. See `docs/design/soak.md`.
+
+pub mod check;
+pub mod clients;
+pub mod command;
+pub mod history;
+pub mod processes;
+pub mod proxy;
+pub mod schedule;
+pub mod system;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use self::check::{Violation, check};
+use self::history::{Ended, History};
+use self::system::SoakSystem;
+
+/// A run to make.
+#[derive(Clone, Debug)]
+pub struct SoakRun {
+    /// Decides the faults and the load.
+    pub seed: u64,
+    /// Time for which faults come.
+    pub span: Duration,
+    /// Node processes.
+    pub nodes: usize,
+    /// Program that has a `gateway` command.
+    pub program: PathBuf,
+    /// Where settings and logs lie.
+    pub folder: PathBuf,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Serialize)]
+pub struct SoakReport {
+    /// Its seed.
+    pub seed: u64,
+    /// Faults, as drawn.
+    pub faults: Vec<String>,
+    /// Requests that clients sent.
+    pub requests: usize,
+    /// Those that were answered whole.
+    pub answered: usize,
+    /// Those that were told not run.
+    pub not_run: usize,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+}
+
+/// Makes a run; an error means that it could not be made at all.
+pub async fn run(run: &SoakRun) -> Result<SoakReport, String> {
+    let planned = schedule::draw(run.seed, run.span, run.nodes, system::SERVERS);
+    let faults = planned.iter().map(ToString::to_string).collect();
+    let system = SoakSystem::start(run).await?;
+    let clients = clients::start(&system, run.seed);
+    system.play(&planned).await;
+    system.settle().await;
+    clients.stop().await;
+    let history = system.history();
+    Ok(report(run.seed, faults, &history))
+}
+
+fn report(seed: u64, faults: Vec<String>, history: &History) -> SoakReport {
+    let count = |wanted: fn(&Ended) -> bool| {
+        history.requests.iter().filter(|request| wanted(&request.ended)).count()
+    };
+    SoakReport {
+        seed,
+        faults,
+        requests: history.requests.len(),
+        answered: count(|ended| matches!(ended, Ended::Whole)),
+        not_run: count(|ended| matches!(ended, Ended::NotRun(_))),
+        violations: check(history),
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/processes.rs
@@ -0,0 +1,85 @@
+//! Node processes, which end with the run, also when it is broken off.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use cometmoor_gateway::settings::GatewaySettings;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// One node's process, or the place of one.
+pub struct NodeProcess {
+    program: PathBuf,
+    folder: PathBuf,
+    /// Its settings.
+    pub settings: GatewaySettings,
+    child: Option<Child>,
+}
+
+impl NodeProcess {
+    /// A node that is not started yet. Settings and logs go into the folder.
+    pub fn new(program: PathBuf, folder: PathBuf, settings: GatewaySettings) -> NodeProcess {
+        NodeProcess { program, folder, settings, child: None }
+    }
+
+    /// Starts a process; its log follows those of earlier ones.
+    pub fn start(&mut self) -> std::io::Result<()> {
+        let file = self.folder.join(format!("{}.json", self.settings.node));
+        std::fs::write(&file, serde_json::to_vec(&self.settings)?)?;
+        let log = self.folder.join(format!("{}.log", self.settings.node));
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(&self.program)
+            .arg("gateway")
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        // A later process of the fleet is not its first one.
+        self.settings.fresh_fleet = false;
+        Ok(())
+    }
+
+    /// Whether a process runs.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Sends a signal, if there is a process.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(id) = id {
+            // A process that has ended needs no signal.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Whether the process has ended since it was started; takes note of it.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self
+            .child
+            .as_mut()
+            .is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()));
+        if ended {
+            self.child = None;
+        }
+        ended
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/schedule.rs
@@ -0,0 +1,115 @@
+//! Draws the faults of a run from its seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time without a fault at the start, for nodes to find one another.
+const FIRST: Duration = Duration::from_millis(2500);
+/// Shortest and longest time between two faults.
+const PAUSES: (u64, u64) = (150, 1300);
+/// Shortest and longest time that a fault lasts.
+const LASTS: (u64, u64) = (600, 4500);
+
+/// What happens to a way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WayFault {
+    /// Each piece is late.
+    Slow,
+    /// Open connections stay open and carry nothing more, for good; new ones work.
+    SilenceOpen,
+    /// Nothing passes in either direction until it ends.
+    Cut,
+    /// Nothing comes back until it ends.
+    CutBack,
+    /// Open connections are reset.
+    Reset,
+}
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A node is asked to stop, and starts again after its end.
+    Stop(usize),
+    /// A node is killed, and starts again.
+    Kill(usize),
+    /// A node stands still for a while.
+    Freeze(usize, Duration),
+    /// A node is told that its settings may have changed.
+    HangUp(usize),
+    /// The way of a node to the store.
+    StoreWay(usize, WayFault, Duration),
+    /// The ways of all nodes but one to the store.
+    StoreWaysBut(usize, WayFault, Duration),
+    /// The store answers nobody.
+    StoreBusy(Duration),
+    /// The ways to a server.
+    ServerWay(usize, WayFault, Duration),
+    /// A server says that it leaves; a new one takes its place.
+    Leave(usize),
+    /// A server's entry goes without a word; a new one takes its place.
+    Vanish(usize),
+    /// The store takes a new configuration.
+    Configure,
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// Time from the start.
+    pub at: Duration,
+    /// What happens.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Planned {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.2} s {:?}", self.at.as_secs_f64(), self.fault)
+    }
+}
+
+/// The faults of a seed, in order; they overlap.
+pub fn draw(seed: u64, span: Duration, nodes: usize, servers: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut planned = Vec::new();
+    let mut at = FIRST;
+    while at < span {
+        planned.push(Planned { at, fault: draw_fault(&mut random, nodes, servers) });
+        at += Duration::from_millis(random.random_range(PAUSES.0..PAUSES.1));
+    }
+    planned
+}
+
+fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, servers: usize) -> Fault {
+    let node = random.random_range(0..nodes);
+    let server = random.random_range(0..servers);
+    let lasts = Duration::from_millis(random.random_range(LASTS.0..LASTS.1));
+    let way = draw_way(random);
+    match random.random_range(0..16) {
+        0 | 1 => Fault::Stop(node),
+        2 => Fault::Kill(node),
+        3 => Fault::Freeze(node, lasts),
+        4 => Fault::HangUp(node),
+        5 | 6 => Fault::StoreWay(node, way, lasts),
+        7 | 8 => Fault::StoreWaysBut(node, way, lasts),
+        9 => Fault::StoreBusy(lasts),
+        10 => Fault::ServerWay(server, way, lasts),
+        11 | 12 => Fault::Leave(server),
+        13 => Fault::Vanish(server),
+        _ => Fault::Configure,
+    }
+}
+
+fn draw_way(random: &mut ChaCha8Rng) -> WayFault {
+    let all = [
+        WayFault::Slow,
+        WayFault::SilenceOpen,
+        WayFault::SilenceOpen,
+        WayFault::Cut,
+        WayFault::CutBack,
+        WayFault::Reset,
+    ];
+    all[random.random_range(0..all.len())]
+}
--- /dev/null
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -0,0 +1,126 @@
+//! Each check of a soak run reports the violation that is planted, and nothing on
+//! a history in which the same was allowed.
+
+use std::time::Duration;
+
+use cometmoor_lab::soak::check::check;
+use cometmoor_lab::soak::command::parse_seeds;
+use cometmoor_lab::soak::history::{
+    Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Whom,
+};
+use cometmoor_lab::soak::schedule::draw;
+
+fn seconds(tenths: u64) -> Duration {
+    Duration::from_millis(tenths * 100)
+}
+
+fn request(id: &str, kind: Kind, sent: u64, ended: Ended) -> RequestRecord {
+    let (sent, done) = (seconds(sent), seconds(sent + 1));
+    RequestRecord { id: id.to_owned(), kind, node: 0, sent, done, ended }
+}
+
+fn run(id: &str, at: u64) -> RunRecord {
+    RunRecord { id: id.to_owned(), server: 0, at: seconds(at) }
+}
+
+/// A history in which enough requests are answered.
+fn calm() -> History {
+    let answered = (0..8).map(|number| request(&format!("a{number}"), Kind::Safe, 1, Ended::Whole));
+    History { requests: answered.collect(), ..History::default() }
+}
+
+fn promises(history: &History) -> Vec<&'static str> {
+    check(history).into_iter().map(|violation| violation.promise).collect()
+}
+
+#[test]
+fn nothing_is_reported_on_a_calm_history() {
+    assert_eq!(promises(&calm()), Vec::<&str>::new());
+}
+
+#[test]
+fn a_request_that_ran_twice_is_reported_unless_it_may() {
+    let mut history = calm();
+    history.requests.push(request("x", Kind::Once, 50, Ended::Whole));
+    history.runs = vec![run("x", 50), run("x", 51)];
+    assert_eq!(promises(&history), ["at most once"]);
+    history.requests[8].kind = Kind::Safe;
+    assert_eq!(promises(&history), Vec::<&str>::new());
+}
+
+#[test]
+fn a_request_that_was_told_not_run_and_ran_is_reported() {
+    let mut history = calm();
+    history.requests.push(request("x", Kind::Once, 50, Ended::NotRun(503)));
+    assert_eq!(promises(&history), Vec::<&str>::new());
+    history.runs = vec![run("x", 60)];
+    assert_eq!(promises(&history), ["not run is true"]);
+}
+
+#[test]
+fn an_answer_that_is_not_the_requests_own_is_reported() {
+    let mut history = calm();
+    history.requests.push(request("x", Kind::Once, 50, Ended::Wrong("ran y".to_owned())));
+    assert_eq!(promises(&history), ["each caller its own whole answer"]);
+}
+
+#[test]
+fn work_for_a_leaving_server_is_reported_where_the_node_could_know() {
+    let mut history = calm();
+    history.requests.push(request("x", Kind::Once, 90, Ended::Whole));
+    history.runs = vec![run("x", 90)];
+    history.leavings = vec![(0, seconds(70))];
+    assert_eq!(promises(&history), Vec::<&str>::new(), "within the bound");
+    history.leavings = vec![(0, seconds(50))];
+    assert_eq!(promises(&history), ["a leaving server gets no new work"]);
+    let (from, until) = (seconds(55), seconds(65));
+    history.disturbances = vec![Disturbance { whom: Whom::Node(0), from, until }];
+    assert_eq!(promises(&history), Vec::<&str>::new(), "its way to the store was cut");
+    history.disturbances = vec![Disturbance { whom: Whom::Node(1), from, until }];
+    assert_eq!(promises(&history), ["a leaving server gets no new work"], "another one's was");
+}
+
+#[test]
+fn a_configuration_that_comes_late_or_goes_back_is_reported() {
+    let mut history = calm();
+    history.configurations = vec![(7, seconds(10))];
+    history.requests.push(request("x", Kind::Probe(7), 30, Ended::NoRoute));
+    assert_eq!(promises(&history), Vec::<&str>::new(), "within the bound");
+    history.requests.push(request("y", Kind::Probe(7), 60, Ended::NoRoute));
+    assert_eq!(promises(&history), ["a configuration is in force in time"]);
+    history.requests[9] = request("y", Kind::Probe(7), 20, Ended::Whole);
+    assert_eq!(promises(&history), ["a configuration never reverts"]);
+}
+
+#[test]
+fn what_a_planned_stop_cuts_is_reported_unless_something_else_did() {
+    let mut history = calm();
+    history.requests.push(request("x", Kind::Stream, 50, Ended::Cut));
+    history.stops = vec![PlannedStop { node: 0, at: seconds(45), ended: seconds(51) }];
+    assert_eq!(promises(&history), Vec::<&str>::new(), "the node never took it");
+    history.runs = vec![run("x", 50)];
+    assert_eq!(promises(&history), ["a planned stop cuts nothing off"]);
+    let (from, until) = (seconds(49), seconds(50));
+    history.disturbances = vec![Disturbance { whom: Whom::Server(0), from, until }];
+    assert_eq!(promises(&history), Vec::<&str>::new(), "the server's way was cut");
+}
+
+#[test]
+fn a_process_that_ends_and_a_system_that_does_not_serve_are_reported() {
+    let mut history = calm();
+    history.own_ends = vec![(1, seconds(20))];
+    assert_eq!(promises(&history), ["processes go on"]);
+    history = History::default();
+    history.requests.push(request("x", Kind::Safe, 50, Ended::Failed(502)));
+    assert_eq!(promises(&history), ["most requests are answered"]);
+}
+
+#[test]
+fn a_seed_draws_the_same_faults_each_time() {
+    let span = Duration::from_secs(30);
+    assert_eq!(draw(7, span, 5, 4), draw(7, span, 5, 4));
+    assert_ne!(draw(7, span, 5, 4), draw(8, span, 5, 4));
+    assert!(draw(7, span, 5, 4).iter().all(|planned| planned.at < span));
+    assert_eq!(parse_seeds("3..9"), Some((3, 9)));
+    assert_eq!(parse_seeds("9..3"), None);
+}
