Soak: a store that loses answers or forgets, addresses of servers that another service gets

Change: three faults more, ways that lead to another target, a check that requests run at their own service, with its planted violation. SIGTERM ends the run and its processes too: a run ended by it had left four nodes behind.

--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -28,7 +28,8 @@
 pub fn check(history: &History) -> Vec<Violation> {
     let checks = [at_most_once, not_run_is_true, whole_and_own, leaving_gets_nothing];
     let checks = checks.into_iter().chain([in_force_in_time, never_back, stops_cut_nothing]);
-    let broken = checks.chain([no_own_ends, is_alive]).flat_map(|check| check(history));
+    let broken =
+        checks.chain([own_service_only, no_own_ends, is_alive]).flat_map(|check| check(history));
     broken.collect()
 }
 
@@ -161,6 +162,11 @@
     broken
 }
 
+fn own_service_only(history: &History) -> Vec<Violation> {
+    let strange = history.runs.iter().filter(|run| history.of_other_service.contains(&run.server));
+    strange.map(|run| violation("requests run at their own service", format!("{run:?}"))).collect()
+}
+
 fn no_own_ends(history: &History) -> Vec<Violation> {
     let ends = history.own_ends.iter();
     ends.map(|(node, at)| violation("processes go on", format!("node {node} ended at {at:?}")))
--- a/crates/cometmoor-lab/src/soak/command.rs
+++ b/crates/cometmoor-lab/src/soak/command.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use tokio::signal::unix::{SignalKind, signal};
+
 use super::{SoakReport, SoakRun, run};
 
 /// Seconds of faults where no other number is given.
@@ -77,9 +79,12 @@
 fn play(soak: &SoakRun, json: bool) -> Result<bool, String> {
     std::fs::create_dir_all(&soak.folder).map_err(|error| error.to_string())?;
     let report = actix_rt::System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+        // The processes end with what is dropped here.
         tokio::select! {
             report = run(soak) => report,
             _ = tokio::signal::ctrl_c() => Err("broken off".to_owned()),
+            _ = terminate.recv() => Err("broken off".to_owned()),
         }
     })?;
     print(&report, json);
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -92,6 +92,8 @@
     pub configurations: Vec<(u64, Duration)>,
     /// Planned stops.
     pub stops: Vec<PlannedStop>,
+    /// Servers of a service that no route leads to.
+    pub of_other_service: Vec<usize>,
     /// Nodes whose processes ended by themselves, and when.
     pub own_ends: Vec<(usize, Duration)>,
 }
--- a/crates/cometmoor-lab/src/soak/proxy.rs
+++ b/crates/cometmoor-lab/src/soak/proxy.rs
@@ -34,8 +34,8 @@
     changed: Notify,
 }
 
-#[derive(Default)]
 struct State {
+    target: Cell<SocketAddrV4>,
     mode: Cell<Mode>,
     links: RefCell<Vec<Weak<Link>>>,
     changed: Notify,
@@ -61,11 +61,16 @@
     pub async fn open(host: Ipv4Addr, target: SocketAddrV4) -> std::io::Result<Way> {
         let listener = TcpListener::bind((host, 0)).await?;
         let address = SocketAddrV4::new(host, listener.local_addr()?.port());
-        let state: Rc<State> = Rc::default();
+        let state = Rc::new(State {
+            target: Cell::new(target),
+            mode: Cell::default(),
+            links: RefCell::default(),
+            changed: Notify::new(),
+        });
         let shared = state.clone();
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(carry(stream, target, shared.clone()));
+                actix_rt::spawn(carry(stream, shared.clone()));
             }
         });
         Ok(Way { address, state })
@@ -89,6 +94,12 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Leads to another target from now on; open connections are reset.
+    pub fn lead_to(&self, target: SocketAddrV4) {
+        self.state.target.set(target);
+        self.strike(WayFault::Reset);
+    }
+
     fn each_link(&self, change: impl Fn(&Link)) {
         self.state.links.borrow_mut().retain(|link| link.strong_count() > 0);
         for link in self.state.links.borrow().iter().filter_map(Weak::upgrade) {
@@ -98,9 +109,9 @@
     }
 }
 
-async fn carry(from: TcpStream, target: SocketAddrV4, state: Rc<State>) {
+async fn carry(from: TcpStream, state: Rc<State>) {
     // A way that is cut takes connections, as a host behind it that says nothing.
-    let Ok(to) = TcpStream::connect(target).await else { return };
+    let Ok(to) = TcpStream::connect(state.target.get()).await else { return };
     let _ = (from.set_nodelay(true), to.set_nodelay(true));
     let link = Rc::new(Link::default());
     state.links.borrow_mut().push(Rc::downgrade(&link));
--- a/crates/cometmoor-lab/src/soak/schedule.rs
+++ b/crates/cometmoor-lab/src/soak/schedule.rs
@@ -45,6 +45,12 @@
     StoreWaysBut(usize, WayFault, Duration),
     /// The store answers nobody.
     StoreBusy(Duration),
+    /// The store carries calls out and closes without an answer.
+    StoreLosesAnswers(Duration),
+    /// The store forgets its history while a server leaves without a word.
+    StoreForgets(usize),
+    /// A server ends at once; a server of another service gets its address.
+    AddressReused(usize),
     /// The ways to a server.
     ServerWay(usize, WayFault, Duration),
     /// A server says that it leaves; a new one takes its place.
@@ -87,7 +93,7 @@
     let server = random.random_range(0..servers);
     let lasts = Duration::from_millis(random.random_range(LASTS.0..LASTS.1));
     let way = draw_way(random);
-    match random.random_range(0..16) {
+    match random.random_range(0..19) {
         0 | 1 => Fault::Stop(node),
         2 => Fault::Kill(node),
         3 => Fault::Freeze(node, lasts),
@@ -98,6 +104,9 @@
         10 => Fault::ServerWay(server, way, lasts),
         11 | 12 => Fault::Leave(server),
         13 => Fault::Vanish(server),
+        14 => Fault::StoreLosesAnswers(lasts),
+        15 => Fault::StoreForgets(server),
+        16 => Fault::AddressReused(server),
         _ => Fault::Configure,
     }
 }
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -20,6 +20,11 @@
 
 /// Servers that take work at any time.
 pub const SERVERS: usize = 4;
+/// The service that all routes lead to, and another one.
+const SERVICE: &str = "app";
+const OTHER_SERVICE: &str = "other";
+/// Time after the end of a server within which its answers may be missing.
+const LASTS_FOR_CLIENTS: Duration = Duration::from_secs(4);
 /// Work on a request without events.
 const WORK: Duration = Duration::from_millis(40);
 /// Pause before a process that has ended is started again.
@@ -105,7 +110,7 @@
         let system = SoakSystem { inner: Rc::new(inner) };
         system.configure();
         for _ in 0..SERVERS {
-            let place = system.new_server().await?;
+            let place = system.new_server(SERVICE).await?;
             system.inner.places.borrow_mut().push(place);
         }
         for node in system.inner.nodes.borrow_mut().iter_mut() {
@@ -233,7 +238,10 @@
                 let others = (0..self.node_count()).filter(|node| *node != spared);
                 others.for_each(|node| self.strike_store_way(node, fault, lasts));
             }
-            Fault::StoreBusy(lasts) => self.make_store_busy(lasts),
+            Fault::StoreBusy(lasts) => self.set_store_door(Door::Busy, lasts),
+            Fault::StoreLosesAnswers(lasts) => self.set_store_door(Door::AnswersLost, lasts),
+            Fault::StoreForgets(place) => self.forget_with_server(place).await,
+            Fault::AddressReused(place) => self.reuse_address(place).await,
             Fault::ServerWay(place, fault, lasts) => self.strike_server_way(place, fault, lasts),
             Fault::Leave(place) => self.replace_server(place, true).await,
             Fault::Vanish(place) => self.replace_server(place, false).await,
@@ -311,8 +319,9 @@
         }
     }
 
-    fn make_store_busy(&self, lasts: Duration) {
-        self.inner.door.set(Door::Busy);
+    /// The store treats everybody so for a while.
+    fn set_store_door(&self, treats: Door, lasts: Duration) {
+        self.inner.door.set(treats);
         (0..self.node_count()).for_each(|node| self.disturb(Whom::Node(node), lasts));
         let door = self.inner.door.clone();
         actix_rt::spawn(async move {
@@ -321,30 +330,59 @@
         });
     }
 
-    async fn new_server(&self) -> Result<ServerPlace, String> {
+    /// No watch tells that the server has gone: the history of it is forgotten.
+    async fn forget_with_server(&self, place: usize) {
+        let Ok(new) = self.new_server(SERVICE).await else { return };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        self.inner.fleet.unregister_and_forget(&old.id);
+        self.note_leaving(&old);
+    }
+
+    /// The server ends, and its address leads to one of another service.
+    async fn reuse_address(&self, place: usize) {
+        let (Ok(new), Ok(other)) =
+            (self.new_server(SERVICE).await, self.new_server(OTHER_SERVICE).await)
+        else {
+            return;
+        };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        self.disturb(Whom::Server(old.number), LASTS_FOR_CLIENTS);
+        let workers = self.inner.workers.borrow();
+        old.way.lead_to(workers[other.number].address);
+        self.inner.fleet.unregister(&old.id);
+        self.inner.fleet.register_at(&other.id, OTHER_SERVICE, old.way.address, "ready");
+        self.inner.history.borrow_mut().of_other_service.push(other.number);
+        self.note_leaving(&old);
+    }
+
+    fn note_leaving(&self, server: &ServerPlace) {
+        let at = self.elapsed();
+        self.inner.history.borrow_mut().leavings.push((server.number, at));
+    }
+
+    async fn new_server(&self, service: &str) -> Result<ServerPlace, String> {
         let number = self.inner.workers.borrow().len();
         let id = format!("i-{number}");
         let host = self.inner.fleet.host(SERVER_HOST);
         let worker = Worker::start(host, &id, WORK).await;
         let way = Way::open(host, worker.address).await;
         let way = way.map_err(|error| format!("way to a server: {error}"))?;
-        self.inner.fleet.register_at(&id, "app", way.address, "ready");
+        self.inner.fleet.register_at(&id, service, way.address, "ready");
         self.inner.workers.borrow_mut().push(worker);
         Ok(ServerPlace { id, number, way })
     }
 
     /// A server leaves, with a word or without, and serves on; a new one comes.
     async fn replace_server(&self, place: usize, says_so: bool) {
-        let Ok(new) = self.new_server().await else { return };
+        let Ok(new) = self.new_server(SERVICE).await else { return };
         let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
         match says_so {
             true => {
-                self.inner.fleet.register_at(&old.id, "app", old.way.address, "draining");
+                self.inner.fleet.register_at(&old.id, SERVICE, old.way.address, "draining");
             }
             false => self.inner.fleet.unregister(&old.id),
         }
-        let at = self.elapsed();
-        self.inner.history.borrow_mut().leavings.push((old.number, at));
+        self.note_leaving(&old);
     }
 
     /// The store takes a configuration with a route of its own.
--- a/crates/cometmoor-lab/tests/soak_checks.rs
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -115,6 +115,15 @@
     assert_eq!(promises(&history), ["most requests are answered"]);
 }
 
+#[test]
+fn a_request_that_runs_at_another_service_is_reported() {
+    let mut history = calm();
+    history.runs = vec![run("a1", 1)];
+    assert_eq!(promises(&history), Vec::<&str>::new());
+    history.of_other_service = vec![0];
+    assert_eq!(promises(&history), ["requests run at their own service"]);
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let span = Duration::from_secs(30);
