--- /dev/null
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -0,0 +1,197 @@
+//! What each fault does to the system.
+
+use std::time::{Duration, Instant};
+
+use cometmoor_platform_stand_in::fleet::{once_route, safe_route, services, stream_route};
+use cometmoor_platform_stand_in::store::Door;
+use cometmoor_platform_stand_in::worker::Worker;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use super::history::Whom;
+use super::proxy::Way;
+use super::schedule::{Fault, WayFault};
+use super::system::{RESTART_AFTER, START, ServerPlace, SoakSystem, Stopping};
+
+/// The service that all routes lead to, and another one.
+pub(super) const SERVICE: &str = "app";
+const OTHER_SERVICE: &str = "other";
+/// Time after the end of a server within which its answers may be missing.
+const LASTS_FOR_CLIENTS: Duration = Duration::from_secs(4);
+/// Work on a request without events.
+const WORK: Duration = Duration::from_millis(40);
+/// Host of the servers in the fleet's part of the loopback range.
+const SERVER_HOST: u8 = 120;
+
+impl SoakSystem {
+    /// Begins a fault; one that lasts ends by itself.
+    pub(super) async fn begin(&self, fault: Fault) {
+        match fault {
+            Fault::Stop(node) => self.stop(node),
+            Fault::Kill(node) => self.kill(node),
+            Fault::Freeze(node, lasts) => self.freeze(node, lasts),
+            Fault::HangUp(node) => self.signal(node, Signal::SIGHUP),
+            Fault::StoreWay(node, fault, lasts) => self.strike_store_way(node, fault, lasts),
+            Fault::StoreWaysBut(spared, fault, lasts) => {
+                let others = (0..self.node_count()).filter(|node| *node != spared);
+                others.for_each(|node| self.strike_store_way(node, fault, lasts));
+            }
+            Fault::StoreBusy(lasts) => self.set_store_door(Door::Busy, lasts),
+            Fault::StoreLosesAnswers(lasts) => self.set_store_door(Door::AnswersLost, lasts),
+            Fault::StoreForgets(place) => self.forget_with_server(place).await,
+            Fault::AddressReused(place) => self.reuse_address(place).await,
+            Fault::ServerWay(place, fault, lasts) => self.strike_server_way(place, fault, lasts),
+            Fault::Leave(place) => self.replace_server(place, true).await,
+            Fault::Vanish(place) => self.replace_server(place, false).await,
+            Fault::Configure => self.configure(),
+        }
+    }
+
+    fn signal(&self, node: usize, signal: Signal) {
+        self.inner.nodes.borrow()[node].process.signal(signal);
+    }
+
+    fn stop(&self, place: usize) {
+        let at = self.elapsed();
+        let mut nodes = self.inner.nodes.borrow_mut();
+        let node = &mut nodes[place];
+        if node.process.is_running() && node.stopping.is_none() && !node.is_frozen {
+            node.process.signal(Signal::SIGTERM);
+            node.stopping = Some(Stopping { at });
+        }
+    }
+
+    fn kill(&self, place: usize) {
+        let mut nodes = self.inner.nodes.borrow_mut();
+        let node = &mut nodes[place];
+        if node.process.is_running() && node.stopping.is_none() && !node.is_frozen {
+            node.process.kill();
+            node.restart_at = Some(Instant::now() + RESTART_AFTER);
+            drop(nodes);
+            self.disturb(Whom::Node(place), RESTART_AFTER + START);
+        }
+    }
+
+    fn freeze(&self, place: usize, lasts: Duration) {
+        let mut nodes = self.inner.nodes.borrow_mut();
+        let node = &mut nodes[place];
+        if !node.process.is_running() || node.stopping.is_some() || node.is_frozen {
+            return;
+        }
+        node.process.signal(Signal::SIGSTOP);
+        node.is_frozen = true;
+        drop(nodes);
+        self.disturb(Whom::Node(place), lasts);
+        let system = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            let mut nodes = system.inner.nodes.borrow_mut();
+            nodes[place].process.signal(Signal::SIGCONT);
+            nodes[place].is_frozen = false;
+        });
+    }
+
+    fn strike_store_way(&self, node: usize, fault: WayFault, lasts: Duration) {
+        let way = self.inner.nodes.borrow()[node].way.clone();
+        self.strike(&way, Whom::Node(node), fault, lasts);
+    }
+
+    fn strike_server_way(&self, place: usize, fault: WayFault, lasts: Duration) {
+        let (way, number) = {
+            let places = self.inner.places.borrow();
+            (places[place].way.clone(), places[place].number)
+        };
+        self.strike(&way, Whom::Server(number), fault, lasts);
+    }
+
+    fn strike(&self, way: &Way, whom: Whom, fault: WayFault, lasts: Duration) {
+        way.strike(fault);
+        let lasting = matches!(fault, WayFault::Slow | WayFault::Cut | WayFault::CutBack);
+        self.disturb(whom, if lasting { lasts } else { Duration::ZERO });
+        if lasting {
+            let way = way.clone();
+            actix_rt::spawn(async move {
+                tokio::time::sleep(lasts).await;
+                way.heal();
+            });
+        }
+    }
+
+    /// The store treats everybody so for a while.
+    fn set_store_door(&self, treats: Door, lasts: Duration) {
+        self.inner.door.set(treats);
+        (0..self.node_count()).for_each(|node| self.disturb(Whom::Node(node), lasts));
+        let door = self.inner.door.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            door.set(Door::Open);
+        });
+    }
+
+    /// No watch tells that the server has gone: the history of it is forgotten.
+    async fn forget_with_server(&self, place: usize) {
+        let Ok(new) = self.new_server(SERVICE).await else { return };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        self.inner.fleet.unregister_and_forget(&old.id);
+        self.note_leaving(&old);
+    }
+
+    /// The server ends, and its address leads to one of another service.
+    async fn reuse_address(&self, place: usize) {
+        let (Ok(new), Ok(other)) =
+            (self.new_server(SERVICE).await, self.new_server(OTHER_SERVICE).await)
+        else {
+            return;
+        };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        self.disturb(Whom::Server(old.number), LASTS_FOR_CLIENTS);
+        let workers = self.inner.workers.borrow();
+        old.way.lead_to(workers[other.number].address);
+        self.inner.fleet.unregister(&old.id);
+        self.inner.fleet.register_at(&other.id, OTHER_SERVICE, old.way.address, "ready");
+        self.inner.history.borrow_mut().of_other_service.push(other.number);
+        self.note_leaving(&old);
+    }
+
+    fn note_leaving(&self, server: &ServerPlace) {
+        let at = self.elapsed();
+        self.inner.history.borrow_mut().leavings.push((server.number, at));
+    }
+
+    /// Starts a server of a service, and registers the way to it.
+    pub(super) async fn new_server(&self, service: &str) -> Result<ServerPlace, String> {
+        let number = self.inner.workers.borrow().len();
+        let id = format!("i-{number}");
+        let host = self.inner.fleet.host(SERVER_HOST);
+        let worker = Worker::start(host, &id, WORK).await;
+        let way = Way::open(host, worker.address).await;
+        let way = way.map_err(|error| format!("way to a server: {error}"))?;
+        self.inner.fleet.register_at(&id, service, way.address, "ready");
+        self.inner.workers.borrow_mut().push(worker);
+        Ok(ServerPlace { id, number, way })
+    }
+
+    /// A server leaves, with a word or without, and serves on; a new one comes.
+    async fn replace_server(&self, place: usize, says_so: bool) {
+        let Ok(new) = self.new_server(SERVICE).await else { return };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        match says_so {
+            true => {
+                self.inner.fleet.register_at(&old.id, SERVICE, old.way.address, "draining");
+            }
+            false => self.inner.fleet.unregister(&old.id),
+        }
+        self.note_leaving(&old);
+    }
+
+    /// The store takes a configuration with a route of its own.
+    pub(super) fn configure(&self) {
+        let version = self.inner.version.get() + 1;
+        let own = (1..=version).map(|version| safe_route(&format!("v{version}")));
+        let lasting = [once_route("once"), safe_route("safe"), stream_route("stream")];
+        let routes: Vec<Value> = own.chain(lasting).collect();
+        self.inner.fleet.configure(version, &json!(routes), &services());
+        self.inner.version.set(version);
+        self.inner.history.borrow_mut().configurations.push((version, self.elapsed()));
+    }
+}
--- a/crates/cometmoor-lab/src/soak/mod.rs
+++ b/crates/cometmoor-lab/src/soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod clients;
 pub mod command;
+mod faults;
 pub mod history;
 pub mod processes;
 pub mod proxy;
