--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -146,6 +146,7 @@
     /// the peer's copy is newer.
     pub(super) fn catch_up(&mut self, peer: &PeerCopies, context: &mut Context<FleetState>) {
         let told = peer.versions;
+        let patience = self.patience();
         let newer = [
             (
                 Subject::Configuration,
@@ -160,7 +161,6 @@
         ];
         for (subject, newer, age) in newer {
             let learns = !self.reads(subject);
-            let patience = self.patience();
             let copy = self.copy(subject);
             if !newer {
                 copy.confirm_through_peer(age);
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -77,7 +77,8 @@
 }
 
 impl SoakSystem {
-    /// Starts store, servers and nodes, and waits until the nodes serve.
+    /// Starts store, servers and node processes. The nodes serve a moment later:
+    /// until then they are held to no bounds of time.
     pub async fn start(run: &SoakRun) -> Result<SoakSystem, String> {
         let fleet = Fleet::new();
         let door = fleet.store.open(fleet.host(STORE_HOST)).await;
