An incarnation is an identifier and when its process began; foreign entries name no server

Everything that the node knew of a server hung on the identifier: connections and address, what it denied, load in flight, what the leader announced, the ledger of orders. After a restart the node kept the old address, and the leader took the reports, whose count was lower, for old ones for ever.

Change: the registry's record names the incarnation (identifier@born); all maps go by that, the wire by the identifier. A report whose 'born' differs from the entry's is not taken in: an earlier one is old, a later one ends this life's orders until the entry tells the new one. Of two entries with one address the one with the later process counts, where both tell.

Entries are read in a module of their own: one that lacks a field that servers write, has another type in its place, has a key that cannot stand in a header, or names a service that the configuration does not, names no server and displaces none; one line when it begins, and a gauge (ignored_entries). A change of configuration reads the entries again, since it tells which services there are.

Ruled out: dropping the older entry only when it goes (a restart inside three heartbeats never shows as gone).

--- a/crates/cometmoor-core/src/gateway/registry.rs
+++ b/crates/cometmoor-core/src/gateway/registry.rs
@@ -22,11 +22,27 @@
     pub adapters: Vec<String>,
 }
 
+/// Name of one incarnation of a server: its identifier, and when the process began,
+/// if the server tells that. A server may start again under the identifier it had; it
+/// then holds nothing, and no order, count or connection of before is its own.
+pub fn incarnation_name(id: &str, born: Option<u64>) -> Arc<str> {
+    match born {
+        Some(born) => format!("{id}@{born}").into(),
+        None => id.into(),
+    }
+}
+
 /// One incarnation of a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerRecord {
-    /// Identifier of the incarnation, found nowhere else.
+    /// Identifier of the server, by which it is addressed. No two servers have the
+    /// same, but a server may start again under the one it had.
     pub id: Arc<str>,
+    /// When the process began, in Unix milliseconds; none where it does not tell.
+    pub born: Option<u64>,
+    /// Name of the incarnation ([`incarnation_name`]): what is known of a server is
+    /// kept under this name.
+    pub incarnation: Arc<str>,
     /// Service that it belongs to.
     pub service: String,
     /// Address; another server may get it later.
@@ -50,6 +66,15 @@
 }
 
 impl ServerRecord {
+    /// Whether this entry tells of a later process than another one, which was made
+    /// before it where either does not tell when its process began.
+    pub fn is_later_than(&self, other: &ServerRecord, was_made_later: bool) -> bool {
+        match (self.born, other.born) {
+            (Some(born), Some(other)) if born != other => born > other,
+            _ => was_made_later,
+        }
+    }
+
     /// The model, if the server holds it.
     pub fn held(&self, model: &str) -> Option<&HeldModel> {
         self.models.iter().find(|held| held.name == model)
--- a/crates/cometmoor-gateway/src/control/fleet/changes.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/changes.rs
@@ -7,7 +7,8 @@
 use cometmoor_core::gateway::registry::ServerState;
 use spdlog::info;
 
-use super::{FleetState, KnownServer};
+use super::FleetState;
+use super::entries::KnownServer;
 use crate::membership::Member;
 use crate::peer::Subject;
 
@@ -79,7 +80,7 @@
 
 fn log_server(known: &KnownServer) {
     let KnownServer { created, ref record, .. } = *known;
-    let server = &*record.id;
+    let server = &*record.incarnation;
     let address = record.address.to_string();
     let service = record.service.as_str();
     let software = record.software.as_str();
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/fleet/entries.rs
@@ -0,0 +1,116 @@
+//! The servers' entries in the store, and which of them name a server to use.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use cometmoor_core::gateway::configuration::GatewayConfiguration;
+use cometmoor_core::gateway::registry::ServerRecord;
+use spdlog::warn;
+
+use crate::dialect::Dialect;
+use crate::mirror::Mirror;
+
+/// Most entries whose faults are logged one by one when they come at once.
+const MOST_LINES: usize = 16;
+
+/// A server's entry as it was last read.
+#[derive(Clone)]
+pub(super) struct KnownServer {
+    /// Revision of the entry.
+    revision: u64,
+    /// Revision at which it was created.
+    pub(super) created: u64,
+    pub(super) record: Arc<ServerRecord>,
+}
+
+/// An entry that names no server to use.
+struct IgnoredEntry {
+    /// Revision of the entry.
+    revision: u64,
+    reason: String,
+}
+
+/// All entries as they were last read, those of ended servers included.
+#[derive(Default)]
+pub(super) struct ServerEntries {
+    readable: HashMap<String, KnownServer>,
+    ignored: HashMap<String, IgnoredEntry>,
+}
+
+impl ServerEntries {
+    /// Reads the entries of a copy of the store; tells the servers to use, by
+    /// incarnation. Other writers may leave entries there: one that cannot be read, or
+    /// whose service nobody configured, names no server and displaces none. An entry
+    /// that was good and no longer is takes its server away until it is good again.
+    pub(super) fn read(
+        &mut self,
+        copy: &Mirror,
+        dialect: &dyn Dialect,
+        configuration: Option<&GatewayConfiguration>,
+    ) -> HashMap<Arc<str>, KnownServer> {
+        let is_configured = |record: &ServerRecord| {
+            configuration.is_none_or(|known| known.services.contains_key(&record.service))
+        };
+        let mut readable = HashMap::with_capacity(copy.items.len());
+        let mut ignored = HashMap::new();
+        for (key, item) in &copy.items {
+            let revision = item.revision;
+            let known = self.readable.get(key).filter(|known| known.revision == revision);
+            let parsed = match known {
+                Some(known) => Ok(known.record.clone()),
+                None => dialect.parse_server(key, &item.value).map(Arc::new),
+            };
+            let reason = match parsed {
+                Ok(record) if is_configured(&record) => {
+                    let created = item.created;
+                    readable.insert(key.clone(), KnownServer { revision, created, record });
+                    continue;
+                }
+                Ok(record) => format!("service {:?} is not configured", record.service),
+                Err(error) => error.to_string(),
+            };
+            ignored.insert(key.clone(), IgnoredEntry { revision, reason });
+        }
+        self.log_newly_ignored(&ignored);
+        self.ignored = ignored;
+        let servers = without_replaced(&readable);
+        self.readable = readable;
+        servers
+    }
+
+    /// Number of entries that name no server to use.
+    pub(super) fn ignored(&self) -> usize {
+        self.ignored.len()
+    }
+
+    /// One line for each entry when it begins to be ignored, or is written anew.
+    fn log_newly_ignored(&self, ignored: &HashMap<String, IgnoredEntry>) {
+        let is_new = |(key, entry): &(&String, &IgnoredEntry)| {
+            self.ignored.get(*key).is_none_or(|known| known.revision != entry.revision)
+        };
+        let fresh: Vec<_> = ignored.iter().filter(is_new).collect();
+        for (key, entry) in fresh.iter().take(MOST_LINES) {
+            let (peer, reason, revision) = (key.as_str(), entry.reason.as_str(), entry.revision);
+            warn!("[servers] an entry names no server to use", kv: { step = "parse", peer, revision, reason });
+        }
+        if fresh.len() > MOST_LINES {
+            let entries = fresh.len();
+            warn!("[servers] many entries name no server to use", kv: { step = "parse", entries });
+        }
+    }
+}
+
+/// The servers by incarnation, without those whose address a later one has: they have
+/// ended, though their entries have not run out yet.
+fn without_replaced(entries: &HashMap<String, KnownServer>) -> HashMap<Arc<str>, KnownServer> {
+    let mut latest: HashMap<SocketAddrV4, &KnownServer> = HashMap::new();
+    for known in entries.values() {
+        let holder = latest.entry(known.record.address).or_insert(known);
+        if known.record.is_later_than(&holder.record, known.created > holder.created) {
+            *holder = known;
+        }
+    }
+    let servers = latest.into_values();
+    servers.map(|known| (known.record.incarnation.clone(), known.clone())).collect()
+}
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod copies;
+mod entries;
 mod messages;
 
 use std::collections::{BTreeSet, HashMap};
@@ -12,12 +13,12 @@
 
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
-use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
 use cometmoor_core::time::Timestamp;
 use spdlog::{error, info};
 
 use self::copies::Copy;
+use self::entries::{KnownServer, ServerEntries};
 pub use self::messages::{
     BeginStop, CloseToClients, ContactsFound, CopyChanged, CopyFailed, CopyRead, DemandView,
     GetDemand, GetNextCall, GetNextMessages, GetPatienceLeft, GetPeers, GetReadPlan, GetRetryPause,
@@ -43,16 +44,6 @@
 /// Time between two sums of the other nodes' load.
 const LOAD_PAUSE: Duration = Duration::from_millis(40);
 
-/// A server's entry as it was last read.
-#[derive(Clone)]
-struct KnownServer {
-    /// Revision of the entry.
-    revision: u64,
-    /// Revision at which it was created.
-    created: u64,
-    record: Arc<ServerRecord>,
-}
-
 /// The actor that holds the state of the fleet.
 pub struct FleetState {
     context: Rc<ControlContext>,
@@ -61,9 +52,8 @@
     phase: Phase,
     copies: HashMap<Subject, Copy>,
     configuration: ConfigurationInForce,
-    /// By the key of the entry, those of ended servers included.
-    entries: HashMap<String, KnownServer>,
-    /// By identifier.
+    entries: ServerEntries,
+    /// By incarnation.
     servers: HashMap<Arc<str>, KnownServer>,
     load_summed: Timestamp,
     servers_fetched: Option<Timestamp>,
@@ -96,7 +86,7 @@
             phase: Phase::Starting,
             copies: HashMap::from_iter(Subject::ALL.map(|subject| (subject, Copy::default()))),
             configuration: ConfigurationInForce::default(),
-            entries: HashMap::new(),
+            entries: ServerEntries::default(),
             servers: HashMap::new(),
             load_summed: Timestamp(0),
             servers_fetched: None,
@@ -158,6 +148,8 @@
                 let routes = configuration.route_count();
                 if self.configuration.offer(Arc::new(configuration)) {
                     info!("[configuration] version {version} is in force", kv: { version, routes });
+                    // It tells which services there are.
+                    self.take_in_servers();
                 }
             }
             Err(reason) => {
@@ -171,27 +163,9 @@
     }
 
     fn take_in_servers(&mut self) {
-        let dialect = self.context.dialect.clone();
-        let mut servers = HashMap::new();
-        for (key, item) in &self.copies[&Subject::Servers].mirror.items {
-            let parsed = match self.entries.get(key) {
-                Some(known) if known.revision == item.revision => Ok(known.record.clone()),
-                _ => dialect.parse_server(key, &item.value).map(Arc::new),
-            };
-            match parsed {
-                Ok(record) => {
-                    let (revision, created) = (item.revision, item.created);
-                    servers.insert(key.clone(), KnownServer { revision, created, record });
-                }
-                Err(reason) => {
-                    let reason = reason.to_string();
-                    error!("[servers] an entry cannot be read", kv: { step = "parse", peer = key.as_str(), reason });
-                }
-            }
-        }
-        self.entries = servers.clone();
-        drop_replaced(&mut servers);
-        let servers = servers.into_values().map(|known| (known.record.id.clone(), known)).collect();
+        let copy = &self.copies[&Subject::Servers].mirror;
+        let configuration = self.configuration.get().map(Arc::as_ref);
+        let servers = self.entries.read(copy, &*self.context.dialect, configuration);
         self.log_server_changes(&servers);
         self.servers = servers;
     }
@@ -208,6 +182,7 @@
             phase: self.phase,
             configuration: self.configuration.get().cloned(),
             configuration_is_current: current,
+            ignored_entries: self.entries.ignored(),
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
             nodes: self.client_nodes(),
             confirmed,
@@ -371,17 +346,6 @@
     }
 }
 
-/// Drops servers whose address a later one has: they have ended, though their
-/// entries have not run out yet.
-fn drop_replaced(servers: &mut HashMap<String, KnownServer>) {
-    let mut newest: HashMap<SocketAddrV4, u64> = HashMap::new();
-    for known in servers.values() {
-        let latest = newest.entry(known.record.address).or_default();
-        *latest = (*latest).max(known.created);
-    }
-    servers.retain(|_, known| newest.get(&known.record.address) == Some(&known.created));
-}
-
 impl Actor for FleetState {
     type Context = Context<FleetState>;
 
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -25,11 +25,11 @@
 
     /// Asks a server for its state.
     pub(super) fn spawn_report(self: &Rc<Leader>, id: Arc<str>) {
-        let Some(client) = self.begin_call(&id) else { return };
+        let Some((client, server)) = self.begin_call(&id) else { return };
         let leader = self.clone();
         actix_rt::spawn(async move {
             let asked = leader.now();
-            let call = leader.context.dialect.report(&id);
+            let call = leader.context.dialect.report(&server);
             let result = client.call(&call, ORDER_TIMEOUT).await;
             let report = result.map_err(|error| error.to_string()).and_then(|answer| {
                 leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
@@ -39,13 +39,15 @@
         });
     }
 
-    fn begin_call(&self, id: &Arc<str>) -> Option<Rc<CallClient>> {
+    /// Notes that an incarnation is being called; tells its connections, and the
+    /// identifier by which it is addressed.
+    fn begin_call(&self, id: &Arc<str>) -> Option<(Rc<CallClient>, Arc<str>)> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let engine = state.engines.get_mut(id)?;
         engine.calling = true;
         engine.asked = Some(now);
-        Some(engine.client.clone())
+        Some((engine.client.clone(), engine.record.id.clone()))
     }
 
     fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
@@ -54,6 +56,11 @@
         let Some(engine) = state.engines.get_mut(id) else { return };
         engine.calling = false;
         match report {
+            Ok(report) if engine.is_of_another_life(&report) => {
+                engine.note_other_life(&report);
+                let (server, born) = (&**id, report.born.unwrap_or_default());
+                warn!("[leader] a report is of another life of the server", kv: { step = "report", server, born });
+            }
             Ok(report) => {
                 engine.in_host_memory = report.in_host_memory.iter().cloned().collect();
                 engine.on_disk = report.on_disk.iter().cloned().collect();
@@ -94,10 +101,10 @@
         expected_count: u64,
         token: u64,
     ) {
-        let Some(client) = self.begin_call(&id) else { return };
+        let Some((client, server)) = self.begin_call(&id) else { return };
         let leader = self.clone();
         actix_rt::spawn(async move {
-            let result = leader.send_order(&client, &id, &order, expected_count, token).await;
+            let result = leader.send_order(&client, &server, &order, expected_count, token).await;
             let accepted = matches!(result, Ok(OrderAnswer::Accepted));
             leader.take_order_answer(&id, &order, result, token);
             if accepted && order.loads_adapter() {
--- a/crates/cometmoor-gateway/src/control/leader/engine.rs
+++ b/crates/cometmoor-gateway/src/control/leader/engine.rs
@@ -63,6 +63,21 @@
         }
     }
 
+    /// Whether a report is known to be of an earlier or later life of the server than
+    /// the entry tells of.
+    pub(super) fn is_of_another_life(&self, report: &EngineReport) -> bool {
+        match (self.record.born, report.born) {
+            (Some(known), Some(told)) => known != told,
+            _ => false,
+        }
+    }
+
+    /// Takes in that the server reports another life. Where that is a later one, this
+    /// one is over: it is ordered nothing more. A report of an earlier one is old.
+    pub(super) fn note_other_life(&mut self, report: &EngineReport) {
+        self.replaced |= report.born > self.record.born;
+    }
+
     /// Takes one of the places for adapters on their way, if there is one left.
     pub(super) fn take_adapter_place(&mut self, now: Timestamp) -> bool {
         self.adapters_ordered.retain(|ordered| now.since(*ordered) < ADAPTER_ON_ITS_WAY);
@@ -111,7 +126,7 @@
 
 /// Weights that are about to be taken off the server, or are being taken off.
 pub(super) fn leaving_weights(engine: &Engine, withdrawals: &[Withdrawal]) -> Option<Weights> {
-    let announced = withdrawals.iter().find(|known| known.server == engine.record.id);
+    let announced = withdrawals.iter().find(|known| known.server == engine.record.incarnation);
     let order = announced.map(|known| &known.order).or_else(|| engine.ledger.open_order())?;
     (order.action == Action::Unload).then(|| order.weights.clone())
 }
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -50,6 +50,7 @@
 #[derive(Default)]
 struct LeaderState {
     acquired: Timestamp,
+    /// By incarnation.
     engines: HashMap<Arc<str>, Engine>,
     withdrawals: Vec<Withdrawal>,
     announcements: Announcements,
@@ -203,17 +204,18 @@
         let is_engine = |record: &ServerRecord| {
             configuration.services.get(&record.service).is_some_and(|known| known.engine.is_some())
         };
-        let known: BTreeSet<Arc<str>> = servers.iter().map(|record| record.id.clone()).collect();
+        let known: BTreeSet<Arc<str>> =
+            servers.iter().map(|record| record.incarnation.clone()).collect();
         state.engines.retain(|id, _| known.contains(id));
         state.withdrawals.retain(|withdrawal| known.contains(&withdrawal.server));
         state.first_round.get_or_insert(now);
         for record in servers.iter().filter(|record| is_engine(record)) {
-            if !state.engines.contains_key(&record.id) {
+            if !state.engines.contains_key(&record.incarnation) {
                 state.last_new_server = Some(now);
             }
             let engine = state
                 .engines
-                .entry(record.id.clone())
+                .entry(record.incarnation.clone())
                 .or_insert_with(|| Engine::new(record.clone()));
             engine.take_record(record, now);
         }
@@ -381,7 +383,7 @@
             .filter(|engine| engine.record.service == service && !engine.replaced)
             .filter(|engine| engine.record.state == ServerState::Ready)
             .map(|engine| {
-                let id = &engine.record.id;
+                let id = &engine.record.incarnation;
                 let idle = matches!(engine.ledger.next_step(now), NextStep::Idle { .. });
                 let (held, reserved) = believed_weights(engine);
                 PlannedServer {
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -267,6 +267,8 @@
 /// What a model server tells of itself when asked.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
+    /// When the process began, in Unix milliseconds; none where it does not tell.
+    pub born: Option<u64>,
     /// Orders taken.
     pub orders: u64,
     /// An order is under way.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -127,7 +127,12 @@
             if self.is_own(&received) {
                 return Ok(received);
             }
-            self.log_failure("surplus answer", "answer", &record.id, "it is for another request");
+            self.log_failure(
+                "surplus answer",
+                "answer",
+                &record.incarnation,
+                "it is for another request",
+            );
             server.note_failure(std::time::Instant::now());
             received = next_answer(received, self.head.method == "HEAD")
                 .await
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -128,7 +128,7 @@
         if !source.takes_work() {
             return Some(MoveReason::ServerLeaves);
         }
-        let key = (server_key(&source.record().id), model_key(&model.model, None));
+        let key = (server_key(&source.record().incarnation), model_key(&model.model, None));
         let withdrawn = self.traffic.board.placement.load().withdrawn.contains(&key);
         withdrawn.then_some(MoveReason::ModelLeaves)
     }
@@ -146,9 +146,10 @@
         let placement = self.traffic.board.placement.load();
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
-        let able = self
-            .able_servers(table.of_service(&service), &placement, now)
-            .filter(|server| !server.is_paused(now) && server.record().id != source.record().id);
+        let able =
+            self.able_servers(table.of_service(&service), &placement, now).filter(|server| {
+                !server.is_paused(now) && server.record().incarnation != source.record().incarnation
+            });
         let with_slot: Vec<_> = able
             .map(|server| (server, self.candidate(server, now)))
             .filter(|(_, candidate)| candidate.in_flight < candidate.slots)
@@ -164,13 +165,13 @@
         target: Rc<Server>,
         reason: MoveReason,
     ) -> Option<Continuation> {
-        let place = target.record().id.clone();
+        let place = target.record().incarnation.clone();
         let _slot = self.traffic.loads.sent(&place, PendingWork::default());
         let RunMoveAnswer::Copied(_) = self.copy_run(source, &target, false).await? else {
             return None;
         };
         let moved = self.copy_run(source, &target, true).await?;
-        self.log_move(&source.record().id, &place, reason.name(), &moved);
+        self.log_move(&source.record().incarnation, &place, reason.name(), &moved);
         let (server, handle) = match moved {
             RunMoveAnswer::Copied(handle) => (target, handle),
             RunMoveAnswer::NoRoom(handle) => (source.clone(), handle?),
@@ -199,12 +200,12 @@
                 let answer = self.traffic.dialect.parse_run_move(&answer);
                 if !matches!(answer, RunMoveAnswer::Copied(_)) {
                     let reason = format!("{answer:?}");
-                    self.log_failure("run not moved", "move", &record.id, &reason);
+                    self.log_failure("run not moved", "move", &record.incarnation, &reason);
                 }
                 Some(answer)
             }
             Err(error) => {
-                self.log_failure("run not moved", "move", &record.id, &error.to_string());
+                self.log_failure("run not moved", "move", &record.incarnation, &error.to_string());
                 None
             }
         }
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -174,7 +174,7 @@
                 }
             };
             let record = server.record();
-            tried.push(record.id.clone());
+            tried.push(record.incarnation.clone());
             match self.send(&server, &mut stream, None).await {
                 Sent::Finished(finish) => return finish,
                 Sent::Moved(continuation) => moved = Some(continuation),
@@ -187,7 +187,7 @@
                     continue;
                 }
                 Sent::NotRun { status, misdirected } => {
-                    let id = &*record.id;
+                    let id = &*record.incarnation;
                     let request = &*self.facts.id;
                     info!("[forward] the server did not run it", kv: { request, server = id, status, misdirected });
                     if !self.may_send_again(service, Failure::NotRun) {
@@ -196,7 +196,7 @@
                     }
                 }
                 Sent::Failed(error) => {
-                    self.log_failure("failed", "server", &record.id, &error.to_string());
+                    self.log_failure("failed", "server", &record.incarnation, &error.to_string());
                     if !self.may_send_again(service, Failure::Broken) {
                         self.traffic.metrics.ended("unknown", "server", "broken after the send");
                         return self.answer(OwnAnswer::bad_gateway()).await;
@@ -219,7 +219,7 @@
 
     /// Whether a stream of which the client has a part may go on as another run.
     fn may_follow_broken_stream(&self, service: &str, server: &Server) -> bool {
-        self.log_failure("broken", "stream", &server.record().id, "the stream broke off");
+        self.log_failure("broken", "stream", &server.record().incarnation, "the stream broke off");
         let follows = self.may_send_again(service, Failure::StreamBroken);
         if !follows {
             self.traffic.metrics.ended("cut", "stream", "the stream broke off");
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -91,7 +91,7 @@
         let placement = self.traffic.board.placement.load();
         let able: Vec<&Rc<Server>> = self
             .able_servers(table.of_service(service), &placement, now)
-            .filter(|server| !tried.contains(&server.record().id))
+            .filter(|server| !tried.contains(&server.record().incarnation))
             .collect();
         let reachable: Vec<&Rc<Server>> =
             able.iter().copied().filter(|server| !server.is_paused(now)).collect();
@@ -191,9 +191,10 @@
 
     pub(super) fn candidate(&self, server: &Server, now: Instant) -> Candidate {
         let record = server.record();
-        let own = self.traffic.loads.of(&record.id);
+        let own = self.traffic.loads.of(&record.incarnation);
         let remote = self.traffic.board.remote_load.load();
-        let load = own.plus(remote.get(&server_key(&record.id)).copied().unwrap_or_default());
+        let load =
+            own.plus(remote.get(&server_key(&record.incarnation)).copied().unwrap_or_default());
         Candidate {
             in_flight: load.in_flight,
             pending_millis: load.pending.millis_ahead_of(self.route.priority),
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -58,20 +58,20 @@
             Ok(lent) => lent,
             Err(error) => {
                 server.note_unreachable(Instant::now());
-                self.log_failure("unreachable", "connect", &record.id, &error.to_string());
+                self.log_failure("unreachable", "connect", &record.incarnation, &error.to_string());
                 return Sent::Unreachable;
             }
         };
         if !server.takes_work() {
             return Sent::Unreachable;
         }
-        let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.id);
+        let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.incarnation);
         let sent_at = waits_for_nobody.then(Instant::now);
         let pending = match copy {
             Some(_) => PendingWork::default(),
             None => self.pending_work(),
         };
-        let mut guard = self.traffic.loads.sent(&record.id, pending);
+        let mut guard = self.traffic.loads.sent(&record.incarnation, pending);
         // A run that goes on from its copy is no further attempt.
         let note = |change: fn(&mut Attempts)| {
             if copy.is_none() {
@@ -79,8 +79,8 @@
             }
         };
         note(Attempts::begin_send);
-        self.server.replace(Some(record.id.clone()));
-        self.log_sent(&record.id, lent.reused);
+        self.server.replace(Some(record.incarnation.clone()));
+        self.log_sent(&record.incarnation, lent.reused);
         let received =
             match self.exchange(server, &record, lent, stream.last_event.as_deref(), copy).await {
                 Ok(received) => received,
@@ -144,12 +144,12 @@
             Ok(finish) => {
                 server.note_success(Instant::now());
                 self.learn_stream(&stream.pauses);
-                self.log_stream_answered(&server.record().id, &stream.pauses);
+                self.log_stream_answered(&server.record().incarnation, &stream.pauses);
                 Sent::Finished(finish)
             }
             Err(RelayError::Client) => {
                 let reason = "the client takes no more bytes";
-                self.log_failure("client left", "stream", &server.record().id, reason);
+                self.log_failure("client left", "stream", &server.record().incarnation, reason);
                 Sent::Finished(Finish::Cut)
             }
             Err(RelayError::Moved(continuation)) => Sent::Moved(continuation),
@@ -185,11 +185,16 @@
         let received = received.settle(&server.pool);
         if status < 500 {
             server.note_success(Instant::now());
-            self.log_answered(&server.record().id, status);
+            self.log_answered(&server.record().incarnation, status);
             return Sent::Finished(self.pass_whole(received, collected.bytes).await);
         }
         server.note_failure(Instant::now());
-        self.log_failure("server error", "answer", &server.record().id, &status.to_string());
+        self.log_failure(
+            "server error",
+            "answer",
+            &server.record().incarnation,
+            &status.to_string(),
+        );
         if self.route.repeat.may_run_again() {
             return Sent::ServerError(Box::new(received), collected.bytes);
         }
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub nodes: Gauge,
     /// Servers by state.
     pub servers: Family<StateLabels, Gauge>,
+    /// Entries of the registry that name no server to use.
+    pub ignored_entries: Gauge,
     /// Log lines that were dropped.
     pub dropped_lines: Gauge,
 }
@@ -100,6 +102,7 @@
             leads: Gauge::default(),
             nodes: Gauge::default(),
             servers: Family::default(),
+            ignored_entries: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register_requests();
@@ -133,6 +136,7 @@
             ("configuration_version", "Version in force", &self.configuration_version),
             ("leads", "Whether this node orders the servers", &self.leads),
             ("nodes", "Nodes that take requests", &self.nodes),
+            ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
             ("dropped_log_lines", "Log lines that were dropped", &self.dropped_lines),
         ];
         for (name, help, gauge) in gauges {
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -249,6 +249,7 @@
         let state = |state| metrics.servers.get_or_create(&StateLabels { state });
         state("draining").set(draining as i64);
         state("ready").set((fleet.servers.len() - draining) as i64);
+        metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
         let body = metrics.text().into_bytes();
         SmallAnswer { status: 200, content_type: "text/plain", body }
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -55,6 +55,8 @@
     pub configuration: Option<Arc<GatewayConfiguration>>,
     /// Whether the store or a peer has lately confirmed the configuration.
     pub configuration_is_current: bool,
+    /// Entries of the registry that name no server to use.
+    pub ignored_entries: usize,
     /// Servers in the registry.
     pub servers: Vec<Arc<ServerRecord>>,
     /// Nodes that take requests, this one included.
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -168,7 +168,7 @@
     /// as is known.
     pub fn holds(&self, model: &ModelName, placement: &PlacementView, now: Instant) -> bool {
         let record = self.record.borrow();
-        let server = server_key(&record.id);
+        let server = server_key(&record.incarnation);
         let base = model_key(&model.model, None);
         let held = record.held(&model.model);
         let has_base = held.is_some() || placement.added.contains(&(server, base));
@@ -200,7 +200,7 @@
 #[derive(Default)]
 pub struct ServerTable {
     generation: u64,
-    by_id: HashMap<Arc<str>, Rc<Server>>,
+    by_incarnation: HashMap<Arc<str>, Rc<Server>>,
     by_service: HashMap<String, Vec<Rc<Server>>>,
 }
 
@@ -211,10 +211,10 @@
             return;
         }
         self.generation = fleet.generation;
-        let mut by_id = HashMap::with_capacity(fleet.servers.len());
+        let mut by_incarnation = HashMap::with_capacity(fleet.servers.len());
         let mut by_service: HashMap<String, Vec<Rc<Server>>> = HashMap::new();
         for record in &fleet.servers {
-            let server = match self.by_id.remove(&record.id) {
+            let server = match self.by_incarnation.remove(&record.incarnation) {
                 Some(server) => {
                     server.take_record(record);
                     server
@@ -222,13 +222,13 @@
                 None => Rc::new(Server::new(record.clone())),
             };
             by_service.entry(record.service.clone()).or_default().push(server.clone());
-            by_id.insert(record.id.clone(), server);
+            by_incarnation.insert(record.incarnation.clone(), server);
         }
-        for server in self.by_id.values() {
+        for server in self.by_incarnation.values() {
             server.gone.set(true);
             server.pool.close_all();
         }
-        self.by_id = by_id;
+        self.by_incarnation = by_incarnation;
         self.by_service = by_service;
     }
 
@@ -239,7 +239,7 @@
 
     /// Closes connections that have rested for too long.
     pub fn close_old_connections(&self, now: Instant) {
-        for server in self.by_id.values() {
+        for server in self.by_incarnation.values() {
             server.pool.close_old(now);
         }
     }
--- a/crates/cometmoor-gateway/tests/servers.rs
+++ b/crates/cometmoor-gateway/tests/servers.rs
@@ -13,6 +13,8 @@
     let held = |name: &&str| HeldModel { name: (*name).to_owned(), adapters: Vec::new() };
     ServerRecord {
         id: "i-1".into(),
+        born: None,
+        incarnation: "i-1".into(),
         service: "app".to_owned(),
         address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
         zone: "zone-a".to_owned(),
