Control traffic is counted by kind: metrics, and one log line each 10 s

Messages and bytes sent are counted by kind (heartbeats, digests, copies for peers, calls to the store) in two metrics and a log line; no behaviour changes.

--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -41,6 +41,8 @@
 const READERS_OF_SMALL_FLEET: usize = 3;
 /// Least time between two heartbeats that tell the load in a large fleet.
 const LOADS_EACH: Duration = Duration::from_millis(180);
+/// Time between two log lines on what this node has sent.
+const TRAFFIC_LINE_EACH: Duration = Duration::from_secs(10);
 /// Time between two sums of the other nodes' load.
 const LOAD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -65,6 +67,7 @@
     told_loads: Vec<(ServerKey, ServerLoad)>,
     loads_told: Option<Timestamp>,
     demand: FleetDemandMeter,
+    traffic_logged: Timestamp,
     placement: Option<Placement>,
     leader_heard: Option<Instant>,
     stop: Option<StopTimes>,
@@ -96,6 +99,7 @@
             told_loads: Vec::new(),
             loads_told: None,
             demand: FleetDemandMeter::default(),
+            traffic_logged: Timestamp(0),
             placement: None,
             leader_heard: None,
             stop: None,
@@ -343,6 +347,15 @@
         self.sum_load();
         self.publish_placement();
         self.publish();
+        self.log_traffic(now);
+    }
+
+    /// Tells now and then what this node has sent.
+    fn log_traffic(&mut self, now: Timestamp) {
+        if now.since(self.traffic_logged) >= TRAFFIC_LINE_EACH {
+            self.traffic_logged = now;
+            self.context.traffic.log();
+        }
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -10,6 +10,7 @@
 
 use super::ControlContext;
 use super::fleet::{FleetState, GetNextMessages, PeerTold};
+use crate::control_traffic::TrafficKind;
 use crate::membership::Message;
 
 /// Pause between two heartbeats in a small fleet. Nodes that hear of one
@@ -38,6 +39,14 @@
     Ok(())
 }
 
+fn kind_of(message: &Message) -> TrafficKind {
+    match message {
+        Message::Heartbeat(_) | Message::HeartbeatToHub(_) => TrafficKind::Heartbeat,
+        Message::ZoneDigest(_) => TrafficKind::ZoneDigest,
+        Message::FleetDigest(_) => TrafficKind::FleetDigest,
+    }
+}
+
 fn interval(nodes: u32, is_small_fleet: bool) -> Duration {
     match is_small_fleet {
         true => SMALL_FLEET_INTERVAL,
@@ -61,6 +70,8 @@
         let Ok(next) = fleet.send(GetNextMessages).await else { return };
         for outgoing in &next.outgoing {
             let bytes = outgoing.message.encode();
+            let kind = kind_of(&outgoing.message);
+            context.traffic.count(kind, outgoing.targets.len(), bytes.len());
             for target in &outgoing.targets {
                 // A lost message is followed by the next one.
                 let _ = socket.try_send_to(&bytes, SocketAddr::V4(*target));
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use self::fleet::FleetState;
+use crate::control_traffic::ControlTraffic;
 use crate::dialect::Dialect;
 use crate::load::LoadBoard;
 use crate::published::Board;
@@ -32,6 +33,8 @@
     pub board: Arc<Board>,
     /// What the traffic threads do.
     pub loads: LoadBoard,
+    /// Messages to other nodes and the store.
+    pub traffic: ControlTraffic,
     /// The store.
     pub store: Store,
     /// Tells two processes of one node apart.
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! look like is told by a [`dialect::Dialect`].
 
 pub mod control;
+pub mod control_traffic;
 pub mod dialect;
 pub mod directory;
 pub mod explain;
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::control_traffic::ControlTraffic;
+
 /// Buckets from 1 ms to about 16 s.
 const BUCKETS: (f64, f64, u16) = (0.001, 2.0, 15);
 
@@ -75,6 +77,8 @@
     pub servers: Family<StateLabels, Gauge>,
     /// Entries of the registry that name no server to use.
     pub ignored_entries: Gauge,
+    /// Messages to other nodes and the store.
+    pub control: ControlTraffic,
     /// Log lines that were dropped.
     pub dropped_lines: Gauge,
 }
@@ -103,6 +107,7 @@
             nodes: Gauge::default(),
             servers: Family::default(),
             ignored_entries: Gauge::default(),
+            control: ControlTraffic::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register_requests();
@@ -144,6 +149,7 @@
         }
         registry.register("store_age_seconds", "Age of the store's view", self.store_age.clone());
         registry.register("servers", "Servers by state", self.servers.clone());
+        self.control.register(registry);
     }
 
     /// Notes how a request ended.
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::control::fleet::{BeginStop, CloseToClients, FleetState, GetUpdate};
 use crate::control::{ControlContext, start as start_control};
+use crate::control_traffic::{ControlTraffic, TrafficKind};
 use crate::dialect::Dialect;
 use crate::directory::addresses;
 use crate::forward::Traffic;
@@ -184,7 +185,8 @@
         dialect: dialect.clone(),
         board: board.clone(),
         loads: loads.clone(),
-        store: Store::new(dialect.clone(), settings.store_address),
+        traffic: metrics.control.clone(),
+        store: Store::new(dialect.clone(), settings.store_address, metrics.control.clone()),
         incarnation: new_incarnation(),
         plan_wanted: tokio::sync::Notify::new(),
     });
@@ -294,7 +296,9 @@
                 return renewal_answer(&context, lease).await;
             }
             match Subject::from_path(head.path()) {
-                Some((subject, after)) => copy_answer(&fleet, subject, after).await,
+                Some((subject, after)) => {
+                    copy_answer(&fleet, &context.traffic, subject, after).await
+                }
                 None => SmallAnswer::status(404),
             }
         }
@@ -302,9 +306,21 @@
     Ok(())
 }
 
-async fn copy_answer(fleet: &Addr<FleetState>, subject: Subject, after: u64) -> SmallAnswer {
+async fn copy_answer(
+    fleet: &Addr<FleetState>,
+    traffic: &ControlTraffic,
+    subject: Subject,
+    after: u64,
+) -> SmallAnswer {
+    let kind = match subject {
+        Subject::Configuration => TrafficKind::ConfigurationCopy,
+        Subject::Servers => TrafficKind::ServersCopy,
+    };
     match fleet.send(GetUpdate { subject, after }).await {
-        Ok(Some(body)) => SmallAnswer { status: 200, content_type: BINARY, body: body.to_vec() },
+        Ok(Some(body)) => {
+            traffic.count(kind, 1, body.len());
+            SmallAnswer { status: 200, content_type: BINARY, body: body.to_vec() }
+        }
         _ => SmallAnswer::status(503),
     }
 }
--- a/crates/cometmoor-gateway/src/store.rs
+++ b/crates/cometmoor-gateway/src/store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::control_traffic::{ControlTraffic, TrafficKind};
 use crate::dialect::{Commit, Committed, Dialect, FormatError, Item, Lease, Watched};
 use crate::http::client::{Answer, Call, CallClient, CallError};
 use crate::mirror::Mirror;
@@ -39,6 +40,7 @@
 pub struct Store {
     dialect: Arc<dyn Dialect>,
     client: CallClient,
+    traffic: ControlTraffic,
 }
 
 /// A read of all items under a prefix, page by page. The copy is as of the first
@@ -58,12 +60,19 @@
 
 impl Store {
     /// A client of the store at the address.
-    pub fn new(dialect: Arc<dyn Dialect>, address: SocketAddrV4) -> Store {
-        Store { dialect, client: CallClient::new(address) }
+    pub fn new(dialect: Arc<dyn Dialect>, address: SocketAddrV4, traffic: ControlTraffic) -> Store {
+        Store { dialect, client: CallClient::new(address), traffic }
     }
 
-    async fn call(&self, call: &Call, within: Duration) -> Result<Answer, StoreError> {
-        self.client.call(call, within).await.map_err(StoreError::Call)
+    async fn call(
+        &self,
+        kind: TrafficKind,
+        call: &Call,
+        within: Duration,
+    ) -> Result<Answer, StoreError> {
+        let answer = self.client.call(call, within).await;
+        self.traffic.count(kind, 1, answer.as_ref().map_or(0, |answer| answer.body.len()));
+        answer.map_err(StoreError::Call)
     }
 
     /// Reads all items under a prefix.
@@ -88,7 +97,7 @@
     ) -> Result<bool, StoreError> {
         let after = read.items.last().map(|item| item.key.as_str());
         let call = self.dialect.read_range(prefix, after);
-        let answer = self.call(&call, within).await?;
+        let answer = self.call(TrafficKind::StoreRead, &call, within).await?;
         let told = self.dialect.parse_range(&answer)?;
         read.at.get_or_insert(told.at);
         let more = told.more && !told.items.is_empty();
@@ -106,7 +115,7 @@
         slack: Duration,
     ) -> Result<Watched, StoreError> {
         let call = self.dialect.watch(prefix, after, wait);
-        let answer = self.call(&call, wait + slack).await?;
+        let answer = self.call(TrafficKind::StoreWatch, &call, wait + slack).await?;
         Ok(self.dialect.parse_watch(&answer)?)
     }
 
@@ -118,24 +127,28 @@
 
     /// Writes under conditions.
     pub async fn commit(&self, commit: &Commit) -> Result<Committed, StoreError> {
-        let answer = self.call(&self.dialect.commit(commit), CALL_TIMEOUT).await?;
+        let call = self.dialect.commit(commit);
+        let answer = self.call(TrafficKind::StoreCommit, &call, CALL_TIMEOUT).await?;
         Ok(self.dialect.parse_commit(&answer)?)
     }
 
     /// Asks for a lease.
     pub async fn grant_lease(&self, lifetime: Duration) -> Result<Lease, StoreError> {
-        let answer = self.call(&self.dialect.grant_lease(lifetime), CALL_TIMEOUT).await?;
+        let call = self.dialect.grant_lease(lifetime);
+        let answer = self.call(TrafficKind::StoreLease, &call, CALL_TIMEOUT).await?;
         Ok(self.dialect.parse_lease(&answer)?)
     }
 
     /// Renews a lease; tells whether it goes on.
     pub async fn renew_lease(&self, id: u64) -> Result<bool, StoreError> {
-        let answer = self.call(&self.dialect.renew_lease(id), CALL_TIMEOUT).await?;
+        let call = self.dialect.renew_lease(id);
+        let answer = self.call(TrafficKind::StoreLease, &call, CALL_TIMEOUT).await?;
         Ok(self.dialect.parse_renewal(&answer)?)
     }
 
     /// Gives a lease back.
     pub async fn end_lease(&self, id: u64) -> Result<(), StoreError> {
-        self.call(&self.dialect.end_lease(id), CALL_TIMEOUT).await.map(|_| ())
+        let call = self.dialect.end_lease(id);
+        self.call(TrafficKind::StoreLease, &call, CALL_TIMEOUT).await.map(|_| ())
     }
 }
