--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -122,8 +122,9 @@
         let wait = LONGEST_START_WAIT.mul_f64(rand::random::<f64>().cbrt());
         let end = Instant::now() + wait;
         while Instant::now() < end {
+            // Who is to read is not known yet: few others have been heard.
             let plan = self.fleet.send(GetReadPlan(self.subject)).await;
-            if !matches!(plan, Ok(ReadPlan::LeaveToPeers)) {
+            if matches!(plan, Ok(ReadPlan::HasCopy)) {
                 return;
             }
             tokio::time::sleep(LOOK_FOR_PEERS.min(end - Instant::now())).await;
