--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -9,6 +9,7 @@
 
 mod asked;
 mod digests;
+mod duty;
 mod hubs;
 mod leader_word;
 mod message;
@@ -63,7 +64,7 @@
     contacts: BTreeMap<SocketAddrV4, Timestamp>,
     /// When nodes were last known to be there.
     seen: HashMap<SocketAddrV4, Timestamp>,
-    hub: hubs::HubDuty,
+    hub: duty::HubDuty,
     asked: asked::AskedHubs,
     leader_word: LeaderWord,
     /// All nodes that are there, reckoned at a time.
@@ -84,7 +85,7 @@
             fleet: ToldByHubs::default(),
             contacts: BTreeMap::new(),
             seen: HashMap::new(),
-            hub: hubs::HubDuty::default(),
+            hub: duty::HubDuty::default(),
             asked: asked::AskedHubs::default(),
             leader_word: LeaderWord::default(),
             members: Vec::new(),
--- a/crates/cometmoor-gateway/src/membership/told.rs
+++ b/crates/cometmoor-gateway/src/membership/told.rs
@@ -12,7 +12,8 @@
 /// Time for which the members that a silent hub told still count, where no hub that is
 /// heard tells about as many. Where all hubs of a zone die at once, the next nodes by
 /// rank find them silent, take over, hear their zone and are told of the others: up to
-/// 2 s and four messages of 0.42 s, of which one may be lost. Without this, the zone knows nobody meanwhile.
+/// 2 s and four messages, 0.42 s apart at the most. Without this, the zone knows nobody
+/// meanwhile.
 const KEPT_FOR: Duration = Duration::from_millis(3500);
 
 /// Time for which a hub that takes over may not have heard all its nodes: two
