A node that has a peer's copy at the start follows it instead of reading all the same

The wait ended when a peer's copy had come, and the watcher then began with its first full read as ever; the test had passed before only because nodes that are no readers of a small fleet sometimes left out one read.

--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -88,9 +88,11 @@
     }
 
     async fn run(self) {
-        self.leave_start_to_peers().await;
         let mut failures = 0;
-        let mut next = Step::FirstRead;
+        let mut next = match self.peers_bring_start().await {
+            true => Step::Follow,
+            false => Step::FirstRead,
+        };
         loop {
             match self.step(next, failures).await {
                 Ok(following) => {
@@ -112,12 +114,12 @@
     /// Where a whole fleet starts at once, a few nodes read the store and the others take
     /// their copies: at 295 nodes, reads and watches by all of them were a third of the
     /// store's calls of a calm day. Waits are drawn so that one node in sixteen waits for
-    /// less than a second: by then others have been heard.
-    async fn leave_start_to_peers(&self) {
+    /// less than a second: by then others have been heard. Tells whether a copy has come.
+    async fn peers_bring_start(&self) -> bool {
         let settings = &self.context.settings;
         let has_others = settings.seeds.iter().any(|seed| *seed != settings.peer_address);
         if !settings.fresh_fleet || !has_others {
-            return;
+            return false;
         }
         let wait = LONGEST_START_WAIT.mul_f64(rand::random::<f64>().cbrt());
         let end = Instant::now() + wait;
@@ -125,10 +127,11 @@
             // Who is to read is not known yet: few others have been heard.
             let plan = self.fleet.send(GetReadPlan(self.subject)).await;
             if matches!(plan, Ok(ReadPlan::HasCopy)) {
-                return;
+                return true;
             }
             tokio::time::sleep(LOOK_FOR_PEERS.min(end - Instant::now())).await;
         }
+        false
     }
 
     fn limits(&self) -> StalenessLimits {
