Log lines of requests tell their content, so that one that comes again is seen

Change: a fingerprint of method, host, path, caller and body in sent, refused and failure lines; equal on all nodes. The decision logic is untouched.

--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -34,6 +34,7 @@
 use self::send::Sent;
 pub use self::traffic::Traffic;
 use crate::dialect::RequestFacts;
+use crate::fingerprint::{Fingerprint, fingerprint};
 use crate::http::head::RequestHead;
 use crate::published::Phase;
 use crate::servers::Server;
@@ -53,6 +54,8 @@
     pub body: &'a Bytes,
     /// What its headers tell.
     pub facts: RequestFacts,
+    /// What tells it when it comes again.
+    pub content: Fingerprint,
     /// Its route.
     pub route: Arc<Route>,
     /// When it began to arrive.
@@ -94,6 +97,7 @@
             head,
             body,
             facts,
+            content: fingerprint(head, body),
             route,
             received,
             attempts,
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -17,6 +17,7 @@
         let estimate = self.estimate.get();
         info!("[forward] sent", kv: {
             request = &*self.facts.id,
+            content = self.content.to_string(),
             route = &*self.route.name,
             model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
             server,
@@ -98,6 +99,7 @@
         let estimate = self.estimate.get();
         warn!("[forward] refused", kv: {
             request = &*self.facts.id,
+            content = self.content.to_string(),
             route = &*self.route.name,
             step = "queue",
             reason,
@@ -119,6 +121,7 @@
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
         warn!("[forward] {what}", kv: {
             request = &*self.facts.id,
+            content = self.content.to_string(),
             route = &*self.route.name,
             step,
             server,
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod explain;
+pub mod fingerprint;
 pub mod forward;
 pub mod frontend;
 pub mod http;
