Requests that end their servers are kept from all of them

Cause: nodes remembered nothing of what ran where a server ended. A request that ends its servers comes back under a new identifier at any node, and each sent it as a new one. Class: harm that is known by a request's content only, and to one node only, is not remembered and not passed on.

Change: when a connection ends before its answer, the node looks whether the server refuses new ones; if so each request that broke there is blamed, by content. After three servers it is kept from all for ten minutes (503, not run, with the time that is left). One that a server has answered well since is cleared. Heartbeats and digests carry the records, 40 at the most; the leading node keeps the verdicts in the store with leases.

Ruled out as evidence: the server's entry (goes 2.6 to 3.4 s after the end).

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod load_rate;
 pub mod orders;
 pub mod planner;
+pub mod quarantine;
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -143,6 +143,7 @@
         self.catch_up(&copies, context);
         let now = self.now();
         let (node, phase) = (heartbeat.node.clone(), heartbeat.phase);
+        self.context.quarantine.merge(&heartbeat.suspects, &node);
         self.demand.receive(&heartbeat, now);
         let leads = heartbeat.placement.is_some();
         let waits = !heartbeat.waited_for.is_empty();
@@ -156,6 +157,7 @@
         }
         self.ask_for_plan(waits);
         if change != PeerChange::None {
+            self.context.quarantine.report_again();
             info!("[peers] a node is {phase:?}", kv: { node });
             self.publish();
         }
@@ -173,6 +175,7 @@
             versions: digest.versions,
         };
         self.catch_up(&copies, context);
+        self.context.quarantine.merge(&digest.suspects, &digest.hub.to_string());
         let leads = digest.placement.is_some();
         let now = self.now();
         take(&mut self.peers, digest, now);
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -270,6 +270,7 @@
             loads: tells_loads.then(|| self.context.loads.all()),
             demand: if tells_loads { self.recent_demand() } else { Vec::new() },
             waited_for: self.context.loads.waited_for(Instant::now()),
+            suspects: self.context.quarantine.next_reports(),
             placement: self.placement.clone(),
             members: self.peers.count(),
             known: self.peers.known(self.sequence),
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod heartbeat;
 pub mod leader;
+pub mod quarantine;
 pub mod registration;
 pub mod watcher;
 
@@ -20,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::load::LoadBoard;
 use crate::published::Board;
+use crate::quarantine::QuarantineBoard;
 use crate::settings::GatewaySettings;
 use crate::store::Store;
 
@@ -33,6 +35,8 @@
     pub board: Arc<Board>,
     /// What the traffic threads do.
     pub loads: LoadBoard,
+    /// Requests that stood at the end of servers.
+    pub quarantine: QuarantineBoard,
     /// Messages to other nodes and the store.
     pub traffic: ControlTraffic,
     /// The store.
@@ -49,6 +53,7 @@
     heartbeat::start(&context, &fleet).await?;
     watcher::start(&context, &fleet);
     registration::start(&context, &fleet);
+    quarantine::start(&context);
     let lease = Duration::from_millis(context.settings.bounds.lease_millis);
     let leader = leader::start(&context, &fleet, lease);
     actix_rt::spawn(campaign::run(leader, lease));
--- a/crates/cometmoor-gateway/src/fingerprint.rs
+++ b/crates/cometmoor-gateway/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! What tells a request that comes again from others: its content, whatever identifier
 //! the attempt carries.
 
+use cometmoor_core::gateway::quarantine::Fingerprint;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::http::head::RequestHead;
@@ -8,16 +9,6 @@
 /// Headers by which a caller names itself.
 const CALLER_HEADERS: [&str; 2] = ["authorization", "cookie"];
 
-/// Fingerprint of a request's content; equal on all nodes for equal contents.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Fingerprint(pub u64);
-
-impl std::fmt::Display for Fingerprint {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{:016x}", self.0)
-    }
-}
-
 /// The fingerprint of a request: of its method, host, path with query, caller and body.
 /// Headers that a caller sets anew for each attempt, as the identifier, the time left or a
 /// guess of the answer's length, are left out.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -33,6 +33,15 @@
     Broken(io::Error),
 }
 
+impl SendError {
+    /// What the system said.
+    pub fn source(&self) -> &io::Error {
+        match self {
+            SendError::NotSent(error) | SendError::Broken(error) => error,
+        }
+    }
+}
+
 impl std::fmt::Display for SendError {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! have reached a server, unless that server says that it did not run it. The
 //! statuses that promise "not run" are given only in that case.
 
+mod blame;
 mod encode;
 mod exchange;
 mod migration;
@@ -22,6 +23,7 @@
 use cometmoor_core::gateway::admission::{COME_BACK, come_back_after_queue, come_back_in};
 use cometmoor_core::gateway::attempts::{Attempts, Failure, Progress};
 use cometmoor_core::gateway::configuration::Route;
+use cometmoor_core::gateway::quarantine::{Fingerprint, Standing};
 use spdlog::info;
 use tokio::net::TcpStream;
 
@@ -34,7 +36,7 @@
 use self::send::Sent;
 pub use self::traffic::Traffic;
 use crate::dialect::RequestFacts;
-use crate::fingerprint::{Fingerprint, fingerprint};
+use crate::fingerprint::fingerprint;
 use crate::http::head::RequestHead;
 use crate::published::Phase;
 use crate::servers::Server;
@@ -162,11 +164,14 @@
                 match self.send(&server, &mut stream, Some(&copy)).await.of_continuation() {
                     Sent::Finished(finish) => return finish,
                     Sent::Moved(continuation) => moved = Some(continuation),
-                    _ if self.may_follow_broken_stream(service, &server) => {}
+                    _ if self.may_follow_broken_stream(service, &server).await => {}
                     _ => return Finish::Cut,
                 }
                 continue;
             }
+            if let Standing::Kept(left) = self.traffic.quarantine.standing(self.content) {
+                return self.no_server(kept_error, &stream, Refusal::EndsServers, left).await;
+            }
             let server = match self.wait_for_server(service, &tried, &stream).await {
                 Found::Server { server, .. } => server,
                 Found::TooBusy(expected) => {
@@ -194,26 +199,26 @@
                     let id = &*record.incarnation;
                     let request = &*self.facts.id;
                     info!("[forward] the server did not run it", kv: { request, server = id, status, misdirected });
-                    if !self.may_send_again(service, Failure::NotRun) {
+                    if !self.may_send_again(service, &server, Failure::NotRun).await {
                         let refusal = Refusal::ServerRefused;
                         return self.no_server(kept_error, &stream, refusal, COME_BACK).await;
                     }
                 }
                 Sent::Failed(error) => {
                     self.log_failure("failed", "server", &record.incarnation, &error.to_string());
-                    if !self.may_send_again(service, Failure::Broken) {
+                    if !self.may_send_again(service, &server, Failure::Broken).await {
                         self.traffic.metrics.ended("unknown", "server", "broken after the send");
                         return self.answer(OwnAnswer::bad_gateway()).await;
                     }
                 }
                 Sent::ServerError(received, body) => {
-                    if !self.may_send_again(service, Failure::ServerError) {
+                    if !self.may_send_again(service, &server, Failure::ServerError).await {
                         return self.pass_whole(*received, body).await;
                     }
                     kept_error = Some((received, body));
                 }
                 Sent::Broken => {
-                    if !self.may_follow_broken_stream(service, &server) {
+                    if !self.may_follow_broken_stream(service, &server).await {
                         return Finish::Cut;
                     }
                 }
@@ -222,17 +227,25 @@
     }
 
     /// Whether a stream of which the client has a part may go on as another run.
-    fn may_follow_broken_stream(&self, service: &str, server: &Server) -> bool {
+    async fn may_follow_broken_stream(&self, service: &str, server: &Server) -> bool {
         self.log_failure("broken", "stream", &server.record().incarnation, "the stream broke off");
-        let follows = self.may_send_again(service, Failure::StreamBroken);
+        let follows = self.may_send_again(service, server, Failure::StreamBroken).await;
         if !follows {
             self.traffic.metrics.ended("cut", "stream", "the stream broke off");
         }
         follows
     }
 
-    fn may_send_again(&self, service: &str, failure: Failure) -> bool {
-        let allowed = self.attempts.get().may_follow(failure) && self.traffic.may_repeat(service);
+    /// Whether the request may go to another server after a failure at this one.
+    async fn may_send_again(&self, service: &str, server: &Server, failure: Failure) -> bool {
+        if !self.attempts.get().may_follow(failure) {
+            return false;
+        }
+        if matches!(failure, Failure::Broken | Failure::StreamBroken) {
+            self.wait_for_inquiry(server).await;
+        }
+        let is_kept = self.traffic.quarantine.is_kept(self.content);
+        let allowed = !is_kept && self.traffic.may_repeat(service);
         if allowed {
             self.traffic.metrics.repeats.inc();
         }
@@ -283,7 +296,11 @@
 
     /// Tells the client that the request was not run and when to come back.
     async fn refuse(&self, refusal: Refusal, come_back: Duration) -> Finish {
-        let after = come_back_in(come_back, self.client_time_left());
+        let after = match refusal {
+            // Earlier, it would be refused again.
+            Refusal::EndsServers => come_back,
+            _ => come_back_in(come_back, self.client_time_left()),
+        };
         self.log_refused(refusal.name(), after);
         self.traffic.metrics.ended("refused", "queue", refusal.name());
         self.answer(OwnAnswer::not_run(after)).await
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -62,7 +62,9 @@
                 return Sent::Unreachable;
             }
         };
-        if !server.takes_work() {
+        // Both may have changed while a connection was awaited.
+        let is_kept = self.traffic.quarantine.is_kept(self.content);
+        if !server.takes_work() || is_kept {
             return Sent::Unreachable;
         }
         let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.incarnation);
@@ -90,6 +92,7 @@
                 }
                 Err(error) => {
                     server.note_failure(Instant::now());
+                    self.note_broken(server, error.source());
                     return Sent::Failed(error);
                 }
             };
@@ -140,8 +143,12 @@
         stream: &mut StreamState,
         meter: &mut FirstEvent<'_>,
     ) -> Sent {
+        let has_announced_end = !received.decoder.ends_with_connection();
         match relay::stream(self, received, stream, meter, server).await {
             Ok(finish) => {
+                if has_announced_end {
+                    self.note_answered_well();
+                }
                 server.note_success(Instant::now());
                 self.learn_stream(&stream.pauses);
                 self.log_stream_answered(&server.record().incarnation, &stream.pauses);
@@ -155,6 +162,7 @@
             Err(RelayError::Moved(continuation)) => Sent::Moved(continuation),
             Err(RelayError::Server(error)) => {
                 server.note_failure(Instant::now());
+                self.note_broken(server, &error);
                 if stream.head_sent { Sent::Broken } else { Sent::Failed(SendError::Broken(error)) }
             }
         }
@@ -175,6 +183,7 @@
             Ok(collected) => collected,
             Err(error) => {
                 server.note_failure(Instant::now());
+                self.note_broken(server, &error);
                 return Sent::Failed(SendError::Broken(error));
             }
         };
@@ -182,9 +191,13 @@
             let finish = relay::pass_long(self, received, collected.bytes).await;
             return Sent::Finished(finish);
         }
+        let has_announced_end = !received.decoder.ends_with_connection();
         let received = received.settle(&server.pool);
         if status < 500 {
             server.note_success(Instant::now());
+            if has_announced_end {
+                self.note_answered_well();
+            }
             self.log_answered(&server.record().incarnation, status);
             return Sent::Finished(self.pass_whole(received, collected.bytes).await);
         }
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::pace::{FEW_RUNNING, PaceTable};
 use crate::published::Board;
+use crate::quarantine::QuarantineBoard;
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
 
@@ -27,6 +28,8 @@
     pub board: Arc<Board>,
     /// What this node does.
     pub loads: LoadBoard,
+    /// Requests that stood at the end of servers.
+    pub quarantine: QuarantineBoard,
     /// The servers.
     pub servers: RefCell<ServerTable>,
     pub(super) started: Instant,
@@ -44,6 +47,7 @@
         dialect: Arc<dyn Dialect>,
         board: Arc<Board>,
         loads: LoadBoard,
+        quarantine: QuarantineBoard,
         metrics: Arc<Metrics>,
     ) -> Traffic {
         Traffic {
@@ -51,6 +55,7 @@
             dialect,
             board,
             loads,
+            quarantine,
             metrics,
             servers: RefCell::default(),
             started: Instant::now(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! publishes it; another one carries the traffic. What the platform's messages
 //! look like is told by a [`dialect::Dialect`].
 
+pub mod clock;
 pub mod control;
 pub mod control_traffic;
 pub mod dialect;
@@ -25,6 +26,7 @@
 pub mod peer;
 pub mod pool;
 pub mod published;
+pub mod quarantine;
 pub mod ready;
 pub mod servers;
 pub mod settings;
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -27,6 +27,7 @@
             roster: None,
             loads: None,
             placement: self.told_placement(own, now),
+            suspects: own.suspects.clone(),
         }
     }
 
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddrV4;
 
+use cometmoor_core::gateway::quarantine::SuspectReport;
 use serde::{Deserialize, Serialize};
 
 use super::packed::PackedZone;
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 15;
+const FORMAT: u8 = 16;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -114,6 +115,8 @@
     pub demand: Vec<(ModelKey, ModelDemand)>,
     /// Models and adapters that its requests wait for now.
     pub waited_for: Vec<ModelKey>,
+    /// Requests that stood at the end of servers, where that has changed lately.
+    pub suspects: Vec<SuspectReport>,
     /// What it tells of the servers' models while it orders them.
     pub placement: Option<Placement>,
     /// How many other nodes it knows.
@@ -201,6 +204,8 @@
     pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// The newest that was heard of the node that orders the servers.
     pub placement: Option<ToldPlacement>,
+    /// Requests that stood at the end of servers, where that has changed lately.
+    pub suspects: Vec<SuspectReport>,
 }
 
 /// A datagram between nodes.
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -25,6 +25,7 @@
 use crate::metrics::{CopyLabels, Metrics, StateLabels};
 use crate::peer::{Subject, renewal_from_path};
 use crate::published::{Board, Phase, StopTimes};
+use crate::quarantine::QuarantineBoard;
 use crate::ready::{SmallAnswer, serve as serve_small};
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::store::Store;
@@ -96,13 +97,16 @@
     fleet: Addr<FleetState>,
     board: Arc<Board>,
     loads: LoadBoard,
+    quarantine: QuarantineBoard,
 }
 
 /// What a node's threads share.
+#[derive(Clone)]
 struct Shared {
     dialect: Arc<dyn Dialect>,
     board: Arc<Board>,
     loads: LoadBoard,
+    quarantine: QuarantineBoard,
     metrics: Arc<Metrics>,
 }
 
@@ -113,8 +117,13 @@
         dialect: Arc<dyn Dialect>,
     ) -> Result<Node, StartError> {
         let (board, loads) = (Arc::new(Board::default()), LoadBoard::default());
-        let metrics = Arc::new(Metrics::default());
-        let shared = Shared { dialect, board: board.clone(), loads: loads.clone(), metrics };
+        let shared = Shared {
+            dialect,
+            board: board.clone(),
+            loads: loads.clone(),
+            quarantine: QuarantineBoard::default(),
+            metrics: Arc::new(Metrics::default()),
+        };
         start_traffic(&settings, &shared)?;
         let fleet = start_control_thread(&settings, &shared).await?;
         info!("[node] started", kv: {
@@ -124,7 +133,7 @@
             store = settings.store_address.to_string(),
             version = env!("CARGO_PKG_VERSION"),
         });
-        Ok(Node { settings, fleet, board, loads })
+        Ok(Node { settings, fleet, board, loads, quarantine: shared.quarantine })
     }
 
     /// What the node believes of the fleet.
@@ -132,6 +141,11 @@
         &self.board
     }
 
+    /// What the node knows of requests that stood at the end of servers.
+    pub fn quarantine(&self) -> &QuarantineBoard {
+        &self.quarantine
+    }
+
     /// The planned stop.
     pub async fn drain(&self) {
         drain(&self.settings, &self.fleet, &self.loads).await;
@@ -151,7 +165,7 @@
     let listener = listen(settings.client_address)?;
     let (settings, dialect) = (settings.clone(), shared.dialect.clone());
     let (board, loads) = (shared.board.clone(), shared.loads.clone());
-    let metrics = shared.metrics.clone();
+    let (quarantine, metrics) = (shared.quarantine.clone(), shared.metrics.clone());
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn_fn(move || {
         let listener = match TcpListener::from_std(listener) {
@@ -161,7 +175,8 @@
                 return;
             }
         };
-        let traffic = Rc::new(Traffic::new(Rc::new(settings), dialect, board, loads, metrics));
+        let traffic =
+            Rc::new(Traffic::new(Rc::new(settings), dialect, board, loads, quarantine, metrics));
         actix_rt::spawn(sweep_pools(traffic.clone()));
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
@@ -179,12 +194,13 @@
     settings: &GatewaySettings,
     shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
-    let Shared { dialect, board, loads, metrics } = shared;
+    let Shared { dialect, board, loads, quarantine, metrics } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
         board: board.clone(),
         loads: loads.clone(),
+        quarantine: quarantine.clone(),
         traffic: metrics.control.clone(),
         store: Store::new(dialect.clone(), settings.store_address, metrics.control.clone()),
         incarnation: new_incarnation(),
@@ -195,7 +211,7 @@
     spawn_small(settings.ready_address, ready_answer(board, dialect))?;
     spawn_small(settings.directory_address, directory_answer(settings, board, dialect))?;
     if let Some(address) = settings.metrics_address {
-        spawn_small(address, metrics_answer(board, loads, metrics))?;
+        spawn_small(address, metrics_answer(shared))?;
     }
     spawn_peer_server(settings.peer_address, &fleet, &context)?;
     Ok(fleet)
@@ -230,8 +246,8 @@
 }
 
 /// Metrics as text; the states are read when they are asked for.
-fn metrics_answer(board: &Arc<Board>, loads: &LoadBoard, metrics: &Arc<Metrics>) -> Answering {
-    let (board, loads, metrics) = (board.clone(), loads.clone(), metrics.clone());
+fn metrics_answer(shared: &Shared) -> Answering {
+    let Shared { board, loads, quarantine, metrics, .. } = shared.clone();
     Rc::new(move |_| {
         let fleet = board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
@@ -251,6 +267,10 @@
         let state = |state| metrics.servers.get_or_create(&StateLabels { state });
         state("draining").set(draining as i64);
         state("ready").set((fleet.servers.len() - draining) as i64);
+        let (kept, suspects) = quarantine.counts();
+        let contents = |state| metrics.quarantine.get_or_create(&StateLabels { state });
+        contents("kept").set(kept as i64);
+        contents("suspect").set(suspects as i64);
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
         let body = metrics.text().into_bytes();
--- a/crates/cometmoor-gateway/src/pool.rs
+++ b/crates/cometmoor-gateway/src/pool.rs
@@ -53,6 +53,13 @@
         Ok(Lent { stream, reused: false })
     }
 
+    /// Opens a connection, which rests then for the next request.
+    pub async fn probe(&self) -> io::Result<()> {
+        let stream = connect(self.address, CONNECT_TIMEOUT).await?;
+        self.give_back(stream, None);
+        Ok(())
+    }
+
     /// Whether a connection rests.
     pub fn has_idle(&self, now: Instant) -> bool {
         self.idle.borrow().iter().any(|idle| idle.until > now)
--- /dev/null
+++ b/crates/cometmoor-gateway/src/quarantine.rs
@@ -0,0 +1,91 @@
+//! The requests that stood at the end of servers, shared by the node's threads.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cometmoor_core::gateway::quarantine::{
+    Fingerprint, IncarnationKey, Quarantine, Standing, SuspectReport, Verdict,
+};
+use cometmoor_core::time::Timestamp;
+use spdlog::{info, warn};
+
+use crate::clock;
+
+/// Shared by the traffic thread, which sees servers end, and the control thread, which
+/// hears of it from other nodes and from the store.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineBoard {
+    quarantine: Arc<Mutex<Quarantine>>,
+}
+
+impl QuarantineBoard {
+    fn with<Answer>(&self, act: impl FnOnce(&mut Quarantine, Timestamp) -> Answer) -> Answer {
+        let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut quarantine, clock::timestamp())
+    }
+
+    /// Whether a request may be sent to a server.
+    pub fn standing(&self, content: Fingerprint) -> Standing {
+        self.with(|quarantine, now| quarantine.standing(content, now))
+    }
+
+    /// Whether a request is kept from all servers.
+    pub fn is_kept(&self, content: Fingerprint) -> bool {
+        self.standing(content) != Standing::Free
+    }
+
+    /// Notes that a server has answered a request well.
+    pub fn note_answer(&self, content: Fingerprint) {
+        if self.with(|quarantine, now| quarantine.note_answer(content, now)) {
+            let content = content.to_string();
+            info!("[quarantine] a suspect was answered well and is cleared", kv: { content });
+        }
+    }
+
+    /// Notes that a server ended while a request was there.
+    pub fn note_end(&self, content: Fingerprint, server: IncarnationKey) -> Verdict {
+        self.with(|quarantine, now| quarantine.note_end(content, server, now))
+    }
+
+    /// Takes what another node reports.
+    pub fn merge(&self, reports: &[SuspectReport], peer: &str) {
+        if reports.is_empty() {
+            return;
+        }
+        for content in self.with(|quarantine, now| quarantine.merge(reports, now)) {
+            let content = content.to_string();
+            warn!("[quarantine] a request is kept from all servers", kv: { content, source = "peer", peer });
+        }
+    }
+
+    /// What the next message to other nodes carries.
+    pub fn next_reports(&self) -> Vec<SuspectReport> {
+        self.with(Quarantine::next_reports)
+    }
+
+    /// Reports everything again, because a node has come.
+    pub fn report_again(&self) {
+        self.with(|quarantine, _| quarantine.report_again());
+    }
+
+    /// Takes content that the store holds as kept from all servers.
+    pub fn restore(&self, content: Fingerprint) {
+        self.with(|quarantine, now| quarantine.restore(content, now));
+        let content = content.to_string();
+        warn!("[quarantine] a request is kept from all servers", kv: { content, source = "store" });
+    }
+
+    /// Content that is kept from all servers and that the store does not hold yet.
+    pub fn unstored(&self) -> Vec<Fingerprint> {
+        self.with(|quarantine, now| quarantine.unstored(now))
+    }
+
+    /// Notes that the store holds that a content is kept.
+    pub fn note_stored(&self, content: Fingerprint) {
+        self.with(|quarantine, _| quarantine.note_stored(content));
+    }
+
+    /// Records: of content that is kept from all servers, and of all others.
+    pub fn counts(&self) -> (usize, usize) {
+        self.with(|quarantine, now| quarantine.counts(now))
+    }
+}
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -7,8 +7,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cometmoor_core::gateway::quarantine::Fingerprint;
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 
+use tokio::sync::Notify;
+
 use crate::dialect::ModelName;
 use crate::http::client::CallClient;
 use crate::load::{ModelKey, ServerKey, model_key, server_key};
@@ -60,6 +63,15 @@
     }
 }
 
+/// A request whose connection to a server ended before its answer did.
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// Its content.
+    pub content: Fingerprint,
+    /// Identifier of the attempt.
+    pub request: String,
+}
+
 /// One incarnation of a server.
 pub struct Server {
     record: RefCell<Arc<ServerRecord>>,
@@ -73,6 +85,9 @@
     failure_share: Cell<f64>,
     failure_noted: Cell<Instant>,
     missing: RefCell<HashMap<ModelKey, Missing>>,
+    /// Requests that broke while it is not known whether the server has ended.
+    broken: RefCell<Vec<BrokenRequest>>,
+    inquired: Notify,
 }
 
 impl Server {
@@ -89,6 +104,8 @@
             failure_share: Cell::new(0.0),
             failure_noted: Cell::new(Instant::now()),
             missing: RefCell::new(HashMap::new()),
+            broken: RefCell::new(Vec::new()),
+            inquired: Notify::new(),
         }
     }
 
@@ -141,6 +158,31 @@
         self.pool.close_all();
     }
 
+    /// Notes a request that broke; tells whether it is the first since they were taken.
+    pub fn note_broken(&self, request: BrokenRequest) -> bool {
+        let mut broken = self.broken.borrow_mut();
+        broken.push(request);
+        broken.len() == 1
+    }
+
+    /// The requests that broke.
+    pub fn broken(&self) -> Vec<BrokenRequest> {
+        self.broken.borrow().clone()
+    }
+
+    /// Forgets the requests that broke: it is known whether the server has ended.
+    pub fn forget_broken(&self) {
+        self.broken.borrow_mut().clear();
+        self.inquired.notify_waiters();
+    }
+
+    /// Waits until it is known whether the server has ended under requests that broke.
+    pub async fn inquired(&self) {
+        while !self.broken.borrow().is_empty() {
+            self.inquired.notified().await;
+        }
+    }
+
     /// Notes that the incarnation is no longer at its address.
     pub fn note_replaced(&self) {
         self.gone.set(true);
--- a/crates/cometmoor-gateway/tests/fingerprint.rs
+++ b/crates/cometmoor-gateway/tests/fingerprint.rs
@@ -1,7 +1,8 @@
 //! A request that comes again is told by its content, not by its attempt's identifier.
 
 use bytes::BytesMut;
-use cometmoor_gateway::fingerprint::{Fingerprint, fingerprint};
+use cometmoor_core::gateway::quarantine::Fingerprint;
+use cometmoor_gateway::fingerprint::fingerprint;
 use cometmoor_gateway::http::head::take_request;
 
 const MAX_HEAD_BYTES: usize = 4096;
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -5,10 +5,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use cometmoor_core::gateway::quarantine::Quarantine;
 use cometmoor_core::time::Timestamp;
 use cometmoor_gateway::load::{PendingWork, ServerLoad};
 use cometmoor_gateway::membership::{
-    CopyVersions, Heartbeat, Member, Membership, Message, PeerPhase, Placement,
+    CopyVersions, Heartbeat, Member, Membership, Message, PeerChange, PeerPhase, Placement,
 };
 
 /// Time between two turns of the world, in milliseconds.
@@ -30,6 +31,8 @@
 /// A node.
 pub struct Node {
     pub membership: Membership,
+    /// What it knows of requests that end servers.
+    pub quarantine: Quarantine,
     sequence: u64,
     incarnation: u64,
     load: u32,
@@ -41,6 +44,15 @@
     pub sent: usize,
 }
 
+impl Node {
+    /// A node that has come lacks what was reported before.
+    fn note_change(&mut self, change: PeerChange) {
+        if change != PeerChange::None {
+            self.quarantine.report_again();
+        }
+    }
+}
+
 /// What a node's link carries.
 #[derive(Clone, Copy)]
 pub struct Link {
@@ -116,6 +128,7 @@
             contacts.iter().for_each(|contact| membership.add_contact(*contact, now));
             let node = Node {
                 membership,
+                quarantine: Quarantine::default(),
                 sequence: 0,
                 incarnation: self.now + 1,
                 load: 1,
@@ -136,6 +149,7 @@
     }
 
     fn heartbeat(&mut self, own: SocketAddrV4) -> Heartbeat {
+        let now = Timestamp(self.now);
         let (leads, servers) = (self.leader == Some(own), self.servers);
         let node = self.nodes.get_mut(&own).unwrap();
         node.sequence += 1;
@@ -158,6 +172,7 @@
             loads: tells_load.then_some(loads),
             demand: Vec::new(),
             waited_for: Vec::new(),
+            suspects: node.quarantine.next_reports(now),
             placement: leads.then(|| Placement {
                 token: 5,
                 sequence: self.placement,
@@ -231,13 +246,23 @@
         node.received += 1;
         match Message::decode(bytes).unwrap() {
             Message::Heartbeat(heartbeat) => {
-                node.membership.receive(heartbeat, now);
+                node.quarantine.merge(&heartbeat.suspects, now);
+                let change = node.membership.receive(heartbeat, now);
+                node.note_change(change);
             }
             Message::HeartbeatToHub(heartbeat, question) => {
-                node.membership.receive_question(heartbeat, question, now);
+                node.quarantine.merge(&heartbeat.suspects, now);
+                let change = node.membership.receive_question(heartbeat, question, now);
+                node.note_change(change);
+            }
+            Message::ZoneDigest(digest) => {
+                node.quarantine.merge(&digest.suspects, now);
+                node.membership.receive_zone(digest, now);
+            }
+            Message::FleetDigest(digest) => {
+                node.quarantine.merge(&digest.suspects, now);
+                node.membership.receive_fleet(digest, now);
             }
-            Message::ZoneDigest(digest) => node.membership.receive_zone(digest, now),
-            Message::FleetDigest(digest) => node.membership.receive_fleet(digest, now),
         }
     }
 
