--- a/crates/cometmoor-gateway/src/clock.rs
+++ b/crates/cometmoor-gateway/src/clock.rs
@@ -1,8 +1,8 @@
 //! The machine's clock that goes on while the machine is suspended, and timers by it.
 //!
 //! Timers of the runtime follow the steady clock, which stands still while a machine is
-//! suspended: they come late by the whole suspension. Those here look again as soon as
-//! [`watch_for_suspensions`] has seen the two clocks drift apart.
+//! suspended: they come late by the whole suspension. Those here look again as soon as a
+//! [`SuspensionWatch`] has seen the two clocks drift apart.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -12,8 +12,6 @@
 use spdlog::warn;
 use tokio::sync::Notify;
 
-/// Time between two looks for a suspension.
-const LOOK: Duration = Duration::from_millis(100);
 /// Drift of the two clocks from which on the machine has been suspended. They are read one
 /// after the other, and another thread may run in between.
 const SUSPENDED_FROM: Duration = Duration::from_millis(20);
@@ -52,6 +50,7 @@
 }
 
 /// Waits until then.
+#[allow(clippy::disallowed_methods, reason = "the one timer that looks again after a suspension")]
 pub async fn sleep_until(end: BootInstant) {
     loop {
         let suspended = SUSPENDED.notified();
@@ -88,14 +87,25 @@
     timeout_at(now() + time, work).await
 }
 
-/// Looks for suspensions until the process ends, and wakes open timers after each.
-pub async fn watch_for_suspensions() {
-    let mut known = drift();
-    loop {
-        tokio::time::sleep(LOOK).await;
+/// Notices that the machine was suspended.
+#[derive(Debug)]
+pub struct SuspensionWatch {
+    /// Drift of the clocks that is known.
+    known: Duration,
+}
+
+impl SuspensionWatch {
+    /// Notices suspensions from now on.
+    pub fn start() -> SuspensionWatch {
+        SuspensionWatch { known: drift() }
+    }
+
+    /// Looks whether the machine was suspended since the last look; wakes all open timers
+    /// then.
+    pub fn look(&mut self) {
         let drift = drift();
-        let suspended = drift.saturating_sub(known);
-        known = drift;
+        let suspended = drift.saturating_sub(self.known);
+        self.known = drift;
         if suspended >= SUSPENDED_FROM {
             let millis = suspended.as_millis() as u64;
             warn!("[clock] the machine was suspended", kv: { millis });
--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -9,6 +9,7 @@
 use futures::future::{Either, select};
 
 use super::leader::Leader;
+use crate::clock;
 use crate::dialect::{Commit, Committed};
 use crate::mirror::MirroredItem;
 use crate::peer::renew_through;
@@ -41,7 +42,7 @@
 /// moment ago.
 pub async fn run(leader: Rc<Leader>, lease: Duration) {
     while leader.context().board.fleet.load().phase != Phase::Ready {
-        tokio::time::sleep(LOOK / 4).await;
+        clock::sleep(LOOK / 4).await;
     }
     let mut only_own = !leader.context().settings.fresh_fleet;
     loop {
@@ -55,19 +56,19 @@
                 only_own = false;
             }
             Ok(None) => only_own = false,
-            Err(_) => tokio::time::sleep(LOOK).await,
+            Err(_) => clock::sleep(LOOK).await,
         }
     }
 }
 
 /// Waits a moment; whether this node should try to lead then.
 async fn is_time(leader: &Leader) -> bool {
-    tokio::time::sleep(LOOK).await;
+    clock::sleep(LOOK).await;
     if !should_try(leader) {
         return false;
     }
     let jitter = rand::random_range(0..MOST_JITTER_MILLIS);
-    tokio::time::sleep(Duration::from_millis(jitter)).await;
+    clock::sleep(Duration::from_millis(jitter)).await;
     should_try(leader)
 }
 
@@ -75,7 +76,7 @@
     let fleet = leader.context().board.fleet.load();
     fleet.phase == Phase::Ready
         && fleet.reads_store
-        && fleet.leader_heard.is_none_or(|heard| heard.elapsed() > SILENCE)
+        && fleet.leader_heard.is_none_or(|heard| clock::elapsed(heard) > SILENCE)
 }
 
 /// Looks who led last and writes the leader's keys under a new lease, if this
@@ -149,7 +150,7 @@
 /// answer this node soon.
 async fn renew(leader: &Leader, lease_id: u64) -> Option<Renewal> {
     let through_peers = async {
-        tokio::time::sleep(ASK_PEERS_AFTER).await;
+        clock::sleep(ASK_PEERS_AFTER).await;
         renew_through_peers(leader, lease_id).await
     };
     match select(pin!(renew_directly(leader, lease_id)), pin!(through_peers)).await {
@@ -179,7 +180,7 @@
 async fn keep(leader: &Leader, lease_id: u64, renewal: Duration) {
     let context = leader.context();
     while leader.leads() {
-        tokio::time::sleep(renewal).await;
+        clock::sleep(renewal).await;
         if context.board.fleet.load().phase != Phase::Ready {
             leader.lost();
             let _ = context.store.end_lease(lease_id).await;
@@ -192,7 +193,7 @@
                     break;
                 }
                 Some(_) => return,
-                None if leader.leads() => tokio::time::sleep(RETRY).await,
+                None if leader.leads() => clock::sleep(RETRY).await,
                 None => return,
             }
         }
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -1,13 +1,15 @@
 //! Copies of the store's prefixes, and how they come from peers.
 
 use std::net::SocketAddrV4;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::{AsyncContext, Context, Handler, Message};
 use bytes::Bytes;
+use cometmoor_core::time::BootInstant;
 use spdlog::info;
 
 use super::FleetState;
+use crate::clock;
 use crate::membership::{CopyAge, CopyVersions, Member};
 use crate::mirror::{Mirror, MirrorUpdate};
 use crate::peer::{Subject, encode_update, fetch_update};
@@ -28,9 +30,9 @@
     pub(super) mirror: Mirror,
     /// When the store last gave an answer, to anybody, by which the copy lacks
     /// nothing; an open watch that says nothing is no answer.
-    pub(super) confirmed: Option<Instant>,
+    pub(super) confirmed: Option<BootInstant>,
     /// The same, as far as other nodes told of it.
-    confirmed_to_peers: Option<Instant>,
+    confirmed_to_peers: Option<BootInstant>,
     /// Whether the store left this node's last call without an answer.
     pub(super) watch_failing: bool,
     pub(super) fetching: bool,
@@ -49,7 +51,7 @@
 #[derive(Clone, Copy)]
 struct Behind {
     at: u64,
-    since: Instant,
+    since: BootInstant,
 }
 
 impl Copy {
@@ -60,7 +62,7 @@
 
     /// Time since the store last confirmed it; none where it never did.
     pub(super) fn age(&self) -> Option<Duration> {
-        self.confirmed.map(|at| at.elapsed())
+        self.confirmed.map(clock::elapsed)
     }
 
     /// Whether the store last confirmed it longer ago than `patience`, as far as
@@ -71,7 +73,7 @@
 
     /// Time since the store last confirmed it, by what other nodes told.
     pub(super) fn age_told_by_peers(&self) -> Option<Duration> {
-        self.confirmed_to_peers.map(|at| at.elapsed())
+        self.confirmed_to_peers.map(clock::elapsed)
     }
 
     /// As others are told of its age.
@@ -83,7 +85,7 @@
     /// so long ago.
     fn confirm_through_peer(&mut self, age: CopyAge) {
         let Some(age) = age else { return };
-        let at = Instant::now().checked_sub(Duration::from_millis(age.into()));
+        let at = clock::now().checked_sub(Duration::from_millis(age.into()));
         self.confirmed = self.confirmed.max(at);
         self.confirmed_to_peers = self.confirmed_to_peers.max(at);
     }
@@ -113,9 +115,9 @@
     /// while this copy stood still. A watch that the store has forgotten, or
     /// whose answer a partition holds up, does not fail for many seconds.
     fn is_behind_for(&mut self, span: Duration) -> bool {
-        let (at, now) = (self.mirror.at, Instant::now());
+        let (at, now) = (self.mirror.at, clock::now());
         match self.behind {
-            Some(behind) if behind.at == at => now.duration_since(behind.since) >= span,
+            Some(behind) if behind.at == at => now.since(behind.since) >= span,
             _ => {
                 self.behind = Some(Behind { at, since: now });
                 false
@@ -129,7 +131,7 @@
             let (what, age_millis) = (subject.name(), self.age_millis());
             info!("[store] answers again", kv: { what, age_millis });
         }
-        self.confirmed = Some(Instant::now());
+        self.confirmed = Some(clock::now());
         self.watch_failing = false;
     }
 }
@@ -219,7 +221,7 @@
         actix_rt::spawn(async move {
             let result = fetch_update(peer, subject, after).await;
             if result.is_err() {
-                tokio::time::sleep(FETCH_PAUSE).await;
+                clock::sleep(FETCH_PAUSE).await;
             }
             fleet.do_send(PeerCopy { subject, peer, update: result.ok() });
         });
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 
 use super::FleetState;
 use super::copies::PeerCopies;
+use crate::clock;
 use crate::control::demand::FleetDemandRates;
 use crate::dialect::WatchEvent;
 use crate::load::ModelKey;
@@ -338,7 +339,7 @@
     fn handle(&mut self, get: GetReadPlan, _: &mut Context<FleetState>) -> Self::Result {
         let has_copy = self.copies[&get.0].mirror.at > 0;
         // Before it has heard the others, every node takes itself for a reader.
-        let knows_others = self.started.elapsed() >= OTHERS_KNOWN_AFTER;
+        let knows_others = clock::elapsed(self.started) >= OTHERS_KNOWN_AFTER;
         MessageResult(match (has_copy, knows_others && self.reads(get.0)) {
             (true, _) => ReadPlan::HasCopy,
             (false, true) => ReadPlan::Read,
@@ -389,7 +390,7 @@
         let first_demand = self.demand.first();
         let now = self.now();
         let mut waited_for = self.peers.waited_for(now);
-        waited_for.extend(self.context.loads.waited_for(Instant::now()));
+        waited_for.extend(self.context.loads.waited_for(clock::now()));
         MessageResult(DemandView { rates, now, first_demand, waited_for })
     }
 }
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -9,12 +9,12 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
-use cometmoor_core::time::Timestamp;
+use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{error, info};
 
 use self::copies::Copy;
@@ -26,6 +26,7 @@
 };
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
+use crate::clock::{self, SuspensionWatch};
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 use crate::membership::{CopyVersions, Heartbeat, Membership, Outgoing, PeerPhase, Placement};
 use crate::peer::Subject;
@@ -50,7 +51,8 @@
 pub struct FleetState {
     context: Rc<ControlContext>,
     staleness: StalenessLimits,
-    started: Instant,
+    suspensions: SuspensionWatch,
+    started: BootInstant,
     phase: Phase,
     copies: HashMap<Subject, Copy>,
     configuration: ConfigurationInForce,
@@ -69,7 +71,7 @@
     demand: FleetDemandMeter,
     traffic_logged: Timestamp,
     placement: Option<Placement>,
-    leader_heard: Option<Instant>,
+    leader_heard: Option<BootInstant>,
     stop: Option<StopTimes>,
     sequence: u64,
     generation: u64,
@@ -85,7 +87,8 @@
         FleetState {
             context,
             staleness,
-            started: Instant::now(),
+            suspensions: SuspensionWatch::start(),
+            started: clock::now(),
             phase: Phase::Starting,
             copies: HashMap::from_iter(Subject::ALL.map(|subject| (subject, Copy::default()))),
             configuration: ConfigurationInForce::default(),
@@ -109,7 +112,7 @@
     }
 
     fn now(&self) -> Timestamp {
-        Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Timestamp(u64::try_from(clock::elapsed(self.started).as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Whether this node reads a prefix of the store itself. Entries of servers
@@ -179,13 +182,13 @@
         let current_for = self.staleness.current_for();
         self.generation += 1;
         let copy = self.copy(Subject::Configuration);
-        let current = !copy.is_known_behind() && !copy.is_older_than(current_for);
         let confirmed = copy.confirmed;
+        let newest = confirmed.filter(|_| !copy.is_known_behind());
         let published = Published {
             generation: self.generation,
             phase: self.phase,
             configuration: self.configuration.get().cloned(),
-            configuration_is_current: current,
+            configuration_current_until: newest.map(|confirmed| confirmed + current_for),
             ignored_entries: self.entries.ignored(),
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
             nodes: self.client_nodes(),
@@ -269,7 +272,7 @@
             store_fails: self.store_fails(),
             loads: tells_loads.then(|| self.context.loads.all()),
             demand: if tells_loads { self.recent_demand() } else { Vec::new() },
-            waited_for: self.context.loads.waited_for(Instant::now()),
+            waited_for: self.context.loads.waited_for(clock::now()),
             suspects: self.context.quarantine.next_reports(),
             placement: self.placement.clone(),
             members: self.peers.count(),
@@ -291,7 +294,7 @@
     }
 
     fn recent_demand(&self) -> Vec<(ModelKey, ModelDemand)> {
-        self.context.loads.recent_demand(Instant::now())
+        self.context.loads.recent_demand(clock::now())
     }
 
     /// Whether a heartbeat tells this node's load and demand now; notes that it
@@ -315,7 +318,7 @@
     /// Publishes what the newest leading node tells, this one included.
     fn publish_placement(&mut self) {
         let now = self.now();
-        let said = |at: Timestamp| Instant::now().checked_sub(now.since(at));
+        let said = |at: Timestamp| clock::now().checked_sub(now.since(at));
         let told = self.peers.placement(now);
         let own = self.placement.as_ref().map(|placement| (placement, now));
         if let Some((_, at)) = told.into_iter().chain(own).max_by_key(|(_, at)| *at) {
@@ -342,6 +345,7 @@
     }
 
     fn tick(&mut self) {
+        self.suspensions.look();
         let now = self.now();
         self.peers.tick(now);
         self.log_member_changes();
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -10,6 +10,7 @@
 
 use super::ControlContext;
 use super::fleet::{FleetState, GetNextMessages, PeerTold};
+use crate::clock;
 use crate::control_traffic::TrafficKind;
 use crate::membership::Message;
 
@@ -86,8 +87,8 @@
         let shortest =
             if next.is_small_fleet { SHORTEST_INTERVAL } else { LARGE_SHORTEST_INTERVAL };
         let interval = interval(next.nodes, next.is_small_fleet);
-        tokio::time::sleep(shortest).await;
+        clock::sleep(shortest).await;
         let wanted = context.board.heartbeat_wanted.notified();
-        let _ = tokio::time::timeout(interval - shortest, wanted).await;
+        let _ = clock::timeout(interval - shortest, wanted).await;
     }
 }
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -10,6 +10,7 @@
 
 use super::engine::{note_accepted, server_report};
 use super::{Leader, ORDER_TIMEOUT};
+use crate::clock;
 use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
 use crate::http::client::{CallClient, CallError};
 
@@ -109,7 +110,7 @@
             leader.take_order_answer(&id, &order, result, token);
             if accepted && order.loads_adapter() {
                 leader.context.plan_wanted.notify_one();
-                tokio::time::sleep(ADAPTER_TAKES).await;
+                clock::sleep(ADAPTER_TAKES).await;
                 leader.announce(&id, &order.weights);
             }
             leader.context.plan_wanted.notify_one();
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::Addr;
 use cometmoor_core::gateway::configuration::{EngineProfile, GatewayConfiguration};
@@ -20,13 +20,14 @@
     DEMAND_KNOWN, FleetDemand, ModelDemand, PlannedOrder, PlannedServer, ROUND, WITHDRAWAL, plan,
 };
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
-use cometmoor_core::time::Timestamp;
+use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{info, warn};
 
 use self::announcements::Announcements;
 use self::engine::{Engine, Withdrawal, believed_weights, fresh_models, leaving_weights};
 use super::ControlContext;
 use super::fleet::{FleetState, GetDemand, GetPeers, SetPlacement};
+use crate::clock;
 use crate::load::model_key;
 use crate::membership::Placement;
 
@@ -87,7 +88,7 @@
 pub struct Leader {
     context: Rc<ControlContext>,
     fleet: Addr<FleetState>,
-    started: Instant,
+    started: BootInstant,
     leadership: RefCell<Leadership>,
     state: RefCell<LeaderState>,
     led: Cell<bool>,
@@ -104,7 +105,7 @@
     let leader = Rc::new(Leader {
         context: context.clone(),
         fleet: fleet.clone(),
-        started: Instant::now(),
+        started: clock::now(),
         leadership: RefCell::new(Leadership::new(times)),
         state: RefCell::default(),
         led: Cell::new(false),
@@ -116,7 +117,7 @@
 
 impl Leader {
     pub(super) fn now(&self) -> Timestamp {
-        Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Timestamp(u64::try_from(clock::elapsed(self.started).as_millis()).unwrap_or(u64::MAX))
     }
 
     pub(super) fn context(&self) -> &ControlContext {
@@ -163,8 +164,8 @@
     async fn run(self: Rc<Leader>) {
         loop {
             self.round().await;
-            tokio::time::sleep(SHORTEST_ROUND).await;
-            let _ = tokio::time::timeout(ROUND, self.context.plan_wanted.notified()).await;
+            clock::sleep(SHORTEST_ROUND).await;
+            let _ = clock::timeout(ROUND, self.context.plan_wanted.notified()).await;
         }
     }
 
--- a/crates/cometmoor-gateway/src/control/quarantine.rs
+++ b/crates/cometmoor-gateway/src/control/quarantine.rs
@@ -13,6 +13,7 @@
 use spdlog::{info, warn};
 
 use super::ControlContext;
+use crate::clock;
 use crate::dialect::{Commit, Committed};
 use crate::store::StoreError;
 
@@ -48,7 +49,7 @@
                 let reason = error.to_string();
                 info!("[quarantine] the store does not answer; tried again", kv: { step = "store", reason });
             }
-            tokio::time::sleep(LOOK).await;
+            clock::sleep(LOOK).await;
         }
     }
 
--- a/crates/cometmoor-gateway/src/control/registration.rs
+++ b/crates/cometmoor-gateway/src/control/registration.rs
@@ -9,6 +9,7 @@
 
 use super::ControlContext;
 use super::fleet::{ContactsFound, FleetState};
+use crate::clock;
 use crate::dialect::{Commit, Lease};
 use crate::store::StoreError;
 
@@ -34,17 +35,17 @@
 
 async fn run(context: Rc<ControlContext>, fleet: Addr<FleetState>) {
     let mut lease = None;
-    tokio::time::sleep(SEEDS_FIRST).await;
+    clock::sleep(SEEDS_FIRST).await;
     loop {
         if !is_needed(&context) {
-            tokio::time::sleep(LOOK).await;
+            clock::sleep(LOOK).await;
             continue;
         }
         let pause = match step(&context, &fleet, &mut lease).await {
             Ok(()) => INTERVAL,
             Err(_) => FAILURE_PAUSE,
         };
-        tokio::time::sleep(pause).await;
+        clock::sleep(pause).await;
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use actix::Addr;
 use cometmoor_core::gateway::staleness::{NextCall, StalenessLimits, doubled};
@@ -13,6 +13,7 @@
     CopyChanged, CopyFailed, CopyRead, FleetState, GetNextCall, GetPatienceLeft, GetReadPlan,
     GetRetryPause, ReadPlan,
 };
+use crate::clock;
 use crate::dialect::Watched;
 use crate::peer::Subject;
 use crate::store::{PagedRead, StoreError};
@@ -103,7 +104,7 @@
                     let reason = error.to_string();
                     self.fleet.do_send(CopyFailed { subject: self.subject, reason });
                     let pause = self.fleet.send(GetRetryPause(self.subject, failures)).await;
-                    tokio::time::sleep(pause.unwrap_or(LONGEST_REST)).await;
+                    clock::sleep(pause.unwrap_or(LONGEST_REST)).await;
                     next = next.after_failure();
                     failures += 1;
                 }
@@ -122,14 +123,14 @@
             return false;
         }
         let wait = LONGEST_START_WAIT.mul_f64(rand::random::<f64>().cbrt());
-        let end = Instant::now() + wait;
-        while Instant::now() < end {
+        let end = clock::now() + wait;
+        while clock::now() < end {
             // Who is to read is not known yet: few others have been heard.
             let plan = self.fleet.send(GetReadPlan(self.subject)).await;
             if matches!(plan, Ok(ReadPlan::HasCopy)) {
                 return true;
             }
-            tokio::time::sleep(LOOK_FOR_PEERS.min(end - Instant::now())).await;
+            clock::sleep(LOOK_FOR_PEERS.min(end.since(clock::now()))).await;
         }
         false
     }
@@ -156,7 +157,7 @@
         let (next, after) = asked.unwrap_or((NextCall::Rest(LONGEST_REST), 0));
         match next {
             NextCall::Rest(rest) => {
-                tokio::time::sleep(rest).await;
+                clock::sleep(rest).await;
                 Ok(step)
             }
             NextCall::Watch(wait) if step == Step::Follow => self.watch(after, wait).await,
@@ -187,7 +188,7 @@
             if left.is_zero() {
                 return;
             }
-            tokio::time::sleep(left.max(SHORTEST_LOOK)).await;
+            clock::sleep(left.max(SHORTEST_LOOK)).await;
         }
     }
 
@@ -204,7 +205,7 @@
                 let gathers = self.subject == Subject::Servers && !events.is_empty();
                 self.fleet.do_send(CopyChanged { subject: self.subject, events });
                 if gathers {
-                    tokio::time::sleep(GATHER).await;
+                    clock::sleep(GATHER).await;
                 }
                 Ok(Step::Follow)
             }
@@ -233,7 +234,7 @@
     async fn peers_bring_it(&self) -> bool {
         for _ in 0..LOOKS_FOR_PEERS {
             match self.fleet.send(GetReadPlan(self.subject)).await {
-                Ok(ReadPlan::LeaveToPeers) => tokio::time::sleep(LOOK_FOR_PEERS).await,
+                Ok(ReadPlan::LeaveToPeers) => clock::sleep(LOOK_FOR_PEERS).await,
                 Ok(ReadPlan::HasCopy) => return true,
                 Ok(ReadPlan::Read) | Err(_) => return false,
             }
--- a/crates/cometmoor-gateway/src/forward/blame.rs
+++ b/crates/cometmoor-gateway/src/forward/blame.rs
@@ -13,6 +13,7 @@
 use spdlog::{info, warn};
 
 use super::Forward;
+use crate::clock;
 use crate::load::server_key;
 use crate::metrics::Metrics;
 use crate::published::Board;
@@ -51,7 +52,7 @@
     /// Waits a moment until it is known whether the server has ended under the request:
     /// sent again before, it could end the next one without having been blamed.
     pub(super) async fn wait_for_inquiry(&self, server: &Server) {
-        let _ = tokio::time::timeout(INQUIRY_WAIT, server.inquired()).await;
+        let _ = clock::timeout(INQUIRY_WAIT, server.inquired()).await;
     }
 
     /// Notes that a server has answered the request well, to the end that it had announced.
@@ -89,7 +90,7 @@
             match self.server.pool.probe().await {
                 Ok(()) => return false,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
-                Err(_) => tokio::time::sleep(LOOK_PAUSE).await,
+                Err(_) => clock::sleep(LOOK_PAUSE).await,
             }
         }
         false
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use super::{Forward, encode};
+use crate::clock;
 use crate::dialect::{RunCopy, SendFacts};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::read_some;
@@ -142,7 +143,7 @@
                 &record.incarnation,
                 "it is for another request",
             );
-            server.note_failure(std::time::Instant::now());
+            server.note_failure(clock::now());
             received = next_answer(received, self.head.method == "HEAD")
                 .await
                 .map_err(SendError::Broken)?;
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -11,12 +11,14 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::gateway::selection::select;
+use cometmoor_core::time::BootInstant;
 
 use super::Forward;
 use super::exchange::Received;
+use crate::clock;
 use crate::dialect::{RunCopy, RunMove, RunMoveAnswer};
 use crate::load::{PendingWork, model_key, server_key};
 use crate::servers::Server;
@@ -56,7 +58,7 @@
 
 enum State<'a> {
     /// The run stays; the next look is due then.
-    Staying(Instant),
+    Staying(BootInstant),
     /// It is being moved.
     Moving(MoveCall<'a>),
     /// The move has ended; the run stays where there is no continuation.
@@ -73,14 +75,14 @@
 impl<'a> Migration<'a> {
     /// Of a stream from a server.
     pub(super) fn new(forward: &'a Forward<'a>, source: &'a Rc<Server>) -> Migration<'a> {
-        Migration { forward, source, state: State::Staying(Instant::now()) }
+        Migration { forward, source, state: State::Staying(clock::now()) }
     }
 
     /// Begins to move the run, if it should leave its server and another one
     /// can take it. To be called behind each event that the client has.
     pub(super) fn begin_if_wanted(&mut self) {
         let State::Staying(look) = self.state else { return };
-        let now = Instant::now();
+        let now = clock::now();
         if now < look {
             return;
         }
@@ -135,7 +137,7 @@
 
     /// The server that takes the run: one that holds its model and has a slot
     /// free, by what is known.
-    fn target_of_move(&self, source: &Server, now: Instant) -> Option<Rc<Server>> {
+    fn target_of_move(&self, source: &Server, now: BootInstant) -> Option<Rc<Server>> {
         let fleet = self.traffic.board.fleet.load();
         let service = source.record().service.clone();
         let configuration = fleet.configuration.as_ref()?;
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -17,13 +17,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cometmoor_core::gateway::admission::{COME_BACK, come_back_after_queue, come_back_in};
 use cometmoor_core::gateway::attempts::{Attempts, Failure, Progress};
 use cometmoor_core::gateway::configuration::Route;
 use cometmoor_core::gateway::quarantine::{Fingerprint, Standing};
+use cometmoor_core::time::BootInstant;
 use spdlog::info;
 use tokio::net::TcpStream;
 
@@ -35,6 +36,7 @@
 use self::relay::StreamState;
 use self::send::Sent;
 pub use self::traffic::Traffic;
+use crate::clock;
 use crate::dialect::RequestFacts;
 use crate::fingerprint::fingerprint;
 use crate::http::head::RequestHead;
@@ -61,7 +63,7 @@
     /// Its route.
     pub route: Arc<Route>,
     /// When it began to arrive.
-    pub received: Instant,
+    pub received: BootInstant,
     attempts: Cell<Attempts>,
     estimate: Cell<Estimate>,
     server: RefCell<Option<Arc<str>>>,
@@ -90,7 +92,7 @@
         body: &'a Bytes,
         facts: RequestFacts,
         route: Arc<Route>,
-        received: Instant,
+        received: BootInstant,
     ) -> Forward<'a> {
         let attempts = Cell::new(Attempts::new(route.repeat, route.attempts));
         Forward {
@@ -110,13 +112,13 @@
     }
 
     /// When the client must have its answer.
-    fn end(&self) -> Instant {
+    fn end(&self) -> BootInstant {
         let deadline = self.facts.deadline.unwrap_or(Duration::MAX).min(self.route.timeout);
         self.received + deadline.min(Duration::from_secs(3600))
     }
 
     fn time_left(&self) -> Duration {
-        self.end().saturating_duration_since(Instant::now())
+        self.end().since(clock::now())
     }
 
     fn keeps_connection(&self) -> bool {
@@ -127,8 +129,8 @@
 
     /// Serves the request within its time.
     pub async fn serve(self, service: &str) -> Finish {
-        let end = tokio::time::Instant::from_std(self.end());
-        let finish = match tokio::time::timeout_at(end, self.run(service)).await {
+        let end = self.end();
+        let finish = match clock::timeout_at(end, self.run(service)).await {
             Ok(finish) => finish,
             Err(_) => self.out_of_time().await,
         };
@@ -308,7 +310,7 @@
 
     fn client_time_left(&self) -> Duration {
         let deadline = self.facts.deadline.unwrap_or(self.route.timeout);
-        (self.received + deadline).saturating_duration_since(Instant::now())
+        (self.received + deadline).since(clock::now())
     }
 
     async fn answer(&self, answer: OwnAnswer) -> Finish {
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -2,15 +2,17 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::gateway::admission::{WAIT_POLL, is_worth_sending, longest_wait};
 use cometmoor_core::gateway::selection::{Candidate, CostModel, Demand, select};
+use cometmoor_core::time::BootInstant;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Forward;
 use super::outcome::Refusal;
 use super::relay::StreamState;
+use crate::clock;
 use crate::dialect::ModelName;
 use crate::load::{model_key, server_key};
 use crate::published::PlacementView;
@@ -58,7 +60,7 @@
         tried: &[Arc<str>],
         stream: &StreamState,
     ) -> Found {
-        let asked = Instant::now();
+        let asked = clock::now();
         let mechanisms = self.traffic.settings.mechanisms;
         let longest = match mechanisms.wait_for_server {
             true => longest_wait(self.route.objective, self.time_left()),
@@ -73,11 +75,11 @@
             if let Found::Nobody(Refusal::NoAdapter) = found {
                 self.note_wait();
             }
-            if done || Instant::now() >= until {
-                self.traffic.metrics.observe(&self.traffic.metrics.queue, asked.elapsed());
+            if done || clock::now() >= until {
+                self.traffic.metrics.observe(&self.traffic.metrics.queue, clock::elapsed(asked));
                 return found;
             }
-            tokio::time::sleep(WAIT_POLL).await;
+            clock::sleep(WAIT_POLL).await;
         }
     }
 
@@ -85,7 +87,7 @@
     fn note_wait(&self) {
         let Some(model) = &self.facts.model else { return };
         let key = model_key(&model.model, model.adapter.as_deref());
-        self.traffic.loads.record_wait(key, Instant::now());
+        self.traffic.loads.record_wait(key, clock::now());
         self.traffic.board.heartbeat_wanted.notify_one();
     }
 
@@ -93,7 +95,7 @@
         let fleet = self.traffic.board.fleet.load();
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
-        let now = Instant::now();
+        let now = clock::now();
         let placement = self.traffic.board.placement.load();
         let able: Vec<&Rc<Server>> = self
             .able_servers(table.of_service(service), &placement, now)
@@ -131,7 +133,7 @@
         &self,
         servers: &[Rc<Server>],
         placement: &PlacementView,
-        now: Instant,
+        now: BootInstant,
     ) -> Refusal {
         let Some(model) = &self.facts.model else { return Refusal::NoServer };
         let base = ModelName { model: model.model.clone(), adapter: None };
@@ -149,14 +151,14 @@
         &self,
         servers: &'t [Rc<Server>],
         placement: &PlacementView,
-        now: Instant,
+        now: BootInstant,
     ) -> impl Iterator<Item = &'t Rc<Server>> {
         let able =
             move |server: &&Rc<Server>| server.takes_work() && self.is_able(server, placement, now);
         servers.iter().filter(able)
     }
 
-    fn is_able(&self, server: &Server, placement: &PlacementView, now: Instant) -> bool {
+    fn is_able(&self, server: &Server, placement: &PlacementView, now: BootInstant) -> bool {
         self.facts.model.as_ref().is_none_or(|model| server.holds(model, placement, now))
     }
 
@@ -198,7 +200,7 @@
         }
     }
 
-    pub(super) fn candidate(&self, server: &Server, now: Instant) -> Candidate {
+    pub(super) fn candidate(&self, server: &Server, now: BootInstant) -> Candidate {
         let record = server.record();
         let own = self.traffic.loads.of(&record.incarnation);
         let remote = self.traffic.board.remote_load.load();
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -2,15 +2,17 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cometmoor_core::gateway::attempts::Attempts;
+use cometmoor_core::time::BootInstant;
 
 use super::encode::{self, Passed};
 use super::exchange::{Received, invalid};
 use super::migration::{Continuation, Migration};
 use super::{Finish, Forward};
+use crate::clock;
 use crate::http::connection::write_all;
 use crate::http::head::Framing;
 use crate::load::Sent;
@@ -140,7 +142,7 @@
 /// When the events of a stream came.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventPauses {
-    last: Option<Instant>,
+    last: Option<BootInstant>,
     /// From the request's arrival to the first event.
     pub until_first: Duration,
     /// Longest pause between two events.
@@ -149,12 +151,12 @@
 
 impl EventPauses {
     /// Notes an event; returns the pause before it, if it is not the first.
-    fn note(&mut self, received: Instant, now: Instant) -> Option<Duration> {
+    fn note(&mut self, received: BootInstant, now: BootInstant) -> Option<Duration> {
         let Some(last) = self.last.replace(now) else {
-            self.until_first = now.saturating_duration_since(received);
+            self.until_first = now.since(received);
             return None;
         };
-        let pause = now.saturating_duration_since(last);
+        let pause = now.since(last);
         self.longest = self.longest.max(pause);
         Some(pause)
     }
@@ -165,7 +167,7 @@
     /// The request at the server.
     pub guard: &'a mut Sent,
     /// When it was sent, if its prompt waited for no other one.
-    pub sent_at: Option<Instant>,
+    pub sent_at: Option<BootInstant>,
 }
 
 impl FirstEvent<'_> {
@@ -174,7 +176,7 @@
         let Some(sent_at) = self.sent_at.take() else { return };
         let Some(model) = &forward.facts.model else { return };
         let mut paces = forward.traffic.paces.borrow_mut();
-        paces.record(&model.model, forward.facts.prompt_tokens, sent_at.elapsed());
+        paces.record(&model.model, forward.facts.prompt_tokens, clock::elapsed(sent_at));
     }
 }
 
@@ -197,7 +199,7 @@
         let done = received.decoder.is_done();
         let events = take_events(&mut pending, done);
         if !events.is_empty() {
-            if let Some(pause) = state.pauses.note(forward.received, Instant::now()) {
+            if let Some(pause) = state.pauses.note(forward.received, clock::now()) {
                 let metrics = &forward.traffic.metrics;
                 metrics.observe(&metrics.between_events, pause);
             }
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -1,7 +1,6 @@
 //! One send of a request to a server, and what becomes of it.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use cometmoor_core::gateway::attempts::Attempts;
 
@@ -9,6 +8,7 @@
 use super::migration::Continuation;
 use super::relay::{self, EventPauses, FirstEvent, RelayError, StreamState};
 use super::{Finish, Forward};
+use crate::clock;
 use crate::dialect::RunCopy;
 use crate::load::PendingWork;
 use crate::servers::Server;
@@ -51,13 +51,13 @@
         copy: Option<&RunCopy>,
     ) -> Sent {
         let record = server.record();
-        let asked = Instant::now();
+        let asked = clock::now();
         let checkout = server.pool.checkout(self.time_left()).await;
-        self.traffic.metrics.observe(&self.traffic.metrics.connect, asked.elapsed());
+        self.traffic.metrics.observe(&self.traffic.metrics.connect, clock::elapsed(asked));
         let lent = match checkout {
             Ok(lent) => lent,
             Err(error) => {
-                server.note_unreachable(Instant::now());
+                server.note_unreachable(clock::now());
                 self.log_failure("unreachable", "connect", &record.incarnation, &error.to_string());
                 return Sent::Unreachable;
             }
@@ -68,7 +68,7 @@
             return Sent::Unreachable;
         }
         let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.incarnation);
-        let sent_at = waits_for_nobody.then(Instant::now);
+        let sent_at = waits_for_nobody.then(clock::now);
         let pending = match copy {
             Some(_) => PendingWork::default(),
             None => self.pending_work(),
@@ -91,12 +91,14 @@
                     return Sent::Unreachable;
                 }
                 Err(error) => {
-                    server.note_failure(Instant::now());
+                    server.note_failure(clock::now());
                     self.note_broken(server, error.source());
                     return Sent::Failed(error);
                 }
             };
-        self.traffic.metrics.observe(&self.traffic.metrics.first_byte, self.received.elapsed());
+        self.traffic
+            .metrics
+            .observe(&self.traffic.metrics.first_byte, clock::elapsed(self.received));
         let facts = self.traffic.dialect.answer_facts(&received.head);
         if facts.not_run {
             let (status, misdirected) = (received.head.status, facts.misdirected);
@@ -120,7 +122,7 @@
     }
 
     fn note_not_run(&self, server: &Server, misdirected: bool) {
-        let now = Instant::now();
+        let now = clock::now();
         match (&self.facts.model, misdirected) {
             (Some(model), true) => server.note_missing(model, now),
             (None, true) => server.note_replaced(),
@@ -131,7 +133,7 @@
     /// Learns for how long the model's streams hold a slot.
     fn learn_stream(&self, pauses: &EventPauses) {
         let Some(model) = &self.facts.model else { return };
-        let running = self.received.elapsed().saturating_sub(pauses.until_first);
+        let running = clock::elapsed(self.received).saturating_sub(pauses.until_first);
         let mut paces = self.traffic.paces.borrow_mut();
         paces.record_stream(&model.model, self.facts.output_tokens, running);
     }
@@ -149,7 +151,7 @@
                 if has_announced_end {
                     self.note_answered_well();
                 }
-                server.note_success(Instant::now());
+                server.note_success(clock::now());
                 self.learn_stream(&stream.pauses);
                 self.log_stream_answered(&server.record().incarnation, &stream.pauses);
                 Sent::Finished(finish)
@@ -161,7 +163,7 @@
             }
             Err(RelayError::Moved(continuation)) => Sent::Moved(continuation),
             Err(RelayError::Server(error)) => {
-                server.note_failure(Instant::now());
+                server.note_failure(clock::now());
                 self.note_broken(server, &error);
                 if stream.head_sent { Sent::Broken } else { Sent::Failed(SendError::Broken(error)) }
             }
@@ -182,7 +184,7 @@
         let collected = match relay::collect(&mut received).await {
             Ok(collected) => collected,
             Err(error) => {
-                server.note_failure(Instant::now());
+                server.note_failure(clock::now());
                 self.note_broken(server, &error);
                 return Sent::Failed(SendError::Broken(error));
             }
@@ -194,14 +196,14 @@
         let has_announced_end = !received.decoder.ends_with_connection();
         let received = received.settle(&server.pool);
         if status < 500 {
-            server.note_success(Instant::now());
+            server.note_success(clock::now());
             if has_announced_end {
                 self.note_answered_well();
             }
             self.log_answered(&server.record().incarnation, status);
             return Sent::Finished(self.pass_whole(received, collected.bytes).await);
         }
-        server.note_failure(Instant::now());
+        server.note_failure(clock::now());
         self.log_failure(
             "server error",
             "answer",
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -6,6 +6,7 @@
 
 use super::Forward;
 use super::relay::EventPauses;
+use crate::clock;
 use crate::dialect::RunMoveAnswer;
 use crate::metrics::StateLabels;
 
@@ -29,7 +30,7 @@
             candidates = estimate.servers as u64,
             servers_age_millis = self.traffic.board.fleet.load().servers_age_millis(),
             time_left_millis = self.time_left().as_millis() as u64,
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
         });
     }
 
@@ -42,7 +43,7 @@
             route = &*self.route.name,
             server,
             status,
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
         });
     }
 
@@ -60,7 +61,7 @@
             output_tokens = self.facts.output_tokens,
             first_event_millis = pauses.until_first.as_millis() as u64,
             longest_pause_millis = pauses.longest.as_millis() as u64,
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
         });
     }
 
@@ -80,14 +81,14 @@
             to,
             reason,
             outcome,
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
         });
     }
 
     /// Counts a good answer; tells whether its line may be written.
     fn note_answered(&self) -> bool {
         self.traffic.metrics.ended("answered", "server", "-");
-        self.traffic.metrics.observe(&self.traffic.metrics.whole, self.received.elapsed());
+        self.traffic.metrics.observe(&self.traffic.metrics.whole, clock::elapsed(self.received));
         crate::log::may_tell_good(self.traffic.started)
     }
 
@@ -104,7 +105,7 @@
             step = "queue",
             reason,
             sends = self.attempts.get().sends(),
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
             model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
             expected_millis = estimate.expected_millis,
             in_flight = estimate.in_flight,
@@ -127,7 +128,7 @@
             server,
             reason,
             sends = self.attempts.get().sends(),
-            age_millis = self.received.elapsed().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
             model = self.facts.model.as_ref().map_or("-", |model| &*model.model),
             configuration = version,
             servers = fleet.servers.len() as u64,
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -4,11 +4,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use cometmoor_core::gateway::retry_budget::{FleetRetryBudget, RetryBounds};
-use cometmoor_core::time::Timestamp;
+use cometmoor_core::time::{BootInstant, Timestamp};
 
+use crate::clock;
 use crate::dialect::Dialect;
 use crate::load::{LoadBoard, server_key};
 use crate::metrics::Metrics;
@@ -32,7 +32,7 @@
     pub quarantine: QuarantineBoard,
     /// The servers.
     pub servers: RefCell<ServerTable>,
-    pub(super) started: Instant,
+    pub(super) started: BootInstant,
     budgets: RefCell<HashMap<String, FleetRetryBudget>>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
@@ -58,14 +58,14 @@
             quarantine,
             metrics,
             servers: RefCell::default(),
-            started: Instant::now(),
+            started: clock::now(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
         }
     }
 
     pub(super) fn now(&self) -> Timestamp {
-        Timestamp(u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Timestamp(u64::try_from(clock::elapsed(self.started).as_millis()).unwrap_or(u64::MAX))
     }
 
     pub(super) fn with_budget<Result>(
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -2,15 +2,16 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cometmoor_core::gateway::admission::finishes_before_stop;
 use cometmoor_core::gateway::configuration::{ClientLimits, Route};
+use cometmoor_core::time::BootInstant;
 use spdlog::warn;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
+use crate::clock;
 use crate::dialect::RequestFacts;
 use crate::forward::{Finish, Forward, OwnAnswer, Traffic};
 use crate::http::body::BodyDecoder;
@@ -40,7 +41,7 @@
     let connections = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            clock::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         if Rc::strong_count(&connections) > traffic.settings.max_connections {
@@ -67,7 +68,7 @@
 
 /// A request that was read, or why there is none.
 enum Read {
-    Request(Box<RequestHead>, Bytes, Instant),
+    Request(Box<RequestHead>, Bytes, BootInstant),
     Rejected(u16),
     Ended,
 }
@@ -98,13 +99,14 @@
 
     async fn read_request(&mut self, limits: &ClientLimits) -> Read {
         if self.buffer.is_empty() {
-            let first = timeout(limits.idle_timeout, read_some(&self.stream, &mut self.buffer));
+            let first =
+                clock::timeout(limits.idle_timeout, read_some(&self.stream, &mut self.buffer));
             if !matches!(first.await, Ok(Ok(read)) if read > 0) {
                 return Read::Ended;
             }
         }
-        let received = Instant::now();
-        let head = match timeout(limits.header_timeout, self.read_head(limits)).await {
+        let received = clock::now();
+        let head = match clock::timeout(limits.header_timeout, self.read_head(limits)).await {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None)) => return Read::Ended,
             Ok(Err(HeadError::TooLarge)) => return Read::Rejected(431),
@@ -113,7 +115,7 @@
             }
             Err(_) => return Read::Rejected(408),
         };
-        match timeout(limits.idle_timeout, self.read_body(&head, limits)).await {
+        match clock::timeout(limits.idle_timeout, self.read_body(&head, limits)).await {
             Ok(Ok(body)) => Read::Request(Box::new(head), body, received),
             Ok(Err(Some(status))) => Read::Rejected(status),
             Ok(Err(None)) => Read::Ended,
@@ -171,7 +173,7 @@
     }
 
     /// Serves a request unless the client leaves before.
-    async fn serve(&mut self, head: &RequestHead, body: &Bytes, received: Instant) -> Finish {
+    async fn serve(&mut self, head: &RequestHead, body: &Bytes, received: BootInstant) -> Finish {
         let serving = serve_request(&self.traffic, &self.stream, head, body, received);
         tokio::select! {
             biased;
@@ -193,7 +195,7 @@
         }
         // Closing with unread bytes would reset the connection and could take
         // the answer away from the client.
-        let _ = timeout(LINGER, self.drop_rest()).await;
+        let _ = clock::timeout(LINGER, self.drop_rest()).await;
     }
 
     async fn drop_rest(&mut self) {
@@ -219,7 +221,7 @@
     client: &TcpStream,
     head: &RequestHead,
     body: &Bytes,
-    received: Instant,
+    received: BootInstant,
 ) -> Finish {
     let Ok(facts) = traffic.dialect.request_facts(&head.headers) else {
         return answer(traffic, client, OwnAnswer::rejected(400), "", false).await;
@@ -249,7 +251,7 @@
 /// Notes what was asked for, for the placement of models.
 fn record_demand(traffic: &Traffic, facts: &RequestFacts) {
     let Some(model) = &facts.model else { return };
-    let now = Instant::now();
+    let now = clock::now();
     let work = {
         let paces = traffic.paces.borrow();
         RequestWork {
@@ -273,7 +275,7 @@
     }
     let host = head.host().unwrap_or_default();
     let Some(route) = configuration.route(&host, head.path()) else {
-        let unknown = fleet.configuration_is_current;
+        let unknown = fleet.configuration_is_current();
         return if unknown { Decision::Answer(OwnAnswer::no_route()) } else { refusal };
     };
     if !finishes_in_time(fleet, route, facts) {
@@ -288,10 +290,10 @@
 /// Whether the request will be finished before a planned stop ends.
 fn finishes_in_time(fleet: &Published, route: &Route, facts: &RequestFacts) -> bool {
     let Some(stop) = fleet.stop else { return true };
-    let now = Instant::now();
+    let now = clock::now();
     finishes_before_stop(
-        now.saturating_duration_since(stop.began),
-        stop.ends.saturating_duration_since(now),
+        now.since(stop.began),
+        stop.ends.since(now),
         route.timeout.min(facts.deadline.unwrap_or(route.timeout)),
         facts.output_tokens,
     )
--- a/crates/cometmoor-gateway/src/http/client.rs
+++ b/crates/cometmoor-gateway/src/http/client.rs
@@ -12,6 +12,7 @@
 use super::body::BodyDecoder;
 use super::connection::{connect, is_quiet, read_some, write_all};
 use super::head::{AnswerHead, take_answer};
+use crate::clock;
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -120,15 +121,15 @@
         within: Duration,
         holds: impl Fn() -> bool,
     ) -> Result<Answer, CallError> {
-        let started = tokio::time::Instant::now();
+        let started = clock::now();
         let stream = self.checkout(within).await.map_err(CallError::NotSent)?;
         if !holds() {
             return Err(CallError::NotSent(io::ErrorKind::Interrupted.into()));
         }
         let bytes = call.encode(self.address);
-        let left = within.saturating_sub(started.elapsed());
+        let left = within.saturating_sub(clock::elapsed(started));
         let exchange = exchange(&stream, &bytes, call.method == "HEAD");
-        let (answer, reusable) = match tokio::time::timeout(left, exchange).await {
+        let (answer, reusable) = match clock::timeout(left, exchange).await {
             Ok(result) => result.map_err(CallError::Unanswered)?,
             Err(_) => {
                 // Those that rest may have gone silent with this one.
--- a/crates/cometmoor-gateway/src/http/connection.rs
+++ b/crates/cometmoor-gateway/src/http/connection.rs
@@ -8,6 +8,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use crate::clock;
+
 /// Time after which sent bytes that nobody acknowledged end a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Rest of a connection before it is probed, and the pause between probes.
@@ -33,7 +35,7 @@
 /// Opens a connection within the time.
 pub async fn connect(address: SocketAddrV4, within: Duration) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(SocketAddr::V4(address));
-    let stream = tokio::time::timeout(within, connecting)
+    let stream = clock::timeout(within, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     prepare(&stream)?;
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cometmoor_core::time::BootInstant;
 use serde::{Deserialize, Serialize};
 
 /// Ranks of urgency that are told apart; what is less urgent counts as the last.
@@ -135,14 +136,14 @@
 #[derive(Clone, Copy, Debug)]
 struct NotedDemand {
     demand: ModelDemand,
-    changed: Instant,
+    changed: BootInstant,
 }
 
 #[derive(Debug, Default)]
 struct Board {
     servers: HashMap<Arc<str>, ServerLoad>,
     models: HashMap<ModelKey, NotedDemand>,
-    waited_for: HashMap<ModelKey, Instant>,
+    waited_for: HashMap<ModelKey, BootInstant>,
     in_progress: usize,
 }
 
@@ -168,17 +169,15 @@
     }
 
     /// Work asked of models and adapters, where it changed lately.
-    pub fn recent_demand(&self, now: Instant) -> Vec<(ModelKey, ModelDemand)> {
+    pub fn recent_demand(&self, now: BootInstant) -> Vec<(ModelKey, ModelDemand)> {
         let board = self.lock();
-        let recent = board
-            .models
-            .iter()
-            .filter(|(_, noted)| now.saturating_duration_since(noted.changed) < DEMAND_TOLD_FOR);
+        let recent =
+            board.models.iter().filter(|(_, noted)| now.since(noted.changed) < DEMAND_TOLD_FOR);
         recent.map(|(key, noted)| (*key, noted.demand)).collect()
     }
 
     /// Notes that a model or adapter was asked for.
-    pub fn record_demand(&self, key: ModelKey, work: RequestWork, now: Instant) {
+    pub fn record_demand(&self, key: ModelKey, work: RequestWork, now: BootInstant) {
         let fresh = NotedDemand { demand: ModelDemand::default(), changed: now };
         let mut board = self.lock();
         let noted = board.models.entry(key).or_insert(fresh);
@@ -189,14 +188,14 @@
     }
 
     /// Notes that a request waits for a model or adapter.
-    pub fn record_wait(&self, key: ModelKey, now: Instant) {
+    pub fn record_wait(&self, key: ModelKey, now: BootInstant) {
         self.lock().waited_for.insert(key, now);
     }
 
     /// Models and adapters that requests waited for a moment ago.
-    pub fn waited_for(&self, now: Instant) -> Vec<ModelKey> {
+    pub fn waited_for(&self, now: BootInstant) -> Vec<ModelKey> {
         let mut board = self.lock();
-        board.waited_for.retain(|_, noted| now.saturating_duration_since(*noted) < WAIT_TOLD_FOR);
+        board.waited_for.retain(|_, noted| now.since(*noted) < WAIT_TOLD_FOR);
         board.waited_for.keys().copied().collect()
     }
 
--- a/crates/cometmoor-gateway/src/log.rs
+++ b/crates/cometmoor-gateway/src/log.rs
@@ -8,12 +8,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cometmoor_core::time::BootInstant;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{LevelFilter, Logger};
 
+use crate::clock;
+
 /// Lines that wait to be written.
 const QUEUE_LINES: usize = 4096;
 /// Pause in which lines gather, so that many are written at once.
@@ -39,8 +42,8 @@
 }
 
 /// Whether a line of a request that goes well may be written now.
-pub fn may_tell_good(started: Instant) -> bool {
-    let second = started.elapsed().as_secs();
+pub fn may_tell_good(started: BootInstant) -> bool {
+    let second = clock::elapsed(started).as_secs();
     if SECOND.swap(second, Ordering::Relaxed) != second {
         IN_SECOND.store(0, Ordering::Relaxed);
     }
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use actix::Addr;
 use cometmoor_core::gateway::registry::ServerState;
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::clock;
 use crate::control::fleet::{BeginStop, CloseToClients, FleetState, GetUpdate};
 use crate::control::{ControlContext, start as start_control};
 use crate::control_traffic::{ControlTraffic, TrafficKind};
@@ -185,8 +186,8 @@
 
 async fn sweep_pools(traffic: Rc<Traffic>) {
     loop {
-        tokio::time::sleep(POOL_SWEEP).await;
-        traffic.servers.borrow().close_old_connections(Instant::now());
+        clock::sleep(POOL_SWEEP).await;
+        traffic.servers.borrow().close_old_connections(clock::now());
     }
 }
 
@@ -260,7 +261,7 @@
             (Subject::Servers, fleet.servers_confirmed),
         ];
         for (subject, confirmed) in copies {
-            let age = confirmed.map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
+            let age = confirmed.map_or(f64::INFINITY, |at| clock::elapsed(at).as_secs_f64());
             metrics.store_age.get_or_create(&CopyLabels { copy: subject.name() }).set(age);
         }
         let draining = fleet.servers.iter().filter(|s| s.state == ServerState::Draining).count();
@@ -381,16 +382,16 @@
 /// requests while clients may hold answers that name it, then finishes what
 /// is left.
 async fn drain(settings: &GatewaySettings, fleet: &Addr<FleetState>, loads: &LoadBoard) {
-    let started = Instant::now();
+    let started = clock::now();
     info!("[node] leaving; clients are sent elsewhere", kv: { in_progress = loads.in_progress() as u64 });
     let grace = settings.grace();
     let ends = started + grace.saturating_sub(KILL_MARGIN);
     let _ = fleet.send(BeginStop(StopTimes { began: started, ends })).await;
     let answers_kept = settings.directory_lifetime() * DIRECTORY_LIVES + DIRECTORY_SLACK;
-    tokio::time::sleep(answers_kept.min(grace.mul_f64(LAST_REQUEST_PART))).await;
+    clock::sleep(answers_kept.min(grace.mul_f64(LAST_REQUEST_PART))).await;
     let _ = fleet.send(CloseToClients).await;
-    while loads.in_progress() > 0 && Instant::now() < ends {
-        tokio::time::sleep(DRAIN_POLL).await;
+    while loads.in_progress() > 0 && clock::now() < ends {
+        clock::sleep(DRAIN_POLL).await;
     }
-    info!("[node] stopped", kv: { cut_off = loads.in_progress() as u64, age_millis = started.elapsed().as_millis() as u64 });
+    info!("[node] stopped", kv: { cut_off = loads.in_progress() as u64, age_millis = clock::elapsed(started).as_millis() as u64 });
 }
--- a/crates/cometmoor-gateway/src/pool.rs
+++ b/crates/cometmoor-gateway/src/pool.rs
@@ -3,10 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddrV4;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cometmoor_core::time::BootInstant;
 use tokio::net::TcpStream;
 
+use crate::clock;
 use crate::http::connection::{connect, is_quiet};
 
 /// Time for a new connection.
@@ -20,7 +22,7 @@
 
 struct Idle {
     stream: TcpStream,
-    until: Instant,
+    until: BootInstant,
 }
 
 /// A connection, and whether it was used before.
@@ -46,7 +48,7 @@
 
     /// A resting connection, or a new one.
     pub async fn checkout(&self, within: Duration) -> io::Result<Lent> {
-        if let Some(stream) = self.take_idle(Instant::now()) {
+        if let Some(stream) = self.take_idle(clock::now()) {
             return Ok(Lent { stream, reused: true });
         }
         let stream = connect(self.address, within.min(CONNECT_TIMEOUT)).await?;
@@ -61,11 +63,11 @@
     }
 
     /// Whether a connection rests.
-    pub fn has_idle(&self, now: Instant) -> bool {
+    pub fn has_idle(&self, now: BootInstant) -> bool {
         self.idle.borrow().iter().any(|idle| idle.until > now)
     }
 
-    fn take_idle(&self, now: Instant) -> Option<TcpStream> {
+    fn take_idle(&self, now: BootInstant) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         while let Some(candidate) = idle.pop() {
             if candidate.until > now && is_quiet(&candidate.stream) {
@@ -83,12 +85,12 @@
         let rest = self.told_rest.get().unwrap_or(DEFAULT_REST);
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE {
-            idle.push(Idle { stream, until: Instant::now() + rest });
+            idle.push(Idle { stream, until: clock::now() + rest });
         }
     }
 
     /// Closes connections that have rested for too long.
-    pub fn close_old(&self, now: Instant) {
+    pub fn close_old(&self, now: BootInstant) {
         self.idle.borrow_mut().retain(|idle| idle.until > now);
     }
 
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -3,13 +3,14 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::time::BootInstant;
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::load::{ModelKey, ServerKey, ServerLoad};
 
 /// Whether the node takes part.
@@ -30,9 +31,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct StopTimes {
     /// When it began.
-    pub began: Instant,
+    pub began: BootInstant,
     /// When what is left is cut off.
-    pub ends: Instant,
+    pub ends: BootInstant,
 }
 
 /// A node that clients may use.
@@ -53,8 +54,9 @@
     pub phase: Phase,
     /// Configuration in force.
     pub configuration: Option<Arc<GatewayConfiguration>>,
-    /// Whether the store or a peer has lately confirmed the configuration.
-    pub configuration_is_current: bool,
+    /// Until when the configuration is taken for the store's newest; none where a peer has
+    /// a newer one, or nobody has confirmed it.
+    pub configuration_current_until: Option<BootInstant>,
     /// Entries of the registry that name no server to use.
     pub ignored_entries: usize,
     /// Servers in the registry.
@@ -62,9 +64,9 @@
     /// Nodes that take requests, this one included.
     pub nodes: Vec<ClientNode>,
     /// When the store or a peer last confirmed the configuration.
-    pub confirmed: Option<Instant>,
+    pub confirmed: Option<BootInstant>,
     /// When the store or a peer last confirmed the servers' entries.
-    pub servers_confirmed: Option<Instant>,
+    pub servers_confirmed: Option<BootInstant>,
     /// Whether this node is among those that read the store themselves.
     pub reads_store: bool,
     /// Whether nodes hear of one another's load through hubs.
@@ -72,7 +74,7 @@
     /// Whether this node orders the servers.
     pub leads: bool,
     /// When the leading node was last heard.
-    pub leader_heard: Option<Instant>,
+    pub leader_heard: Option<BootInstant>,
     /// Set while the node is about to stop.
     pub stop: Option<StopTimes>,
     /// Most nodes that were seen lately, for shares of a common budget.
@@ -80,6 +82,12 @@
 }
 
 impl Published {
+    /// Whether the configuration is taken for the store's newest: what it lacks does not
+    /// exist then.
+    pub fn configuration_is_current(&self) -> bool {
+        self.configuration_current_until.is_some_and(|until| clock::now() < until)
+    }
+
     /// Milliseconds since the servers' entries were last confirmed; -1 where
     /// they never were.
     pub fn servers_age_millis(&self) -> i64 {
@@ -88,8 +96,8 @@
 }
 
 /// Milliseconds since then, for log lines; -1 for never.
-pub fn age_millis(since: Option<Instant>) -> i64 {
-    since.map_or(-1, |at| i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX))
+pub fn age_millis(since: Option<BootInstant>) -> i64 {
+    since.map_or(-1, |at| i64::try_from(clock::elapsed(at).as_millis()).unwrap_or(i64::MAX))
 }
 
 /// What the leading node told of the servers' models, ahead of the registry.
--- a/crates/cometmoor-gateway/src/ready.rs
+++ b/crates/cometmoor-gateway/src/ready.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::clock;
 use crate::http::connection::{prepare, read_some, write_all};
 use crate::http::head::{RequestHead, take_request};
 
@@ -81,7 +82,7 @@
             Ok((stream, _)) => {
                 actix_rt::spawn(serve_connection(stream, answer.clone()));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(_) => clock::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
@@ -99,7 +100,7 @@
         let head = match take_request(&mut buffer, MAX_HEAD_BYTES) {
             Ok(Some(head)) => head,
             Ok(None) => {
-                let read = tokio::time::timeout(IDLE_TIMEOUT, read_some(&stream, &mut buffer));
+                let read = clock::timeout(IDLE_TIMEOUT, read_some(&stream, &mut buffer));
                 match read.await {
                     Ok(Ok(read)) if read > 0 => continue,
                     _ => return,
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -5,13 +5,15 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::gateway::quarantine::Fingerprint;
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::time::BootInstant;
 
 use tokio::sync::Notify;
 
+use crate::clock;
 use crate::dialect::ModelName;
 use crate::http::client::CallClient;
 use crate::load::{ModelKey, ServerKey, model_key, server_key};
@@ -37,24 +39,24 @@
 /// A model that a server said it does not hold.
 #[derive(Clone, Copy, Debug)]
 struct Missing {
-    noted: Instant,
+    noted: BootInstant,
     pause: Duration,
 }
 
 impl Missing {
-    fn first(now: Instant) -> Missing {
+    fn first(now: BootInstant) -> Missing {
         Missing { noted: now, pause: MISSING_FOR }
     }
 
     /// Whether the model counts as missing. Where the leader tells that the
     /// server has just got it, only for as long as that may cross the denial.
-    fn counts(self, now: Instant, was_added: bool) -> bool {
+    fn counts(self, now: BootInstant, was_added: bool) -> bool {
         let pause = if was_added { MISSING_FOR } else { self.pause };
         now < self.noted + pause
     }
 
     /// The server has said so once more, after the model was tried again.
-    fn again(self, now: Instant) -> Missing {
+    fn again(self, now: BootInstant) -> Missing {
         if self.counts(now, false) {
             return self;
         }
@@ -80,10 +82,10 @@
     /// Calls beside the requests.
     pub calls: CallClient,
     gone: Cell<bool>,
-    paused_until: Cell<Option<Instant>>,
+    paused_until: Cell<Option<BootInstant>>,
     pauses: Cell<u32>,
     failure_share: Cell<f64>,
-    failure_noted: Cell<Instant>,
+    failure_noted: Cell<BootInstant>,
     missing: RefCell<HashMap<ModelKey, Missing>>,
     /// Requests that broke while it is not known whether the server has ended.
     broken: RefCell<Vec<BrokenRequest>>,
@@ -102,7 +104,7 @@
             paused_until: Cell::new(None),
             pauses: Cell::new(0),
             failure_share: Cell::new(0.0),
-            failure_noted: Cell::new(Instant::now()),
+            failure_noted: Cell::new(clock::now()),
             missing: RefCell::new(HashMap::new()),
             broken: RefCell::new(Vec::new()),
             inquired: Notify::new(),
@@ -120,37 +122,37 @@
     }
 
     /// Whether it was reachable when it was last tried.
-    pub fn is_paused(&self, now: Instant) -> bool {
+    pub fn is_paused(&self, now: BootInstant) -> bool {
         self.paused_until.get().is_some_and(|until| now < until)
     }
 
     /// Share of recent answers that failed.
-    pub fn failure_share(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.failure_noted.get());
+    pub fn failure_share(&self, now: BootInstant) -> f64 {
+        let age = now.since(self.failure_noted.get());
         let halves = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
         self.failure_share.get() * 0.5_f64.powf(halves)
     }
 
-    fn note(&self, now: Instant, failed: f64) {
+    fn note(&self, now: BootInstant, failed: f64) {
         let share = self.failure_share(now);
         self.failure_share.set(share + NEWEST_WEIGHT * (failed - share));
         self.failure_noted.set(now);
     }
 
     /// Notes a good answer.
-    pub fn note_success(&self, now: Instant) {
+    pub fn note_success(&self, now: BootInstant) {
         self.note(now, 0.0);
         self.paused_until.set(None);
         self.pauses.set(0);
     }
 
     /// Notes an answer that tells of a failure, or a broken one.
-    pub fn note_failure(&self, now: Instant) {
+    pub fn note_failure(&self, now: BootInstant) {
         self.note(now, 1.0);
     }
 
     /// Notes that it could not be reached, and leaves it alone for a while.
-    pub fn note_unreachable(&self, now: Instant) {
+    pub fn note_unreachable(&self, now: BootInstant) {
         self.note(now, 1.0);
         let pause = FIRST_PAUSE * (1 << self.pauses.get().min(4));
         self.pauses.set(self.pauses.get() + 1);
@@ -190,7 +192,7 @@
     }
 
     /// Notes that the server said it does not hold the model or adapter.
-    pub fn note_missing(&self, model: &ModelName, now: Instant) {
+    pub fn note_missing(&self, model: &ModelName, now: BootInstant) {
         let key = model_key(&model.model, model.adapter.as_deref());
         let mut missing = self.missing.borrow_mut();
         let known = missing.get(&key).map(|known| known.again(now));
@@ -208,7 +210,7 @@
 
     /// Whether it holds the model, and the adapter where one is named, as far
     /// as is known.
-    pub fn holds(&self, model: &ModelName, placement: &PlacementView, now: Instant) -> bool {
+    pub fn holds(&self, model: &ModelName, placement: &PlacementView, now: BootInstant) -> bool {
         let record = self.record.borrow();
         let server = server_key(&record.incarnation);
         let base = model_key(&model.model, None);
@@ -228,7 +230,7 @@
         server: ServerKey,
         key: ModelKey,
         placement: &PlacementView,
-        now: Instant,
+        now: BootInstant,
     ) -> bool {
         let place = (server, key);
         let was_added = placement.added.contains(&place);
@@ -280,7 +282,7 @@
     }
 
     /// Closes connections that have rested for too long.
-    pub fn close_old_connections(&self, now: Instant) {
+    pub fn close_old_connections(&self, now: BootInstant) {
         for server in self.by_incarnation.values() {
             server.pool.close_old(now);
         }
--- a/crates/cometmoor-gateway/tests/servers.rs
+++ b/crates/cometmoor-gateway/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::gateway::registry::{HeldModel, ServerRecord, ServerState};
 use cometmoor_gateway::dialect::ModelName;
@@ -43,10 +43,10 @@
     let server = table.of_service("app")[0].clone();
     let model = ModelName { model: "m".to_owned(), adapter: None };
     let view = PlacementView::default();
-    let mut now = Instant::now();
+    let mut now = cometmoor_gateway::clock::now();
     let mut tries = 0;
     for _ in 0..200 {
-        now += Duration::from_millis(100);
+        now = now + Duration::from_millis(100);
         if server.holds(&model, &view, now) {
             tries += 1;
             server.note_missing(&model, now);
--- a/crates/cometmoor/src/control/planner/mod.rs
+++ b/crates/cometmoor/src/control/planner/mod.rs
@@ -12,14 +12,16 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::catalog::Catalog;
 use cometmoor_core::membership::Member;
 use cometmoor_core::placement::{EngineCapacity, Plan, plan, requirements};
 use cometmoor_core::reconcile::{EngineOrder, EngineState, next_orders};
+use cometmoor_core::time::BootInstant;
 use cometmoor_core::unfenced::PlannerId;
 use cometmoor_core::weight_store::{LoadLimiter, WeightStoreLimits};
+use cometmoor_gateway::clock;
 use cometmoor_protocol::engine::{Artifact, Inventory, OrderAction, ResidentState};
 use cometmoor_protocol::resource::EngineSpec;
 use futures::future::join_all;
@@ -98,7 +100,7 @@
     limiter: LoadLimiter,
     last_plan: Plan,
     /// When the store's generation was last compared, and what it was.
-    head: Option<(Instant, u64)>,
+    head: Option<(BootInstant, u64)>,
 }
 
 /// The planner task of one node.
@@ -171,10 +173,10 @@
     /// lately. By an older one it would unload what was declared since.
     async fn is_up_to_date(&self, tenure: &mut Tenure) -> bool {
         let period = millis(self.context.settings.timing.lease_millis) / HEAD_READS_PER_LEASE;
-        if tenure.head.is_none_or(|(read_at, _)| read_at.elapsed() >= period)
+        if tenure.head.is_none_or(|(read_at, _)| clock::elapsed(read_at) >= period)
             && let Ok((head, _)) = read_head(&*self.store, &self.layout).await
         {
-            tenure.head = Some((Instant::now(), head.generation));
+            tenure.head = Some((clock::now(), head.generation));
         }
         let generation = self.context.published.load().generation;
         tenure.head.is_some_and(|(_, needed)| generation >= needed)
--- a/crates/cometmoor/src/control/planner/role.rs
+++ b/crates/cometmoor/src/control/planner/role.rs
@@ -1,9 +1,11 @@
 //! The planner's role: a key in the store, bound to a lease.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::store::layout::Layout;
 use crate::store::{Compare, ConfigurationStore, LeaseId, StoreError, Transaction, Write};
+use cometmoor_core::time::BootInstant;
+use cometmoor_gateway::clock;
 
 /// Renewals within the lifetime of a lease.
 const RENEWALS_PER_LIFETIME: u32 = 4;
@@ -17,7 +19,7 @@
     lease: LeaseId,
     epoch: u64,
     lifetime: Duration,
-    renewed_at: Instant,
+    renewed_at: BootInstant,
     lost: bool,
 }
 
@@ -34,7 +36,7 @@
         if !store.range(&key).await?.items.is_empty() {
             return Ok(None);
         }
-        let renewed_at = Instant::now();
+        let renewed_at = clock::now();
         let lease = store.grant_lease(lifetime.as_secs().max(1)).await?;
         let compare = Compare { key: key.clone(), modified_revision: 0 };
         let put = Write::Put { key, value: node.as_bytes().to_vec(), lease: Some(lease) };
@@ -58,7 +60,7 @@
 
     /// Whether the lease cannot have lapsed by this node's clock.
     pub fn is_held(&self) -> bool {
-        !self.lost && self.renewed_at.elapsed() < self.lifetime.mul_f64(STOP_AFTER)
+        !self.lost && clock::elapsed(self.renewed_at) < self.lifetime.mul_f64(STOP_AFTER)
     }
 
     /// Notes that another node has the role.
@@ -68,10 +70,10 @@
 
     /// Renews the lease where it is time, and tells whether it is held.
     pub async fn hold(&mut self, store: &impl ConfigurationStore) -> bool {
-        if self.renewed_at.elapsed() < self.lifetime / RENEWALS_PER_LIFETIME {
+        if clock::elapsed(self.renewed_at) < self.lifetime / RENEWALS_PER_LIFETIME {
             return self.is_held();
         }
-        let asked_at = Instant::now();
+        let asked_at = clock::now();
         match store.keep_alive(self.lease).await {
             Ok(true) => self.renewed_at = asked_at,
             Ok(false) => self.lost = true,
--- a/crates/cometmoor/src/control/planner/unfenced.rs
+++ b/crates/cometmoor/src/control/planner/unfenced.rs
@@ -3,10 +3,12 @@
 //! See [`cometmoor_core::unfenced`] for why a late order does no harm.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cometmoor_core::reconcile::EngineState;
+use cometmoor_core::time::BootInstant;
 use cometmoor_core::unfenced::{OrderRecord, PlannerId};
+use cometmoor_gateway::clock;
 use cometmoor_protocol::engine::{Artifact, Fence, Inventory, Order, OrderAction};
 use cometmoor_protocol::resource::EngineSpec;
 
@@ -37,7 +39,7 @@
     /// record does not tell, because it could not be written.
     unrecorded_copies: bool,
     /// When each answered load of the record was first seen.
-    answered_since: BTreeMap<Artifact, Instant>,
+    answered_since: BTreeMap<Artifact, BootInstant>,
 }
 
 impl UnfencedEngine {
@@ -172,11 +174,11 @@
             stored.record.answered_loads.iter().map(|load| load.artifact.clone()).collect();
         self.answered_since.retain(|artifact, _| answered.contains(artifact));
         for artifact in answered {
-            self.answered_since.entry(artifact).or_insert_with(Instant::now);
+            self.answered_since.entry(artifact).or_insert_with(clock::now);
         }
         let is_over = |artifact: &Artifact| {
             let since = self.answered_since.get(artifact);
-            since.is_some_and(|since| since.elapsed() >= DUPLICATE_WINDOW)
+            since.is_some_and(|since| clock::elapsed(*since) >= DUPLICATE_WINDOW)
         };
         let mut next = stored.record.settle(is_over);
         if self.unrecorded_copies {
--- a/crates/cometmoor/src/store/budget.rs
+++ b/crates/cometmoor/src/store/budget.rs
@@ -1,7 +1,10 @@
 //! Bounds the rate of calls to the store.
 
 use std::cell::RefCell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cometmoor_core::time::BootInstant;
+use cometmoor_gateway::clock;
 
 /// Seconds of unused budget that are saved up.
 const BURST_SECONDS: f64 = 2.0;
@@ -10,22 +13,22 @@
 #[derive(Debug)]
 pub struct CallBudget {
     per_second: f64,
-    state: RefCell<(f64, Instant)>,
+    state: RefCell<(f64, BootInstant)>,
 }
 
 impl CallBudget {
     /// A full bucket.
     pub fn new(per_second: f64) -> CallBudget {
         let credit = (per_second * BURST_SECONDS).max(1.0);
-        CallBudget { per_second, state: RefCell::new((credit, Instant::now())) }
+        CallBudget { per_second, state: RefCell::new((credit, clock::now())) }
     }
 
     /// Takes one call; otherwise tells when there will be one.
     pub fn take(&self) -> Result<(), Duration> {
-        let now = Instant::now();
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
         let (credit, updated) = *state;
-        let earned = now.duration_since(updated).as_secs_f64() * self.per_second;
+        let earned = now.since(updated).as_secs_f64() * self.per_second;
         let credit = (credit + earned).min((self.per_second * BURST_SECONDS).max(1.0));
         if credit < 1.0 {
             *state = (credit, now);
--- a/crates/cometmoor/src/traffic/meter.rs
+++ b/crates/cometmoor/src/traffic/meter.rs
@@ -2,19 +2,20 @@
 //! attempts and its end.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use crate::engine::EngineError;
 use crate::engine::http::ChunkStream;
 use crate::telemetry::metrics::{AttemptLabels, Metrics, RequestEnd, RequestLabels};
+use cometmoor_core::time::BootInstant;
+use cometmoor_gateway::clock;
 
 /// The meter of one completion; it counts its end once.
 pub struct RequestMeter {
     metrics: Arc<Metrics>,
     model: String,
     group: String,
-    started: Instant,
-    last_token: Option<Instant>,
+    started: BootInstant,
+    last_token: Option<BootInstant>,
     ended: bool,
 }
 
@@ -25,7 +26,7 @@
             metrics,
             model: model.to_owned(),
             group: group.to_owned(),
-            started: Instant::now(),
+            started: clock::now(),
             last_token: None,
             ended: false,
         }
@@ -33,10 +34,10 @@
 
     /// Notes that a token is passed on.
     pub fn token(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         match self.last_token {
-            None => self.metrics.record_first_token(&self.model, now - self.started),
-            Some(last) => self.metrics.record_token_interval(&self.model, now - last),
+            None => self.metrics.record_first_token(&self.model, now.since(self.started)),
+            Some(last) => self.metrics.record_token_interval(&self.model, now.since(last)),
         }
         self.last_token = Some(now);
     }
