--- a/crates/cometmoor-gateway/src/clock.rs
+++ b/crates/cometmoor-gateway/src/clock.rs
@@ -59,7 +59,7 @@
             return;
         }
         tokio::select! {
-            () = tokio::time::sleep(left) => {}
+            () = tokio::time::sleep(left) => return,
             () = suspended => {}
         }
     }
