What stood at one end is reported four times, and not again to a node that comes

Nearly all records are of requests that only ran beside another one: a third of a large fleet's servers may end at once, and each record of it went twelve times through every hub.

--- a/crates/cometmoor-core/src/gateway/quarantine.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine.rs
@@ -39,9 +39,12 @@
 const MOST_RECORDS: usize = 4096;
 /// Records in one message: 1.2 KB at the most.
 const MOST_REPORTED: usize = 40;
-/// Messages that carry a record after it has changed. Of datagrams one in twenty may be
-/// lost, and hubs pass on what they are sent.
+/// Messages that carry a record after it has changed, where it is kept or stood at two
+/// ends. Of datagrams one in twenty may be lost, and hubs pass on what they are sent.
 const REPORTED_TIMES: u32 = 12;
+/// The same where it stood at one end: nearly all of those only ran beside another one, and
+/// a third of a large fleet's servers may end at once.
+const REPORTED_TIMES_OF_FIRST: u32 = 4;
 
 /// Fingerprint of a request's content; equal on all nodes for equal contents.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -144,6 +147,12 @@
         }
     }
 
+    /// Has the next messages carry it.
+    fn report_soon(&mut self) {
+        let is_first = self.kept.is_none() && self.ends.len() == 1;
+        self.reports_left = if is_first { REPORTED_TIMES_OF_FIRST } else { REPORTED_TIMES };
+    }
+
     fn verdict(&self, now: Timestamp) -> Verdict {
         match self.is_kept(now) {
             true => Verdict::Kept,
@@ -194,15 +203,15 @@
         let record = self.record(content, now);
         if was_answered {
             record.clear(now);
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
             return Verdict::Cleared;
         }
         if record.kept.is_some() {
             record.kept = Some(now);
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
         }
         if record.add_end(server, now) {
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
         }
         record.judge();
         record.verdict(now)
@@ -218,7 +227,7 @@
         let was_suspect = record.last_end().is_some();
         record.clear(now);
         if was_suspect {
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
         }
         was_suspect
     }
@@ -268,13 +277,13 @@
         record.kept = record.kept.max(kept);
         if was_answered && record.last_end().is_some() {
             record.clear(now);
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
             return false;
         }
         record.judge();
         let after = (record.ends.len(), record.last_end().is_some(), record.kept.is_some());
         if before != after {
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
         }
         record.is_kept(now) && !was_kept
     }
@@ -285,7 +294,7 @@
         if record.cleared.is_none() {
             record.kept = record.kept.max(Some(now));
             record.is_stored = true;
-            record.reports_left = REPORTED_TIMES;
+            record.report_soon();
         }
     }
 
@@ -326,10 +335,11 @@
             .collect()
     }
 
-    /// Reports all records again, because a node has come that lacks them.
+    /// Reports again what is kept or stood at two ends, because a node has come that lacks
+    /// it. What stood at one, it learns when the next server ends.
     pub fn report_again(&mut self) {
-        let records = self.records.values_mut();
-        records.for_each(|record| record.reports_left = REPORTED_TIMES);
+        let is_wanted = |record: &&mut Record| record.kept.is_some() || record.ends.len() > 1;
+        self.records.values_mut().filter(is_wanted).for_each(Record::report_soon);
     }
 
     /// Records: of content that is kept from all servers, and of all others.
