--- a/crates/cometmoor-core/tests/gateway_quarantine.rs
+++ b/crates/cometmoor-core/tests/gateway_quarantine.rs
@@ -1,5 +1,5 @@
-//! A request under which several servers have ended is kept from all of them, and what
-//! merely ran beside it is not.
+//! A request under which several servers have crashed is quarantined, and what merely ran
+//! beside it is not.
 
 mod schedules;
 
@@ -7,7 +7,7 @@
 
 use bolero::TypeGenerator;
 use cometmoor_core::gateway::quarantine::{
-    ENDS, Fingerprint, KEPT_FOR, Quarantine, Standing, SuspectReport, Verdict,
+    CRASH_LIMIT, Fingerprint, QUARANTINE_LIFETIME, Quarantine, Standing, SuspectReport, Verdict,
 };
 use cometmoor_core::time::Timestamp;
 
@@ -23,55 +23,55 @@
     Timestamp(1_000_000 + second * 1000)
 }
 
-fn ended_under(quarantine: &mut Quarantine, content: Fingerprint, servers: u32) {
+fn crashed_under(quarantine: &mut Quarantine, content: Fingerprint, servers: u32) {
     for server in 0..servers {
-        quarantine.note_end(content, server, second(0));
+        quarantine.note_crash(content, server, second(0));
     }
 }
 
 #[test]
-fn it_is_kept_from_all_after_three_ends() {
+fn content_is_quarantined_after_three_crashes() {
     let mut quarantine = Quarantine::default();
-    assert_eq!(quarantine.note_end(DEADLY, 10, second(0)), Verdict::Suspect(1));
-    assert_eq!(quarantine.note_end(DEADLY, 11, second(1)), Verdict::Suspect(2));
+    assert_eq!(quarantine.note_crash(DEADLY, 10, second(0)), Verdict::Suspect(1));
+    assert_eq!(quarantine.note_crash(DEADLY, 11, second(1)), Verdict::Suspect(2));
     assert_eq!(quarantine.standing(DEADLY, second(1)), Standing::Free);
-    assert_eq!(quarantine.note_end(DEADLY, 12, second(2)), Verdict::Kept);
-    assert_eq!(quarantine.standing(DEADLY, second(2)), Standing::Kept(KEPT_FOR));
+    assert_eq!(quarantine.note_crash(DEADLY, 12, second(2)), Verdict::Quarantined);
+    assert_eq!(quarantine.standing(DEADLY, second(2)), Standing::Quarantined(QUARANTINE_LIFETIME));
     assert_eq!(quarantine.standing(SOUND, second(2)), Standing::Free);
 }
 
 #[test]
-fn one_server_counts_once_whoever_saw_it_end() {
+fn one_server_counts_once_whoever_saw_it_crash() {
     let mut quarantine = Quarantine::default();
-    for _ in 0..ENDS {
-        assert_eq!(quarantine.note_end(DEADLY, 10, second(0)), Verdict::Suspect(1));
+    for _ in 0..CRASH_LIMIT {
+        assert_eq!(quarantine.note_crash(DEADLY, 10, second(0)), Verdict::Suspect(1));
     }
     let mut other = Quarantine::default();
-    other.note_end(DEADLY, 10, second(0));
+    other.note_crash(DEADLY, 10, second(0));
     quarantine.merge(&other.next_reports(second(1)), second(1));
-    assert_eq!(quarantine.note_end(DEADLY, 11, second(2)), Verdict::Suspect(2));
+    assert_eq!(quarantine.note_crash(DEADLY, 11, second(2)), Verdict::Suspect(2));
 }
 
 #[test]
 fn one_that_was_answered_well_since_is_cleared() {
     let mut quarantine = Quarantine::default();
-    ended_under(&mut quarantine, SOUND, 2);
+    crashed_under(&mut quarantine, SOUND, 2);
     assert!(quarantine.note_answer(SOUND, second(5)));
     assert!(!quarantine.note_answer(SOUND, second(6)), "there was nothing to clear");
-    assert_eq!(quarantine.note_end(SOUND, 20, second(60)), Verdict::Suspect(1));
+    assert_eq!(quarantine.note_crash(SOUND, 20, second(60)), Verdict::Suspect(1));
 }
 
-/// What many callers ask for is at several servers at any time, and would stand at three
-/// ends whenever three servers end together.
+/// What many callers ask for is at several servers at any time, and would be present at three
+/// crashes whenever three servers crash together.
 #[test]
 fn one_that_others_are_answered_is_not_blamed() {
     let mut quarantine = Quarantine::default();
     quarantine.note_answer(SOUND, second(0));
     for server in 0..12 {
-        assert_eq!(quarantine.note_end(SOUND, server, second(5)), Verdict::Cleared);
+        assert_eq!(quarantine.note_crash(SOUND, server, second(5)), Verdict::Cleared);
     }
     let mut elsewhere = Quarantine::default();
-    ended_under(&mut elsewhere, SOUND, 3);
+    crashed_under(&mut elsewhere, SOUND, 3);
     quarantine.merge(&elsewhere.next_reports(second(6)), second(6));
     assert_eq!(quarantine.standing(SOUND, second(6)), Standing::Free);
     elsewhere.merge(&quarantine.next_reports(second(7)), second(7));
@@ -79,16 +79,16 @@
 }
 
 #[test]
-fn after_its_time_one_more_end_keeps_it_again() {
+fn after_its_time_one_more_crash_quarantines_it_again() {
     let mut quarantine = Quarantine::default();
-    ended_under(&mut quarantine, DEADLY, 3);
-    let later = second(0) + KEPT_FOR;
+    crashed_under(&mut quarantine, DEADLY, 3);
+    let later = second(0) + QUARANTINE_LIFETIME;
     assert_eq!(quarantine.standing(DEADLY, later), Standing::Free);
-    assert_eq!(quarantine.note_end(DEADLY, 30, later), Verdict::Kept);
+    assert_eq!(quarantine.note_crash(DEADLY, 30, later), Verdict::Quarantined);
 }
 
 #[test]
-fn what_the_store_holds_is_kept_and_reported() {
+fn what_the_store_holds_is_quarantined_and_reported() {
     let mut quarantine = Quarantine::default();
     quarantine.restore(DEADLY, second(0));
     assert!(quarantine.unstored(second(0)).is_empty());
@@ -103,12 +103,12 @@
 #[test]
 fn messages_and_records_are_bounded_and_the_worst_come_first() {
     let mut quarantine = Quarantine::default();
-    ended_under(&mut quarantine, DEADLY, 3);
+    crashed_under(&mut quarantine, DEADLY, 3);
     for content in 100..20_100 {
-        quarantine.note_end(Fingerprint(content), 7, second(1));
+        quarantine.note_crash(Fingerprint(content), 7, second(1));
     }
-    let (kept, suspects) = quarantine.counts(second(1));
-    assert_eq!(kept, 1);
+    let (quarantined, suspects) = quarantine.counts(second(1));
+    assert_eq!(quarantined, 1);
     assert!(suspects <= 4096, "{suspects} records");
     let reports = quarantine.next_reports(second(1));
     assert_eq!(reports.len(), MOST_REPORTS);
@@ -124,7 +124,7 @@
 #[test]
 fn what_has_not_changed_is_not_reported_for_ever() {
     let mut quarantine = Quarantine::default();
-    ended_under(&mut quarantine, DEADLY, 3);
+    crashed_under(&mut quarantine, DEADLY, 3);
     let reported = (0..100).filter(|_| !quarantine.next_reports(second(1)).is_empty()).count();
     assert!((5..=20).contains(&reported), "{reported} times");
     quarantine.report_again();
@@ -134,7 +134,7 @@
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Step {
     Pass { tenths: u8 },
-    End { node: u8, content: u8, server: u8 },
+    Crash { node: u8, content: u8, server: u8 },
     Answer { node: u8, content: u8 },
     Message { from: u8, to: u8, is_lost: bool },
     Restart { node: u8 },
@@ -149,10 +149,10 @@
     servers: std::collections::BTreeSet<u32>,
 }
 
-/// Whatever nodes see, lose and forget: no content is kept anywhere under which fewer than
-/// three servers have ended, and when all messages come through, all nodes agree.
+/// Whatever nodes see, lose and forget: no content is quarantined anywhere under which fewer
+/// than three servers have crashed, and when all messages come through, all nodes agree.
 #[test]
-fn nodes_agree_and_blame_nothing_under_which_too_few_servers_ended() {
+fn nodes_agree_and_blame_nothing_under_which_too_few_servers_crashed() {
     for_each_schedule(CASES, |steps: &[Step]| {
         let mut nodes: Vec<Quarantine> = (0..NODES).map(|_| Quarantine::default()).collect();
         let mut truths = vec![Truth::default(); CONTENTS.into()];
@@ -160,12 +160,12 @@
         for step in steps {
             match *step {
                 Step::Pass { tenths } => now += u64::from(tenths) * 100,
-                Step::End { node, content, server } => {
+                Step::Crash { node, content, server } => {
                     let content = content % CONTENTS;
                     let server = u32::from(server % 8);
                     truths[usize::from(content)].servers.insert(server);
                     let node = &mut nodes[usize::from(node) % NODES];
-                    node.note_end(Fingerprint(content.into()), server, Timestamp(now));
+                    node.note_crash(Fingerprint(content.into()), server, Timestamp(now));
                 }
                 Step::Answer { node, content } => {
                     let content = Fingerprint((content % CONTENTS).into());
@@ -188,8 +188,11 @@
 fn check_blame(nodes: &[Quarantine], truths: &[Truth], now: Timestamp) {
     for (content, truth) in truths.iter().enumerate() {
         let content = Fingerprint(content as u64);
-        let is_kept = nodes.iter().any(|node| node.standing(content, now) != Standing::Free);
-        assert!(!is_kept || truth.servers.len() >= ENDS, "{content} is blamed wrongly");
+        let is_quarantined = nodes.iter().any(|node| node.standing(content, now) != Standing::Free);
+        assert!(
+            !is_quarantined || truth.servers.len() >= CRASH_LIMIT,
+            "{content} is blamed wrongly"
+        );
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -35,7 +35,7 @@
     pub board: Arc<Board>,
     /// What the traffic threads do.
     pub loads: LoadBoard,
-    /// Requests that stood at the end of servers.
+    /// Requests that crash servers.
     pub quarantine: QuarantineBoard,
     /// Messages to other nodes and the store.
     pub traffic: ControlTraffic,
--- a/crates/cometmoor-gateway/src/control/quarantine.rs
+++ b/crates/cometmoor-gateway/src/control/quarantine.rs
@@ -1,5 +1,5 @@
-//! Keeps in the store which requests are kept from all servers, so that a fleet whose
-//! nodes all start again does not lose servers to learn it once more.
+//! Keeps in the store which contents are quarantined, so that a fleet whose nodes all
+//! start again does not lose servers to learn it once more.
 //!
 //! The leading node writes, one key with a lease for each content; a process that starts
 //! reads them once. Between running nodes heartbeats are faster, and go on while the store
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cometmoor_core::gateway::quarantine::{Fingerprint, KEPT_FOR};
+use cometmoor_core::gateway::quarantine::{Fingerprint, QUARANTINE_LIFETIME};
 use spdlog::{info, warn};
 
 use super::ControlContext;
@@ -39,16 +39,18 @@
     async fn run(mut self) {
         // A fleet that starts for the first time has written nothing.
         let mut is_read = self.context.settings.fresh_fleet;
+        let mut was_answered = true;
         loop {
             let step = match is_read {
                 false => self.read().await.map(|()| is_read = true),
                 true if self.context.board.fleet.load().leads => self.write().await,
                 true => Ok(()),
             };
-            if let Err(error) = step {
+            if let (Err(error), true) = (&step, was_answered) {
                 let reason = error.to_string();
                 info!("[quarantine] the store does not answer; tried again", kv: { step = "store", reason });
             }
+            was_answered = step.is_ok();
             clock::sleep(LOOK).await;
         }
     }
@@ -66,8 +68,8 @@
 
     async fn write(&mut self) -> Result<(), StoreError> {
         for content in self.context.quarantine.unstored() {
-            let lease = self.context.store.grant_lease(KEPT_FOR).await?;
-            let puts = vec![(format!("{PREFIX}{content}"), b"kept".to_vec(), lease.id)];
+            let lease = self.context.store.grant_lease(QUARANTINE_LIFETIME).await?;
+            let puts = vec![(format!("{PREFIX}{content}"), b"quarantined".to_vec(), lease.id)];
             let commit = Commit { conditions: Vec::new(), puts };
             if let Committed::Done(_) = self.context.store.commit(&commit).await? {
                 self.context.quarantine.note_stored(content);
@@ -79,7 +81,8 @@
 
     async fn end_leases_of_cleared(&mut self) -> Result<(), StoreError> {
         let quarantine = &self.context.quarantine;
-        let cleared = self.leases.iter().filter(|(content, _)| !quarantine.is_kept(**content));
+        let cleared =
+            self.leases.iter().filter(|(content, _)| !quarantine.is_quarantined(**content));
         let cleared: Vec<(Fingerprint, u64)> = cleared.map(|(key, id)| (*key, *id)).collect();
         for (content, lease) in cleared {
             self.context.store.end_lease(lease).await?;
--- a/crates/cometmoor-gateway/src/forward/blame.rs
+++ b/crates/cometmoor-gateway/src/forward/blame.rs
@@ -1,8 +1,8 @@
-//! Which requests were at a server when it ended.
+//! Which requests were at a server when it crashed.
 //!
-//! A connection that breaks has many causes; a server that refuses new ones right after
-//! has ended. Its entry goes 2.6 to 3.4 s later, when three more may have ended under the
-//! request that ended it.
+//! A connection breaks for many reasons; a server that refuses a new one right after has
+//! crashed. Its entry expires 2.6 to 3.4 s later (played day), when three more may have
+//! crashed under the same request.
 
 use std::io;
 use std::rc::Rc;
@@ -20,18 +20,17 @@
 use crate::quarantine::QuarantineBoard;
 use crate::servers::{BrokenRequest, Server};
 
-/// Looks whether a server has ended, where connecting takes too long.
-const LOOKS: u32 = 3;
+/// Connections that are tried to a server which neither takes nor refuses them in time.
+const PROBES: u32 = 3;
 /// Pause between two of them.
-const LOOK_PAUSE: Duration = Duration::from_millis(100);
-
-/// Longest wait of a request that is to be sent again; an address that refuses connections
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait of a request that is to be retried; an address that refuses connections
 /// does so within a millisecond.
-const INQUIRY_WAIT: Duration = Duration::from_millis(50);
+const LIVENESS_WAIT: Duration = Duration::from_millis(50);
 
 impl Forward<'_> {
     /// Notes that the connection to a server ended before its answer did, and finds out
-    /// whether the server has ended. One that leaves is expected to end.
+    /// whether the server has crashed. One that is draining is expected to end.
     pub(super) fn note_broken(&self, server: &Rc<Server>, error: &io::Error) {
         if !is_end_of_connection(error) || !server.takes_work() {
             return;
@@ -39,23 +38,23 @@
         let request = BrokenRequest { content: self.content, request: self.facts.id.clone() };
         let is_first = server.note_broken(request);
         if is_first {
-            let inquiry = Inquiry {
+            let check = LivenessCheck {
                 server: server.clone(),
                 quarantine: self.traffic.quarantine.clone(),
                 board: self.traffic.board.clone(),
                 metrics: self.traffic.metrics.clone(),
             };
-            actix_rt::spawn(inquiry.run());
+            actix_rt::spawn(check.run());
         }
     }
 
-    /// Waits a moment until it is known whether the server has ended under the request:
-    /// sent again before, it could end the next one without having been blamed.
-    pub(super) async fn wait_for_inquiry(&self, server: &Server) {
-        let _ = clock::timeout(INQUIRY_WAIT, server.inquired()).await;
+    /// Waits a moment until it is known whether the server has crashed under the request:
+    /// retried before, it could crash the next one without having been blamed.
+    pub(super) async fn wait_for_liveness(&self, server: &Server) {
+        let _ = clock::timeout(LIVENESS_WAIT, server.liveness_known()).await;
     }
 
-    /// Notes that a server has answered the request well, to the end that it had announced.
+    /// Notes that a server has answered the request, to the end that it had announced.
     pub(super) fn note_answered_well(&self) {
         self.traffic.quarantine.note_answer(self.content);
     }
@@ -66,31 +65,30 @@
     matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | UnexpectedEof)
 }
 
-/// Finds out whether a server has ended under the requests that broke there.
-struct Inquiry {
+/// Finds out whether a server has crashed under the requests that broke there.
+struct LivenessCheck {
     server: Rc<Server>,
     quarantine: QuarantineBoard,
     board: Arc<Board>,
     metrics: Arc<Metrics>,
 }
 
-impl Inquiry {
+impl LivenessCheck {
     async fn run(self) {
-        let has_ended = self.has_ended().await;
-        if has_ended {
-            self.metrics.servers_ended.inc();
+        if self.has_crashed().await {
+            self.metrics.server_crashes.inc();
             self.server.broken().iter().for_each(|request| self.blame(request));
             self.board.heartbeat_wanted.notify_one();
         }
         self.server.forget_broken();
     }
 
-    async fn has_ended(&self) -> bool {
-        for _ in 0..LOOKS {
+    async fn has_crashed(&self) -> bool {
+        for _ in 0..PROBES {
             match self.server.pool.probe().await {
                 Ok(()) => return false,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
-                Err(_) => clock::sleep(LOOK_PAUSE).await,
+                Err(_) => clock::sleep(PROBE_PAUSE).await,
             }
         }
         false
@@ -99,15 +97,15 @@
     fn blame(&self, broken: &BrokenRequest) {
         let incarnation = &*self.server.record().incarnation;
         let (request, content) = (&*broken.request, broken.content.to_string());
-        match self.quarantine.note_end(broken.content, server_key(incarnation)) {
+        match self.quarantine.note_crash(broken.content, server_key(incarnation)) {
             Verdict::Cleared => {
-                info!("[quarantine] a server ended beside a request that others answer", kv: { request, content, server = incarnation });
+                info!("[quarantine] a server crashed beside a request that others answer", kv: { request, content, server = incarnation });
             }
-            Verdict::Suspect(ends) => {
-                warn!("[quarantine] a server ended while a request was there", kv: { request, content, server = incarnation, ends });
+            Verdict::Suspect(crashes) => {
+                warn!("[quarantine] a server crashed while a request was there", kv: { request, content, server = incarnation, crashes });
             }
-            Verdict::Kept => {
-                warn!("[quarantine] a request is kept from all servers", kv: { request, content, server = incarnation, source = "own" });
+            Verdict::Quarantined => {
+                warn!("[quarantine] no server gets a request from now on", kv: { request, content, server = incarnation, source = "own" });
             }
         }
     }
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -171,8 +171,8 @@
                 }
                 continue;
             }
-            if let Standing::Kept(left) = self.traffic.quarantine.standing(self.content) {
-                return self.no_server(kept_error, &stream, Refusal::EndsServers, left).await;
+            if let Standing::Quarantined(left) = self.traffic.quarantine.standing(self.content) {
+                return self.no_server(kept_error, &stream, Refusal::Quarantined, left).await;
             }
             let server = match self.wait_for_server(service, &tried, &stream).await {
                 Found::Server { server, .. } => server,
@@ -244,10 +244,10 @@
             return false;
         }
         if matches!(failure, Failure::Broken | Failure::StreamBroken) {
-            self.wait_for_inquiry(server).await;
+            self.wait_for_liveness(server).await;
         }
-        let is_kept = self.traffic.quarantine.is_kept(self.content);
-        let allowed = !is_kept && self.traffic.may_repeat(service);
+        let is_quarantined = self.traffic.quarantine.is_quarantined(self.content);
+        let allowed = !is_quarantined && self.traffic.may_repeat(service);
         if allowed {
             self.traffic.metrics.repeats.inc();
         }
@@ -300,7 +300,7 @@
     async fn refuse(&self, refusal: Refusal, come_back: Duration) -> Finish {
         let after = match refusal {
             // Earlier, it would be refused again.
-            Refusal::EndsServers => come_back,
+            Refusal::Quarantined => come_back,
             _ => come_back_in(come_back, self.client_time_left()),
         };
         self.log_refused(refusal.name(), after);
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -31,8 +31,8 @@
     ServerRefused,
     /// Its time was over before a server was found.
     OutOfTime,
-    /// Several servers ended while it was there.
-    EndsServers,
+    /// Several servers crashed while it was there.
+    Quarantined,
 }
 
 impl Refusal {
@@ -45,7 +45,7 @@
             Refusal::TooBusy => "every server would answer too late",
             Refusal::ServerRefused => "the server refused it",
             Refusal::OutOfTime => "the time was over",
-            Refusal::EndsServers => "servers have ended under it",
+            Refusal::Quarantined => "servers have crashed under it",
         }
     }
 }
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -63,8 +63,8 @@
             }
         };
         // Both may have changed while a connection was awaited.
-        let is_kept = self.traffic.quarantine.is_kept(self.content);
-        if !server.takes_work() || is_kept {
+        let is_quarantined = self.traffic.quarantine.is_quarantined(self.content);
+        if !server.takes_work() || is_quarantined {
             return Sent::Unreachable;
         }
         let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.incarnation);
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -28,7 +28,7 @@
     pub board: Arc<Board>,
     /// What this node does.
     pub loads: LoadBoard,
-    /// Requests that stood at the end of servers.
+    /// Requests that crash servers.
     pub quarantine: QuarantineBoard,
     /// The servers.
     pub servers: RefCell<ServerTable>,
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -115,7 +115,7 @@
     pub demand: Vec<(ModelKey, ModelDemand)>,
     /// Models and adapters that its requests wait for now.
     pub waited_for: Vec<ModelKey>,
-    /// Requests that stood at the end of servers, where that has changed lately.
+    /// Contents that were present at crashes of servers, where that has changed lately.
     pub suspects: Vec<SuspectReport>,
     /// What it tells of the servers' models while it orders them.
     pub placement: Option<Placement>,
@@ -204,7 +204,7 @@
     pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// The newest that was heard of the node that orders the servers.
     pub placement: Option<ToldPlacement>,
-    /// Requests that stood at the end of servers, where that has changed lately.
+    /// Contents that were present at crashes of servers, where that has changed lately.
     pub suspects: Vec<SuspectReport>,
 }
 
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -51,9 +51,9 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Sends to servers beyond the first of a request.
     pub repeats: Counter,
-    /// Servers that ended while requests of this node were there.
-    pub servers_ended: Counter,
-    /// Requests that stood at the end of servers, by what is held of them.
+    /// Servers that crashed while requests of this node were there.
+    pub server_crashes: Counter,
+    /// Contents that were present at crashes, by state: quarantined or suspect.
     pub quarantine: Family<StateLabels, Gauge>,
     /// Runs that were stopped to go on at another server, by what came of it.
     pub run_moves: Family<StateLabels, Counter>,
@@ -98,7 +98,7 @@
             registry: Registry::with_prefix("cometmoor"),
             requests: Family::default(),
             repeats: Counter::default(),
-            servers_ended: Counter::default(),
+            server_crashes: Counter::default(),
             quarantine: Family::default(),
             run_moves: Family::default(),
             queue: histogram(),
@@ -128,10 +128,10 @@
         registry.register("requests", "Requests by how they ended", self.requests.clone());
         registry.register("repeats", "Sends beyond a request's first", self.repeats.clone());
         registry.register("run_moves", "Runs moved to other servers", self.run_moves.clone());
-        let ended = self.servers_ended.clone();
-        registry.register("servers_ended", "Servers that ended under requests", ended);
+        let crashes = self.server_crashes.clone();
+        registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
-        registry.register("quarantine", "Contents that stood at the end of servers", quarantine);
+        registry.register("quarantine", "Contents that were present at crashes", quarantine);
         let times = [
             ("queue_seconds", "Time in the queue for a server", &self.queue),
             ("connect_seconds", "Time to get a connection to a server", &self.connect),
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -142,7 +142,7 @@
         &self.board
     }
 
-    /// What the node knows of requests that stood at the end of servers.
+    /// What the node knows of requests that crash servers.
     pub fn quarantine(&self) -> &QuarantineBoard {
         &self.quarantine
     }
@@ -268,9 +268,9 @@
         let state = |state| metrics.servers.get_or_create(&StateLabels { state });
         state("draining").set(draining as i64);
         state("ready").set((fleet.servers.len() - draining) as i64);
-        let (kept, suspects) = quarantine.counts();
+        let (quarantined, suspects) = quarantine.counts();
         let contents = |state| metrics.quarantine.get_or_create(&StateLabels { state });
-        contents("kept").set(kept as i64);
+        contents("quarantined").set(quarantined as i64);
         contents("suspect").set(suspects as i64);
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/cometmoor-gateway/src/quarantine.rs
+++ b/crates/cometmoor-gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! The requests that stood at the end of servers, shared by the node's threads.
+//! The node's quarantine of requests that crash servers, shared by its threads.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -10,7 +10,7 @@
 
 use crate::clock;
 
-/// Shared by the traffic thread, which sees servers end, and the control thread, which
+/// Shared by the traffic thread, which sees servers crash, and the control thread, which
 /// hears of it from other nodes and from the store.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineBoard {
@@ -28,8 +28,8 @@
         self.with(|quarantine, now| quarantine.standing(content, now))
     }
 
-    /// Whether a request is kept from all servers.
-    pub fn is_kept(&self, content: Fingerprint) -> bool {
+    /// Whether no server may get a request.
+    pub fn is_quarantined(&self, content: Fingerprint) -> bool {
         self.standing(content) != Standing::Free
     }
 
@@ -41,9 +41,9 @@
         }
     }
 
-    /// Notes that a server ended while a request was there.
-    pub fn note_end(&self, content: Fingerprint, server: IncarnationKey) -> Verdict {
-        self.with(|quarantine, now| quarantine.note_end(content, server, now))
+    /// Notes that a server crashed while a request was there.
+    pub fn note_crash(&self, content: Fingerprint, server: IncarnationKey) -> Verdict {
+        self.with(|quarantine, now| quarantine.note_crash(content, server, now))
     }
 
     /// Takes what another node reports.
@@ -53,7 +53,7 @@
         }
         for content in self.with(|quarantine, now| quarantine.merge(reports, now)) {
             let content = content.to_string();
-            warn!("[quarantine] a request is kept from all servers", kv: { content, source = "peer", peer });
+            warn!("[quarantine] no server gets a request from now on", kv: { content, source = "peer", peer });
         }
     }
 
@@ -62,29 +62,29 @@
         self.with(Quarantine::next_reports)
     }
 
-    /// Reports everything again, because a node has come.
+    /// Reports again what a node lacks that has come.
     pub fn report_again(&self) {
         self.with(|quarantine, _| quarantine.report_again());
     }
 
-    /// Takes content that the store holds as kept from all servers.
+    /// Takes content that the store holds as quarantined.
     pub fn restore(&self, content: Fingerprint) {
         self.with(|quarantine, now| quarantine.restore(content, now));
         let content = content.to_string();
-        warn!("[quarantine] a request is kept from all servers", kv: { content, source = "store" });
+        warn!("[quarantine] no server gets a request from now on", kv: { content, source = "store" });
     }
 
-    /// Content that is kept from all servers and that the store does not hold yet.
+    /// Contents that are quarantined, which the store does not hold yet.
     pub fn unstored(&self) -> Vec<Fingerprint> {
         self.with(|quarantine, now| quarantine.unstored(now))
     }
 
-    /// Notes that the store holds that a content is kept.
+    /// Notes that the store holds the quarantine of content.
     pub fn note_stored(&self, content: Fingerprint) {
         self.with(|quarantine, _| quarantine.note_stored(content));
     }
 
-    /// Records: of content that is kept from all servers, and of all others.
+    /// Records: of contents that are quarantined, and of all others.
     pub fn counts(&self) -> (usize, usize) {
         self.with(|quarantine, now| quarantine.counts(now))
     }
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -89,7 +89,7 @@
     missing: RefCell<HashMap<ModelKey, Missing>>,
     /// Requests that broke while it is not known whether the server has ended.
     broken: RefCell<Vec<BrokenRequest>>,
-    inquired: Notify,
+    liveness_known: Notify,
 }
 
 impl Server {
@@ -107,7 +107,7 @@
             failure_noted: Cell::new(clock::now()),
             missing: RefCell::new(HashMap::new()),
             broken: RefCell::new(Vec::new()),
-            inquired: Notify::new(),
+            liveness_known: Notify::new(),
         }
     }
 
@@ -175,13 +175,13 @@
     /// Forgets the requests that broke: it is known whether the server has ended.
     pub fn forget_broken(&self) {
         self.broken.borrow_mut().clear();
-        self.inquired.notify_waiters();
+        self.liveness_known.notify_waiters();
     }
 
     /// Waits until it is known whether the server has ended under requests that broke.
-    pub async fn inquired(&self) {
+    pub async fn liveness_known(&self) {
         while !self.broken.borrow().is_empty() {
-            self.inquired.notified().await;
+            self.liveness_known.notified().await;
         }
     }
 
--- a/crates/cometmoor-gateway/tests/quarantine.rs
+++ b/crates/cometmoor-gateway/tests/quarantine.rs
@@ -1,27 +1,27 @@
-//! A request that ends every server that runs it, in fleets of up to a thousand nodes:
-//! what still reaches servers after the third has ended under it, and what is blamed of
+//! A request that crashes every server that runs it, in fleets of up to a thousand nodes:
+//! what still reaches servers after the third has crashed under it, and what is blamed of
 //! the requests that ran beside it. Figures of a run are printed with `--nocapture`.
 
 mod world;
 
 use std::net::SocketAddrV4;
 
-use cometmoor_core::gateway::quarantine::{ENDS, Fingerprint, Standing};
+use cometmoor_core::gateway::quarantine::{CRASH_LIMIT, Fingerprint, Standing};
 use cometmoor_core::time::Timestamp;
 
 use world::{Link, World};
 
-/// The request that ends its servers.
+/// The request that crashes its servers.
 const DEADLY: Fingerprint = Fingerprint(u64::MAX);
 /// A link of 20 Mbit/s, and as many bytes as the port of a small switch holds.
 const LINK: Link = Link { bytes_a_turn: 125_000, queue: 128 * 1024 };
 /// Turns between two heartbeats up to 400 nodes.
 const TURNS_OF_HEARTBEAT: u64 = 4;
-/// Time for which nodes must have heard of the third end, in milliseconds.
+/// Time for which nodes must have heard of the third crash, in milliseconds.
 const CONTACT_MILLIS: u64 = 3_000;
-/// Time for which the deadly request comes after the third end.
+/// Time for which the deadly request comes after the third crash.
 const WATCHED_MILLIS: u64 = 6_000;
-/// Requests that stand beside it where a server ends.
+/// Requests that run beside it where a server crashes.
 const BESIDE: u64 = 20;
 /// Time after which a caller that was cut comes again, once.
 const RETURNS_AFTER: u64 = 500;
@@ -31,15 +31,15 @@
 /// What was counted in one fleet.
 #[derive(Debug, Default, PartialEq)]
 struct Figures {
-    /// Servers that ended before the request was kept anywhere.
-    ended_first: u64,
-    /// Sends after the third end, while nodes heard of it.
+    /// Servers that crashed before the request was quarantined anywhere.
+    crashed_first: u64,
+    /// Sends after the third crash, while nodes heard of it.
     sent_soon: u64,
     /// Sends later than the time by which nodes must have heard.
     sent_late: u64,
-    /// Sound requests that stood at an end.
+    /// Sound requests that were present at a crash.
     beside: u64,
-    /// Of those, how many stood at two ends.
+    /// Of those, how many were present at two.
     beside_twice: u64,
     /// Of those, how many were refused.
     refused: u64,
@@ -54,7 +54,7 @@
 struct Play {
     world: World,
     servers: u64,
-    ended: u64,
+    crashed: u64,
     third: Option<u64>,
     next_content: u64,
     cut: Vec<Cut>,
@@ -73,7 +73,7 @@
         Play {
             world,
             servers,
-            ended: 0,
+            crashed: 0,
             third: None,
             next_content: 0,
             cut: Vec::new(),
@@ -99,22 +99,22 @@
             return;
         }
         match self.third {
-            None => self.figures.ended_first += 1,
+            None => self.figures.crashed_first += 1,
             Some(third) if self.world.now - third <= CONTACT_MILLIS => self.figures.sent_soon += 1,
             Some(_) => self.figures.sent_late += 1,
         }
         let place = self.world.draw(self.servers);
-        self.server_ends(node, place);
-        if self.ended == ENDS as u64 {
+        self.server_crashes(node, place);
+        if self.crashed == CRASH_LIMIT as u64 {
             self.third = Some(self.world.now);
         }
     }
 
-    /// A server ends while the deadly request, others that are new and those that run for
+    /// A server crashes while the deadly request, others that are new and those that run for
     /// the second time are there. Each node blames what it sent.
-    fn server_ends(&mut self, node: SocketAddrV4, place: u64) {
-        self.ended += 1;
-        let incarnation = self.ended as u32;
+    fn server_crashes(&mut self, node: SocketAddrV4, place: u64) {
+        self.crashed += 1;
+        let incarnation = self.crashed as u32;
         let now = self.world.now;
         self.blame(node, DEADLY, incarnation);
         for _ in 0..BESIDE {
@@ -139,10 +139,10 @@
     fn blame(&mut self, node: SocketAddrV4, content: Fingerprint, incarnation: u32) {
         let now = Timestamp(self.world.now);
         let node = self.world.nodes.get_mut(&node).unwrap();
-        node.quarantine.note_end(content, incarnation, now);
+        node.quarantine.note_crash(content, incarnation, now);
     }
 
-    /// Those that were cut come again, and are answered unless their server ends.
+    /// Those that were cut come again, and are answered unless their server crashes.
     fn cut_ones_return(&mut self) {
         let now = self.world.now;
         let cut = std::mem::take(&mut self.cut);
@@ -191,8 +191,8 @@
 }
 
 /// Where a request came again each second, at any of six nodes, six more of twelve servers
-/// ended under it later than three seconds after the third. Each node has to hear of an
-/// end that another saw before the request comes there.
+/// crashed under it later than three seconds after the third. Each node has to hear of a
+/// crash that another saw before the request comes there.
 #[test]
 fn no_server_gets_the_request_when_nodes_must_have_heard_of_the_third_end() {
     for (nodes, servers) in [(6, 12), (9, 18), (30, 60), (100, 120)] {
@@ -204,19 +204,19 @@
     }
 }
 
-/// One that comes again each second ends three servers and no fourth, at any size.
+/// One that comes again each second crashes three servers and no fourth, at any size.
 #[test]
-fn a_request_that_comes_every_second_ends_three_servers() {
+fn a_request_that_comes_every_second_crashes_three_servers() {
     for (nodes, servers) in [(6, 12), (30, 60), (300, 240)] {
         let figures = play(nodes, servers, 1_000);
-        assert_eq!((figures.ended_first, figures.sent_soon), (3, 0), "{nodes} nodes");
+        assert_eq!((figures.crashed_first, figures.sent_soon), (3, 0), "{nodes} nodes");
     }
 }
 
-/// A node that starts again knows nothing. Others report to it what is kept, also when
+/// A node that starts again knows nothing. Others report to it what is quarantined, also when
 /// that has not changed for long.
 #[test]
-fn a_node_that_starts_again_is_told_what_is_kept() {
+fn a_node_that_starts_again_is_told_what_is_quarantined() {
     for nodes in [6, 100] {
         let mut play = Play::new(nodes, 12, 11);
         while play.third.is_none() {
