A probed server must still hold the connection 30 ms later; a node cut off reads verdicts

Cause: beside busy processes a test waited for a verdict for ever, once. Traced: the listener of a crashing server took the node's probe after its other connections were reset, so it passed for alive.

Also: a node that hears less than half of the others reads the store's verdicts after each crash that it sees, and the node that saw the last crash writes: each of several nodes that are cut off would lose three servers. Ruled out: reading each second while cut off (20 calls of each survivor after most nodes were killed).

--- a/crates/cometmoor-core/src/gateway/quarantine.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine.rs
@@ -103,6 +103,8 @@
     /// The crash from which its quarantine counts.
     quarantined: Option<Timestamp>,
     cleared: Option<Timestamp>,
+    /// Whether a crash that this node saw led to its quarantine.
+    is_own: bool,
     /// Whether the store holds its quarantine.
     is_stored: bool,
     /// Messages that are yet to carry the record.
@@ -183,6 +185,8 @@
     answered: HashMap<Fingerprint, Timestamp>,
     /// The same answers in order.
     answers: VecDeque<(Fingerprint, Timestamp)>,
+    /// When a suspect was last blamed for a crash that this node saw.
+    last_blamed: Option<Timestamp>,
 }
 
 impl Quarantine {
@@ -216,7 +220,10 @@
             record.report_soon();
         }
         record.judge();
-        record.verdict(now)
+        record.is_own |= record.quarantined.is_some();
+        let verdict = record.verdict(now);
+        self.last_blamed = Some(now);
+        verdict
     }
 
     /// Notes that a server has answered content well; tells whether that cleared a
@@ -286,19 +293,27 @@
         record.is_quarantined(now) && !was_quarantined
     }
 
-    /// Takes content that the store holds as quarantined.
-    pub fn restore(&mut self, content: Fingerprint, now: Timestamp) {
+    /// Takes content that the store holds as quarantined; tells whether that is new.
+    pub fn restore(&mut self, content: Fingerprint, now: Timestamp) -> bool {
         let record = self.record(content, now);
-        if record.cleared.is_none() {
-            record.quarantined = record.quarantined.max(Some(now));
-            record.is_stored = true;
+        if record.cleared.is_some() {
+            return false;
+        }
+        record.is_stored = true;
+        let is_new = !record.is_quarantined(now);
+        if is_new {
+            record.quarantined = Some(now);
             record.report_soon();
         }
+        is_new
     }
 
-    /// Contents that are quarantined, which the store does not hold yet.
-    pub fn unstored(&self, now: Timestamp) -> Vec<Fingerprint> {
-        let is_unstored = |record: &Record| record.is_quarantined(now) && !record.is_stored;
+    /// Contents that are quarantined, which the store does not hold yet: those by a crash
+    /// that this node saw, and all others where it writes for the fleet.
+    pub fn unstored(&self, for_fleet: bool, now: Timestamp) -> Vec<Fingerprint> {
+        let is_unstored = |record: &Record| {
+            record.is_quarantined(now) && !record.is_stored && (for_fleet || record.is_own)
+        };
         let unstored = self.records.iter().filter(|(_, record)| is_unstored(record));
         unstored.map(|(content, _)| *content).collect()
     }
@@ -336,6 +351,11 @@
         self.records.values_mut().filter(is_wanted).for_each(Record::report_soon);
     }
 
+    /// When content was last blamed for a crash that this node saw.
+    pub fn last_blamed(&self) -> Option<Timestamp> {
+        self.last_blamed
+    }
+
     /// Records: of contents that are quarantined, and of all others.
     pub fn counts(&self, now: Timestamp) -> (usize, usize) {
         let records = self.records.values();
--- a/crates/cometmoor-core/tests/gateway_quarantine.rs
+++ b/crates/cometmoor-core/tests/gateway_quarantine.rs
@@ -90,14 +90,18 @@
 #[test]
 fn what_the_store_holds_is_quarantined_and_reported() {
     let mut quarantine = Quarantine::default();
-    quarantine.restore(DEADLY, second(0));
-    assert!(quarantine.unstored(second(0)).is_empty());
+    assert!(quarantine.restore(DEADLY, second(0)));
+    assert!(!quarantine.restore(DEADLY, second(0)), "it is known");
+    assert!(quarantine.unstored(true, second(0)).is_empty());
     assert_ne!(quarantine.standing(DEADLY, second(1)), Standing::Free);
     let mut other = Quarantine::default();
     assert_eq!(other.merge(&quarantine.next_reports(second(1)), second(1)), vec![DEADLY]);
-    assert_eq!(other.unstored(second(1)), vec![DEADLY]);
+    assert_eq!(other.unstored(true, second(1)), vec![DEADLY]);
+    assert!(other.unstored(false, second(1)).is_empty(), "others saw the crashes");
+    other.note_crash(DEADLY, 9, second(1));
+    assert_eq!(other.unstored(false, second(1)), vec![DEADLY]);
     other.note_stored(DEADLY);
-    assert!(other.unstored(second(1)).is_empty());
+    assert!(other.unstored(true, second(1)).is_empty());
 }
 
 #[test]
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -200,6 +200,7 @@
             leader_heard: self.leader_heard,
             stop: self.stop,
             nodes_seen: self.peers.sharing(now) + 1,
+            nodes_heard: self.peers.members().len() + 1,
         };
         self.context.board.fleet.store(Arc::new(published));
     }
--- a/crates/cometmoor-gateway/src/control/quarantine.rs
+++ b/crates/cometmoor-gateway/src/control/quarantine.rs
@@ -1,15 +1,18 @@
 //! Keeps in the store which contents are quarantined, so that a fleet whose nodes all
 //! start again does not lose servers to learn it once more.
 //!
-//! The leading node writes, one key with a lease for each content; a process that starts
-//! reads them once. Between running nodes heartbeats are faster, and go on while the store
-//! is away.
+//! The node that saw the last crash writes, or the leading node, one key with a lease for
+//! each content. A process that starts reads them once, and a node that has lost sight of
+//! most others reads them after each crash that it sees: else each of several that are cut
+//! off would lose three servers. Between other nodes heartbeats are faster, and go on while
+//! the store is away.
 
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cometmoor_core::gateway::quarantine::{Fingerprint, QUARANTINE_LIFETIME};
+use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 
 use super::ControlContext;
@@ -38,13 +41,13 @@
 impl Keeper {
     async fn run(mut self) {
         // A fleet that starts for the first time has written nothing.
-        let mut is_read = self.context.settings.fresh_fleet;
+        let mut last_read = self.context.settings.fresh_fleet.then(clock::timestamp);
         let mut was_answered = true;
         loop {
-            let step = match is_read {
-                false => self.read().await.map(|()| is_read = true),
-                true if self.context.board.fleet.load().leads => self.write().await,
-                true => Ok(()),
+            let now = clock::timestamp();
+            let step = match last_read.is_none_or(|read| self.lacks_verdicts(read)) {
+                true => self.read().await.map(|()| last_read = Some(now)),
+                false => self.write().await,
             };
             if let (Err(error), true) = (&step, was_answered) {
                 let reason = error.to_string();
@@ -55,6 +58,14 @@
         }
     }
 
+    /// Whether this node has seen a crash since it last read, and hears less than half of
+    /// the nodes that were there lately.
+    fn lacks_verdicts(&self, last_read: Timestamp) -> bool {
+        let fleet = self.context.board.fleet.load();
+        let is_cut_off = fleet.nodes_seen <= 1 || 2 * fleet.nodes_heard < fleet.nodes_seen;
+        is_cut_off && self.context.quarantine.last_blamed() > Some(last_read)
+    }
+
     async fn read(&self) -> Result<(), StoreError> {
         let stored = self.context.store.read(PREFIX).await?;
         for key in stored.items.keys() {
@@ -67,7 +78,8 @@
     }
 
     async fn write(&mut self) -> Result<(), StoreError> {
-        for content in self.context.quarantine.unstored() {
+        let leads = self.context.board.fleet.load().leads;
+        for content in self.context.quarantine.unstored(leads) {
             let lease = self.context.store.grant_lease(QUARANTINE_LIFETIME).await?;
             let puts = vec![(format!("{PREFIX}{content}"), b"quarantined".to_vec(), lease.id)];
             let commit = Commit { conditions: Vec::new(), puts };
--- a/crates/cometmoor-gateway/src/forward/blame.rs
+++ b/crates/cometmoor-gateway/src/forward/blame.rs
@@ -24,6 +24,9 @@
 const PROBES: u32 = 3;
 /// Pause between two of them.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which a new connection must still be open: a process that crashes may take
+/// one while its sockets are closed one after the other.
+const PROBE_RESTS: Duration = Duration::from_millis(30);
 /// Longest wait of a request that is to be retried; an address that refuses connections
 /// does so within a millisecond.
 const LIVENESS_WAIT: Duration = Duration::from_millis(50);
@@ -51,7 +54,7 @@
     /// Waits a moment until it is known whether the server has crashed under the request:
     /// retried before, it could crash the next one without having been blamed.
     pub(super) async fn wait_for_liveness(&self, server: &Server) {
-        let _ = clock::timeout(LIVENESS_WAIT, server.liveness_known()).await;
+        let _ = clock::timeout(LIVENESS_WAIT, server.probed()).await;
     }
 
     /// Notes that a server has answered the request, to the end that it had announced.
@@ -75,18 +78,26 @@
 
 impl LivenessCheck {
     async fn run(self) {
-        if self.has_crashed().await {
+        let has_crashed = self.has_crashed().await;
+        let broken = self.server.take_broken();
+        if has_crashed {
             self.metrics.server_crashes.inc();
-            self.server.broken().iter().for_each(|request| self.blame(request));
+            broken.iter().for_each(|request| self.blame(request));
             self.board.heartbeat_wanted.notify_one();
         }
-        self.server.forget_broken();
+        self.server.note_probed();
     }
 
     async fn has_crashed(&self) -> bool {
         for _ in 0..PROBES {
             match self.server.pool.probe().await {
-                Ok(()) => return false,
+                Ok(stream) => {
+                    self.server.note_probed();
+                    clock::sleep(PROBE_RESTS).await;
+                    if self.server.pool.keep(stream) {
+                        return false;
+                    }
+                }
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
                 Err(_) => clock::sleep(PROBE_PAUSE).await,
             }
--- a/crates/cometmoor-gateway/src/pool.rs
+++ b/crates/cometmoor-gateway/src/pool.rs
@@ -55,11 +55,18 @@
         Ok(Lent { stream, reused: false })
     }
 
-    /// Opens a connection, which rests then for the next request.
-    pub async fn probe(&self) -> io::Result<()> {
-        let stream = connect(self.address, CONNECT_TIMEOUT).await?;
-        self.give_back(stream, None);
-        Ok(())
+    /// Opens a connection whatever rests.
+    pub async fn probe(&self) -> io::Result<TcpStream> {
+        connect(self.address, CONNECT_TIMEOUT).await
+    }
+
+    /// Keeps a connection for the next request if it is still open; tells whether it is.
+    pub fn keep(&self, stream: TcpStream) -> bool {
+        let is_open = is_quiet(&stream);
+        if is_open {
+            self.give_back(stream, None);
+        }
+        is_open
     }
 
     /// Whether a connection rests.
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -79,6 +79,8 @@
     pub stop: Option<StopTimes>,
     /// Most nodes that were seen lately, for shares of a common budget.
     pub nodes_seen: usize,
+    /// Nodes that are there now, this one included.
+    pub nodes_heard: usize,
 }
 
 impl Published {
--- a/crates/cometmoor-gateway/src/quarantine.rs
+++ b/crates/cometmoor-gateway/src/quarantine.rs
@@ -69,14 +69,17 @@
 
     /// Takes content that the store holds as quarantined.
     pub fn restore(&self, content: Fingerprint) {
-        self.with(|quarantine, now| quarantine.restore(content, now));
+        if !self.with(|quarantine, now| quarantine.restore(content, now)) {
+            return;
+        }
         let content = content.to_string();
         warn!("[quarantine] no server gets a request from now on", kv: { content, source = "store" });
     }
 
-    /// Contents that are quarantined, which the store does not hold yet.
-    pub fn unstored(&self) -> Vec<Fingerprint> {
-        self.with(|quarantine, now| quarantine.unstored(now))
+    /// Contents that are quarantined, which the store does not hold yet: those by a crash
+    /// that this node saw, and all others where it writes for the fleet.
+    pub fn unstored(&self, for_fleet: bool) -> Vec<Fingerprint> {
+        self.with(|quarantine, now| quarantine.unstored(for_fleet, now))
     }
 
     /// Notes that the store holds the quarantine of content.
@@ -84,6 +87,11 @@
         self.with(|quarantine, _| quarantine.note_stored(content));
     }
 
+    /// When content was last blamed for a crash that this node saw.
+    pub fn last_blamed(&self) -> Option<Timestamp> {
+        self.with(|quarantine, _| quarantine.last_blamed())
+    }
+
     /// Records: of contents that are quarantined, and of all others.
     pub fn counts(&self) -> (usize, usize) {
         self.with(|quarantine, now| quarantine.counts(now))
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -89,7 +89,9 @@
     missing: RefCell<HashMap<ModelKey, Missing>>,
     /// Requests that broke while it is not known whether the server has ended.
     broken: RefCell<Vec<BrokenRequest>>,
-    liveness_known: Notify,
+    /// Whether a probe has been answered since the first of them.
+    is_probed: Cell<bool>,
+    probed: Notify,
 }
 
 impl Server {
@@ -107,7 +109,8 @@
             failure_noted: Cell::new(clock::now()),
             missing: RefCell::new(HashMap::new()),
             broken: RefCell::new(Vec::new()),
-            liveness_known: Notify::new(),
+            is_probed: Cell::new(true),
+            probed: Notify::new(),
         }
     }
 
@@ -164,24 +167,29 @@
     pub fn note_broken(&self, request: BrokenRequest) -> bool {
         let mut broken = self.broken.borrow_mut();
         broken.push(request);
-        broken.len() == 1
+        let is_first = broken.len() == 1;
+        if is_first {
+            self.is_probed.set(false);
+        }
+        is_first
     }
 
-    /// The requests that broke.
-    pub fn broken(&self) -> Vec<BrokenRequest> {
-        self.broken.borrow().clone()
+    /// Takes the requests that broke.
+    pub fn take_broken(&self) -> Vec<BrokenRequest> {
+        self.broken.take()
     }
 
-    /// Forgets the requests that broke: it is known whether the server has ended.
-    pub fn forget_broken(&self) {
-        self.broken.borrow_mut().clear();
-        self.liveness_known.notify_waiters();
+    /// Notes that a probe has told whether the server takes connections.
+    pub fn note_probed(&self) {
+        self.is_probed.set(true);
+        self.probed.notify_waiters();
     }
 
-    /// Waits until it is known whether the server has ended under requests that broke.
-    pub async fn liveness_known(&self) {
-        while !self.broken.borrow().is_empty() {
-            self.liveness_known.notified().await;
+    /// Waits until a probe has told whether the server takes connections, where requests
+    /// broke there.
+    pub async fn probed(&self) {
+        while !self.is_probed.get() {
+            self.probed.notified().await;
         }
     }
 
