Crashes of more than twenty minutes ago count no more against content

Cause: found in reading: old records went only where there were too many, so content that was unlucky three times in a week would have been refused. Test: two crashes, forty minutes, one more: a suspect of one.

--- a/crates/cometmoor-core/src/gateway/quarantine.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine.rs
@@ -125,6 +125,14 @@
         lately(self.last_crash(), REMEMBERED_FOR) || lately(self.cleared, CLEARED_FOR)
     }
 
+    /// Drops crashes that are too long ago to be of one cause.
+    fn forget_old(&mut self, now: Timestamp) {
+        let is_old = |at: Timestamp| now.since(at) >= REMEMBERED_FOR;
+        self.crashes.retain(|(_, at)| !is_old(*at));
+        self.quarantined = self.quarantined.filter(|since| !is_old(*since));
+        self.is_stored &= self.quarantined.is_some();
+    }
+
     /// Adds the crash of a server; tells whether it was new.
     fn add_crash(&mut self, server: IncarnationKey, at: Timestamp) -> bool {
         let is_known = self.crashes.iter().any(|(known, _)| *known == server);
@@ -371,7 +379,9 @@
                 self.drop_least_suspect();
             }
         }
-        self.records.entry(content).or_default()
+        let record = self.records.entry(content).or_default();
+        record.forget_old(now);
+        record
     }
 
     fn drop_least_suspect(&mut self) {
--- a/crates/cometmoor-core/tests/gateway_quarantine.rs
+++ b/crates/cometmoor-core/tests/gateway_quarantine.rs
@@ -87,6 +87,14 @@
     assert_eq!(quarantine.note_crash(DEADLY, 30, later), Verdict::Quarantined);
 }
 
+#[test]
+fn crashes_that_are_long_ago_are_forgotten() {
+    let mut quarantine = Quarantine::default();
+    crashed_under(&mut quarantine, SOUND, 2);
+    let later = second(0) + 2 * QUARANTINE_LIFETIME;
+    assert_eq!(quarantine.note_crash(SOUND, 30, later), Verdict::Suspect(1));
+}
+
 #[test]
 fn what_the_store_holds_is_quarantined_and_reported() {
     let mut quarantine = Quarantine::default();
