--- a/crates/cometmoor-core/src/gateway/leadership.rs
+++ b/crates/cometmoor-core/src/gateway/leadership.rs
@@ -3,7 +3,7 @@
 //! Servers need not check fencing tokens, so the node itself must stop in
 //! time. A lease runs at the store from the arrival of the call that granted or
 //! renewed it, which is after the call was sent; counted from the sending, it
-//! is over on the node's steady clock before it can be over at the store. A
+//! is over on the node's clock before it can be over at the store. A
 //! successor waits for a whole quiet time after it has got the lease, so that
 //! orders of two nodes never take turns.
 
