--- a/crates/cometmoor-core/src/gateway/configuration.rs
+++ b/crates/cometmoor-core/src/gateway/configuration.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::tenants::Tenants;
+
 /// What may be done with a request whose first attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -60,6 +62,8 @@
     pub event_pause: Option<Duration>,
     /// Rank, 0 is the most urgent.
     pub priority: u8,
+    /// Whether its requests need no key.
+    pub is_public: bool,
     /// Services that answer.
     pub targets: Vec<Target>,
 }
@@ -185,7 +189,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct GatewayConfiguration {
     /// Version; later ones are higher.
     pub version: u64,
@@ -193,6 +197,8 @@
     pub services: HashMap<String, Arc<Service>>,
     /// Bounds on clients.
     pub limits: ClientLimits,
+    /// Tenants; none where callers need no keys.
+    pub tenants: Option<Arc<Tenants>>,
     routes: HashMap<String, Vec<Arc<Route>>>,
     event_pauses: HashMap<String, Duration>,
 }
@@ -215,7 +221,14 @@
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), Arc::new(service))).collect();
-        GatewayConfiguration { version, services, limits, routes: by_host, event_pauses }
+        let tenants = None;
+        GatewayConfiguration { version, services, limits, tenants, routes: by_host, event_pauses }
+    }
+
+    /// The same with tenants, whose keys callers need from then on.
+    pub fn with_tenants(mut self, tenants: Tenants) -> GatewayConfiguration {
+        self.tenants = Some(Arc::new(tenants));
+        self
     }
 
     /// The route of a request: the longest prefix of the path among the
--- a/crates/cometmoor-core/src/gateway/staleness.rs
+++ b/crates/cometmoor-core/src/gateway/staleness.rs
@@ -36,6 +36,9 @@
 /// The same as a part of the bound, while nobody tells that the store answers
 /// others.
 const LONGEST_URGENT_PAUSE: f64 = 0.2;
+/// Part of the time until a proof is too old for which the watch of the node on duty
+/// waits: a proof counts from the begin of the call.
+const PROOF_WAIT_PART: u32 = 4;
 /// Part of the bound that a copy's age may reach on the first node of a small
 /// fleet: the wait of the watch on duty, and a heartbeat.
 const SMALL_FLEET_PATIENCE: f64 = 0.375;
@@ -51,8 +54,6 @@
 /// What is added in a large fleet for each place behind those: all nodes together
 /// make a hundred calls a second at the most.
 const PATIENCE_FOR_LATE_PLACE: Duration = Duration::from_millis(10);
-/// Part of the bound up to which a copy is taken to be the store's state.
-const CURRENT_FOR: f64 = 1.5;
 
 /// What a node knows of one of its copies, and of its part in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +71,9 @@
     pub age: Option<Duration>,
     /// The same by what other nodes told alone.
     pub told_age: Option<Duration>,
+    /// Time left until the copy's proof is so old that the store is to be asked; none
+    /// where nothing depends on it.
+    pub proof_patience_left: Option<Duration>,
 }
 
 /// What a node does next about a copy.
@@ -154,7 +158,9 @@
             // The pause after changes is a part of the wait.
             true => {
                 let age = view.age.unwrap_or_default();
-                NextCall::Watch(self.duty_wait().saturating_sub(age))
+                let wait = self.duty_wait().saturating_sub(age);
+                let for_proof = view.proof_patience_left.map(|left| left / PROOF_WAIT_PART);
+                NextCall::Watch(for_proof.map_or(wait, |longest| wait.min(longest)))
             }
             false => NextCall::Watch(LONG_WAIT),
         }
@@ -164,13 +170,8 @@
     /// older than the node lets it become.
     pub fn patience_left(&self, view: &CopyView) -> Duration {
         let patience = self.patience(view.place, view.is_small_fleet);
-        patience.saturating_sub(view.age.unwrap_or(patience))
-    }
-
-    /// Age up to which a copy is taken to be the store's state: what it lacks is
-    /// taken not to exist.
-    pub fn current_for(&self) -> Duration {
-        self.bound.mul_f64(CURRENT_FOR)
+        let left = patience.saturating_sub(view.age.unwrap_or(patience));
+        view.proof_patience_left.map_or(left, |for_proof| left.min(for_proof))
     }
 }
 
--- a/crates/cometmoor-core/src/lib.rs
+++ b/crates/cometmoor-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gateway;
 pub mod homes;
 pub mod idempotency;
+pub mod keys;
 pub mod ledger;
 pub mod membership;
 pub mod placement;
--- a/crates/cometmoor-core/tests/gateway_limits.rs
+++ b/crates/cometmoor-core/tests/gateway_limits.rs
@@ -149,6 +149,7 @@
         attempts: 1,
         event_pause: None,
         priority: 0,
+        is_public: false,
         targets: vec![Target { service: service.to_owned(), weight: 1 }],
     };
     let routes = vec![route("/a/", "short"), route("/a/b/", "long")];
--- a/crates/cometmoor-core/tests/gateway_staleness.rs
+++ b/crates/cometmoor-core/tests/gateway_staleness.rs
@@ -134,6 +134,7 @@
             is_small_fleet: true,
             age: age(self.nodes[node].confirmed),
             told_age: age(self.nodes[node].told_confirmed),
+            proof_patience_left: None,
         }
     }
 
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -33,6 +33,9 @@
     pub(super) confirmed: Option<BootInstant>,
     /// The same, as far as other nodes told of it.
     confirmed_to_peers: Option<BootInstant>,
+    /// The latest point at which the store is known to have held nothing newer: begins of
+    /// calls that it answered, and answers of peers counted from the question.
+    pub(super) proven: Option<BootInstant>,
     /// Whether the store left this node's last call without an answer.
     pub(super) watch_failing: bool,
     pub(super) fetching: bool,
@@ -81,6 +84,16 @@
         self.age().and_then(|age| u32::try_from(age.as_millis()).ok())
     }
 
+    /// Time since the copy was shown to be the newest.
+    pub(super) fn proof_age(&self) -> Option<Duration> {
+        self.proven.map(clock::elapsed)
+    }
+
+    /// Notes a point at which the store is known to have held nothing newer.
+    pub(super) fn prove(&mut self, at: Option<BootInstant>) {
+        self.proven = self.proven.max(at);
+    }
+
     /// Takes a peer's word that the store confirmed a copy no newer than this one
     /// so long ago.
     fn confirm_through_peer(&mut self, age: CopyAge) {
@@ -125,13 +138,14 @@
         }
     }
 
-    /// Notes that the store has answered.
-    pub(super) fn confirm(&mut self, subject: Subject) {
+    /// Notes that the store has answered a call that began at `asked`.
+    pub(super) fn confirm(&mut self, subject: Subject, asked: BootInstant) {
         if self.watch_failing {
             let (what, age_millis) = (subject.name(), self.age_millis());
             info!("[store] answers again", kv: { what, age_millis });
         }
         self.confirmed = Some(clock::now());
+        self.prove(Some(asked));
         self.watch_failing = false;
     }
 }
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -7,7 +7,7 @@
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
 use cometmoor_core::gateway::staleness::NextCall;
-use cometmoor_core::time::Timestamp;
+use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{info, warn};
 
 use super::FleetState;
@@ -34,6 +34,8 @@
     pub subject: Subject,
     /// What was read.
     pub mirror: Mirror,
+    /// When the store was asked.
+    pub asked: BootInstant,
 }
 
 impl Handler<CopyRead> for FleetState {
@@ -41,10 +43,11 @@
 
     fn handle(&mut self, read: CopyRead, _: &mut Context<FleetState>) {
         let copy = self.copy(read.subject);
-        copy.confirm(read.subject);
+        copy.confirm(read.subject, read.asked);
         if copy.mirror.offer(read.mirror) {
             self.take_in(read.subject);
         }
+        self.publish_proof(read.subject);
     }
 }
 
@@ -56,6 +59,8 @@
     pub subject: Subject,
     /// Changes in order; none where there were none.
     pub events: Vec<WatchEvent>,
+    /// When the store was asked.
+    pub asked: BootInstant,
 }
 
 impl Handler<CopyChanged> for FleetState {
@@ -63,12 +68,13 @@
 
     fn handle(&mut self, changed: CopyChanged, _: &mut Context<FleetState>) {
         let copy = self.copy(changed.subject);
-        copy.confirm(changed.subject);
+        copy.confirm(changed.subject, changed.asked);
         if copy.mirror.apply(changed.events) {
             self.take_in(changed.subject);
             // Nodes that do not read the store learn of it by the heartbeat.
             self.context.board.heartbeat_wanted.notify_one();
         }
+        self.publish_proof(changed.subject);
     }
 }
 
@@ -121,6 +127,9 @@
             PeerMessage::FleetDigest(digest) => {
                 self.take_digest(digest, context, Membership::receive_fleet);
             }
+            PeerMessage::ProofAnswer(answer) => self.take_proof(&answer),
+            // It is answered at once, not here.
+            PeerMessage::ProofRequest(_) => {}
         }
         self.sum_load();
     }
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod entries;
 mod messages;
+mod proofs;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -13,6 +14,7 @@
 
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
+use cometmoor_core::gateway::proof::{ProofLimits, ProofRequests};
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
 use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{error, info};
@@ -24,6 +26,7 @@
     GetDemand, GetNextCall, GetNextMessages, GetPatienceLeft, GetPeers, GetReadPlan, GetRetryPause,
     GetUpdate, NextMessages, PeerTold, ReadPlan, SetPlacement,
 };
+pub use self::proofs::GetProof;
 use super::ControlContext;
 use super::demand::FleetDemandMeter;
 use crate::clock::{self, SuspensionWatch};
@@ -51,11 +54,15 @@
 pub struct FleetState {
     context: Rc<ControlContext>,
     staleness: StalenessLimits,
+    proof_limits: ProofLimits,
+    proof_requests: ProofRequests,
     suspensions: SuspensionWatch,
     started: BootInstant,
     phase: Phase,
     copies: HashMap<Subject, Copy>,
     configuration: ConfigurationInForce,
+    /// Whether the newest configuration that the store is known to hold can be read.
+    is_readable: bool,
     entries: ServerEntries,
     /// By incarnation.
     servers: HashMap<Arc<str>, KnownServer>,
@@ -84,14 +91,18 @@
         let mut peers = Membership::new(settings.peer_address, &settings.zone);
         settings.seeds.iter().for_each(|seed| peers.add_contact(*seed, Timestamp(0)));
         let staleness = settings.staleness();
+        let proof_limits = settings.proof_limits();
         FleetState {
             context,
             staleness,
+            proof_limits,
+            proof_requests: ProofRequests::new(rand::random::<u64>() >> 1),
             suspensions: SuspensionWatch::start(),
             started: clock::now(),
             phase: Phase::Starting,
             copies: HashMap::from_iter(Subject::ALL.map(|subject| (subject, Copy::default()))),
             configuration: ConfigurationInForce::default(),
+            is_readable: true,
             entries: ServerEntries::default(),
             servers: HashMap::new(),
             load_summed: Timestamp(0),
@@ -149,7 +160,9 @@
         let key = dialect.configuration_key().to_owned();
         let copy = self.copy(Subject::Configuration);
         let Some(item) = copy.mirror.items.get(&key) else { return };
-        match dialect.parse_configuration(&item.value) {
+        let parsed = dialect.parse_configuration(&item.value);
+        self.is_readable = parsed.is_ok();
+        match parsed {
             Ok(configuration) => {
                 let version = configuration.version;
                 let routes = configuration.route_count();
@@ -179,20 +192,19 @@
 
     fn publish(&mut self) {
         let now = self.now();
-        let current_for = self.staleness.current_for();
         self.generation += 1;
-        let copy = self.copy(Subject::Configuration);
-        let confirmed = copy.confirmed;
-        let newest = confirmed.filter(|_| !copy.is_known_behind());
+        let copy = &self.copies[&Subject::Configuration];
         let published = Published {
             generation: self.generation,
             phase: self.phase,
             configuration: self.configuration.get().cloned(),
-            configuration_current_until: newest.map(|confirmed| confirmed + current_for),
+            configuration_proven: self.configuration_proven(),
+            proof_limits: self.proof_limits,
+            is_known_behind: copy.is_known_behind(),
             ignored_entries: self.entries.ignored(),
             servers: self.servers.values().map(|known| known.record.clone()).collect(),
             nodes: self.client_nodes(),
-            confirmed,
+            confirmed: copy.confirmed,
             servers_confirmed: self.copies[&Subject::Servers].confirmed,
             reads_store: self.reads(Subject::Servers),
             is_large_fleet: !self.peers.is_small(),
@@ -248,6 +260,10 @@
             is_small_fleet: self.peers.is_small(),
             age: copy.age(),
             told_age: copy.age_told_by_peers(),
+            proof_patience_left: match subject {
+                Subject::Configuration => self.proof_limits.patience_left(copy.proof_age()),
+                Subject::Servers => None,
+            },
         }
     }
 
@@ -287,7 +303,8 @@
         let heartbeat = self.heartbeat();
         self.demand.receive(&heartbeat, now);
         self.ask_for_plan(!heartbeat.waited_for.is_empty());
-        let outgoing = self.peers.outgoing(&heartbeat, now);
+        let mut outgoing = self.peers.outgoing(&heartbeat, now);
+        outgoing.extend(self.proof_request());
         if let Some(loads) = heartbeat.loads {
             self.told_loads = loads;
         }
--- /dev/null
+++ b/crates/cometmoor-gateway/src/control/fleet/proofs.rs
@@ -0,0 +1,77 @@
+//! Proofs that the configuration is the store's newest, asked of other nodes.
+
+use std::time::Duration;
+
+use actix::{Context, Handler, Message, MessageResult};
+use cometmoor_core::gateway::proof::ProofOfPeer;
+use cometmoor_core::time::BootInstant;
+
+use super::FleetState;
+use crate::clock;
+use crate::membership::{Message as PeerMessage, Outgoing, ProofAnswer, ProofRequest};
+use crate::peer::Subject;
+
+impl FleetState {
+    /// The latest point at which the configuration in force is known to have been the
+    /// store's newest. Where the newest one cannot be read, none is known: it may have
+    /// taken keys away.
+    pub(super) fn configuration_proven(&self) -> Option<BootInstant> {
+        self.copies[&Subject::Configuration].proven.filter(|_| self.is_readable)
+    }
+
+    /// Asks another node for a proof, where this node's is getting old.
+    pub(super) fn proof_request(&mut self) -> Option<Outgoing> {
+        if !self.proof_limits.is_wanted(self.copies[&Subject::Configuration].proof_age()) {
+            return None;
+        }
+        let sources = self.peers.proof_sources();
+        let (number, source) = self.proof_requests.next(sources.len(), clock::now())?;
+        let from = self.context.settings.peer_address;
+        let message = PeerMessage::ProofRequest(ProofRequest { from, number });
+        Some(Outgoing { message, targets: vec![sources[source]] })
+    }
+
+    /// Takes a peer's answer.
+    pub(super) fn take_proof(&mut self, answer: &ProofAnswer) {
+        let proof = ProofOfPeer {
+            version: answer.configuration,
+            age: answer.age_millis.map(|millis| Duration::from_millis(millis.into())),
+        };
+        let own_version = self.configuration.version();
+        let at = self.proof_requests.answered(answer.number, proof, own_version);
+        if at.is_some() {
+            self.copy(Subject::Configuration).prove(at);
+            self.publish_proof(Subject::Configuration);
+        }
+    }
+
+    /// Lets the traffic thread know of a new proof.
+    pub(super) fn publish_proof(&mut self, subject: Subject) {
+        if subject == Subject::Configuration {
+            self.publish();
+        }
+    }
+
+    fn proof_answer(&self, number: u64) -> ProofAnswer {
+        // Rounded up: an age may be told too old, never too young.
+        let millis = |at| u32::try_from(clock::elapsed(at).as_millis() + 1).ok();
+        ProofAnswer {
+            number,
+            configuration: self.configuration.version(),
+            age_millis: self.configuration_proven().and_then(millis),
+        }
+    }
+}
+
+/// Asks for the answer to another node's request for a proof.
+#[derive(Message)]
+#[rtype(result = "ProofAnswer")]
+pub struct GetProof(pub ProofRequest);
+
+impl Handler<GetProof> for FleetState {
+    type Result = MessageResult<GetProof>;
+
+    fn handle(&mut self, get: GetProof, _: &mut Context<FleetState>) -> Self::Result {
+        MessageResult(self.proof_answer(get.0.number))
+    }
+}
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -9,10 +9,10 @@
 use tokio::net::UdpSocket;
 
 use super::ControlContext;
-use super::fleet::{FleetState, GetNextMessages, PeerTold};
+use super::fleet::{FleetState, GetNextMessages, GetProof, PeerTold};
 use crate::clock;
 use crate::control_traffic::TrafficKind;
-use crate::membership::Message;
+use crate::membership::{Message, ProofRequest};
 
 /// Pause between two heartbeats in a small fleet. Nodes that hear of one
 /// another's load sooner do not send their prompts to one server at once: one
@@ -41,7 +41,7 @@
 /// Starts both tasks.
 pub async fn start(context: &Rc<ControlContext>, fleet: &Addr<FleetState>) -> io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(SocketAddr::V4(context.settings.peer_address)).await?);
-    actix_rt::spawn(receive(socket.clone(), fleet.clone()));
+    actix_rt::spawn(receive(context.clone(), socket.clone(), fleet.clone()));
     actix_rt::spawn(send(context.clone(), socket, fleet.clone()));
     Ok(())
 }
@@ -51,6 +51,7 @@
         Message::Heartbeat(_) | Message::HeartbeatToHub(..) => TrafficKind::Heartbeat,
         Message::ZoneDigest(_) => TrafficKind::ZoneDigest,
         Message::FleetDigest(_) => TrafficKind::FleetDigest,
+        Message::ProofRequest(_) | Message::ProofAnswer(_) => TrafficKind::Proof,
     }
 }
 
@@ -61,17 +62,40 @@
     }
 }
 
-async fn receive(socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
+async fn receive(context: Rc<ControlContext>, socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
     let mut buffer = vec![0; MAX_BYTES];
     loop {
         // An error tells of an earlier datagram that found nobody.
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
-        if let Some(message) = Message::decode(&buffer[..length]) {
-            fleet.do_send(PeerTold(message));
+        match Message::decode(&buffer[..length]) {
+            Some(Message::ProofRequest(request)) => {
+                actix_rt::spawn(answer_proof(
+                    context.clone(),
+                    socket.clone(),
+                    fleet.clone(),
+                    request,
+                ));
+            }
+            Some(message) => fleet.do_send(PeerTold(message)),
+            None => {}
         }
     }
 }
 
+/// Tells a node since when the configuration is known to be the newest.
+async fn answer_proof(
+    context: Rc<ControlContext>,
+    socket: Rc<UdpSocket>,
+    fleet: Addr<FleetState>,
+    request: ProofRequest,
+) {
+    let Ok(answer) = fleet.send(GetProof(request)).await else { return };
+    let bytes = Message::ProofAnswer(answer).encode();
+    context.traffic.count(TrafficKind::Proof, 1, bytes.len());
+    // A lost answer is asked for again.
+    let _ = socket.try_send_to(&bytes, SocketAddr::V4(request.from));
+}
+
 async fn send(context: Rc<ControlContext>, socket: Rc<UdpSocket>, fleet: Addr<FleetState>) {
     loop {
         let Ok(next) = fleet.send(GetNextMessages).await else { return };
--- a/crates/cometmoor-gateway/src/control/watcher.rs
+++ b/crates/cometmoor-gateway/src/control/watcher.rs
@@ -6,6 +6,7 @@
 
 use actix::Addr;
 use cometmoor_core::gateway::staleness::{NextCall, StalenessLimits, doubled};
+use cometmoor_core::time::BootInstant;
 use futures::future::{Either, select};
 
 use super::ControlContext;
@@ -170,10 +171,10 @@
     /// watch's own time to pass instead left nodes without news for 10.8 s (played
     /// days on which the store turns nodes away in silence).
     async fn watch(&self, after: u64, wait: Duration) -> Result<Step, StoreError> {
-        let store = &self.context.store;
+        let (store, asked) = (&self.context.store, clock::now());
         let watch = store.watch(self.prefix(), after, wait, self.limits().watch_slack());
         match select(pin!(watch), pin!(self.copy_becomes_too_old())).await {
-            Either::Left((watched, _)) => self.take(watched?).await,
+            Either::Left((watched, _)) => self.take(watched?, asked).await,
             Either::Right(((), _)) => {
                 store.distrust_connections();
                 Ok(Step::FollowDoubting)
@@ -194,16 +195,17 @@
 
     /// Asks for changes without waiting.
     async fn poll(&self, after: u64, failures: u32) -> Result<Step, StoreError> {
-        let time = self.limits().poll_time(failures);
+        let (time, asked) = (self.limits().poll_time(failures), clock::now());
         let watched = self.context.store.watch(self.prefix(), after, NO_WAIT, time).await?;
-        self.take(watched).await
+        self.take(watched, asked).await
     }
 
-    async fn take(&self, watched: Watched) -> Result<Step, StoreError> {
+    /// Takes the answer to a call that began at `asked`.
+    async fn take(&self, watched: Watched, asked: BootInstant) -> Result<Step, StoreError> {
         match watched {
             Watched::Events(events) => {
                 let gathers = self.subject == Subject::Servers && !events.is_empty();
-                self.fleet.do_send(CopyChanged { subject: self.subject, events });
+                self.fleet.do_send(CopyChanged { subject: self.subject, events, asked });
                 if gathers {
                     clock::sleep(GATHER).await;
                 }
@@ -217,7 +219,7 @@
     /// leave the rest to peers for a while: at the largest size a copy is megabytes,
     /// and all nodes may start at once.
     async fn read(&self, is_first: bool, read_time: Duration) -> Result<(), StoreError> {
-        let mut read = PagedRead::default();
+        let (mut read, asked) = (PagedRead::default(), clock::now());
         let store = &self.context.store;
         let mut more = store.read_page(self.prefix(), &mut read, read_time).await?;
         if more && is_first && self.peers_bring_it().await {
@@ -226,7 +228,7 @@
         while more {
             more = store.read_page(self.prefix(), &mut read, read_time).await?;
         }
-        self.fleet.do_send(CopyRead { subject: self.subject, mirror: read.finish() });
+        self.fleet.do_send(CopyRead { subject: self.subject, mirror: read.finish(), asked });
         Ok(())
     }
 
--- a/crates/cometmoor-gateway/src/control_traffic.rs
+++ b/crates/cometmoor-gateway/src/control_traffic.rs
@@ -15,6 +15,8 @@
     ZoneDigest,
     /// A hub tells a node of the fleet.
     FleetDigest,
+    /// A question for a proof that the configuration is the newest, or its answer.
+    Proof,
     /// A copy of the configuration, for a peer.
     ConfigurationCopy,
     /// A copy of the servers' entries, for a peer.
@@ -31,10 +33,11 @@
 
 impl TrafficKind {
     /// All of them.
-    const ALL: [TrafficKind; 9] = [
+    const ALL: [TrafficKind; 10] = [
         TrafficKind::Heartbeat,
         TrafficKind::ZoneDigest,
         TrafficKind::FleetDigest,
+        TrafficKind::Proof,
         TrafficKind::ConfigurationCopy,
         TrafficKind::ServersCopy,
         TrafficKind::StoreRead,
@@ -48,6 +51,7 @@
             TrafficKind::Heartbeat => "heartbeat",
             TrafficKind::ZoneDigest => "zone_digest",
             TrafficKind::FleetDigest => "fleet_digest",
+            TrafficKind::Proof => "proof",
             TrafficKind::ConfigurationCopy => "configuration_copy",
             TrafficKind::ServersCopy => "servers_copy",
             TrafficKind::StoreRead => "store_read",
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::keys::PresentedKey;
 
 use crate::http::client::{Answer, Call};
 use crate::http::head::{AnswerHead, Headers};
@@ -49,6 +50,8 @@
 pub struct RequestFacts {
     /// Identifier of the client's attempt.
     pub id: String,
+    /// Key of the caller, as a digest.
+    pub key: PresentedKey,
     /// Time that the client waits.
     pub deadline: Option<Duration>,
     /// Model that is asked for.
@@ -57,10 +60,19 @@
     pub prompt_tokens: u64,
     /// Most tokens of the answer.
     pub output_tokens: u64,
+    /// Whether the client named its tokens.
+    pub names_tokens: bool,
     /// Parts of the prompt, in order.
     pub parts: Vec<PromptPart>,
 }
 
+impl RequestFacts {
+    /// Tokens of the prompt and of the longest answer, where the client named them.
+    pub fn tokens(&self) -> Option<u64> {
+        self.names_tokens.then(|| self.prompt_tokens.saturating_add(self.output_tokens))
+    }
+}
+
 /// What the gateway tells a server with a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SendFacts<'a> {
@@ -70,6 +82,8 @@
     pub time_left: Duration,
     /// Rank among the server's requests, 0 is the most urgent.
     pub urgency: Option<u8>,
+    /// Name of the tenant whose request it is.
+    pub tenant: Option<&'a str>,
     /// The last event that the client has, where a stream goes on.
     pub resume_after: Option<&'a str>,
     /// The copy of a run's memory from which the stream goes on.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -123,10 +123,12 @@
         resume_after: Option<&str>,
         run_copy: Option<&RunCopy>,
     ) -> Result<Received, SendError> {
+        let tenant = self.tenant_name();
         let facts = SendFacts {
             server: &record.id,
             time_left: self.time_left(),
-            urgency: self.facts.model.as_ref().map(|_| self.route.priority),
+            urgency: self.facts.model.as_ref().map(|_| self.urgency()),
+            tenant: tenant.as_deref(),
             resume_after,
             run_copy,
         };
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod send;
 mod story;
+mod tenant;
 mod traffic;
 
 use std::cell::{Cell, RefCell};
@@ -24,6 +25,7 @@
 use cometmoor_core::gateway::attempts::{Attempts, Failure, Progress};
 use cometmoor_core::gateway::configuration::Route;
 use cometmoor_core::gateway::quarantine::{Fingerprint, Standing};
+use cometmoor_core::gateway::tenants::Tenant;
 use cometmoor_core::time::BootInstant;
 use spdlog::info;
 use tokio::net::TcpStream;
@@ -35,6 +37,7 @@
 use self::pick::{Estimate, Found};
 use self::relay::StreamState;
 use self::send::Sent;
+pub use self::tenant::{Admitted, access_to};
 pub use self::traffic::Traffic;
 use crate::clock;
 use crate::dialect::RequestFacts;
@@ -43,6 +46,9 @@
 use crate::published::Phase;
 use crate::servers::Server;
 
+/// When a client should come back whose key cannot be decided on: a proof comes within the
+/// time between two questions for one, here or at another node.
+const COME_BACK_SOON: Duration = Duration::from_millis(500);
 /// Servers that are tried one after another when they cannot be reached.
 const MAX_UNREACHABLE: usize = 4;
 
@@ -62,6 +68,8 @@
     pub content: Fingerprint,
     /// Its route.
     pub route: Arc<Route>,
+    /// The tenant whose request it is, by the configuration that decided last.
+    tenant: RefCell<Option<Arc<Tenant>>>,
     /// When it began to arrive.
     pub received: BootInstant,
     attempts: Cell<Attempts>,
@@ -91,9 +99,10 @@
         head: &'a RequestHead,
         body: &'a Bytes,
         facts: RequestFacts,
-        route: Arc<Route>,
+        admitted: Admitted,
         received: BootInstant,
     ) -> Forward<'a> {
+        let Admitted { route, tenant } = admitted;
         let attempts = Cell::new(Attempts::new(route.repeat, route.attempts));
         Forward {
             traffic,
@@ -103,6 +112,7 @@
             facts,
             content: fingerprint(head, body),
             route,
+            tenant: RefCell::new(tenant),
             received,
             attempts,
             estimate: Cell::default(),
@@ -197,6 +207,9 @@
                     }
                     continue;
                 }
+                Sent::KeyLapsed(refusal) => {
+                    return self.no_server(kept_error, &stream, refusal, COME_BACK_SOON).await;
+                }
                 Sent::NotRun { status, misdirected } => {
                     let id = &*record.incarnation;
                     let request = &*self.facts.id;
@@ -305,7 +318,11 @@
         };
         self.log_refused(refusal.name(), after);
         self.traffic.metrics.ended("refused", "queue", refusal.name());
-        self.answer(OwnAnswer::not_run(after)).await
+        let answer = match refusal {
+            Refusal::KeyTakenAway => OwnAnswer::unauthorized(),
+            _ => OwnAnswer::not_run(after),
+        };
+        self.answer(answer).await
     }
 
     fn client_time_left(&self) -> Duration {
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -33,6 +33,10 @@
     OutOfTime,
     /// Several servers crashed while it was there.
     Quarantined,
+    /// Its key is nobody's any more.
+    KeyTakenAway,
+    /// The copy of the keys is too old to tell whether its key still holds.
+    KeyUndecided,
 }
 
 impl Refusal {
@@ -46,6 +50,8 @@
             Refusal::ServerRefused => "the server refused it",
             Refusal::OutOfTime => "the time was over",
             Refusal::Quarantined => "servers have crashed under it",
+            Refusal::KeyTakenAway => "its key was taken away",
+            Refusal::KeyUndecided => "the keys are not known to be the newest",
         }
     }
 }
@@ -75,6 +81,11 @@
         OwnAnswer { status: 504, outcome: "unknown", come_back: None, close: false }
     }
 
+    /// The key is nobody's; the request has not run and will not.
+    pub fn unauthorized() -> OwnAnswer {
+        OwnAnswer { status: 401, outcome: "unauthorized", come_back: None, close: false }
+    }
+
     /// No route fits.
     pub fn no_route() -> OwnAnswer {
         OwnAnswer { status: 404, outcome: "no_route", come_back: None, close: false }
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -208,7 +208,7 @@
             own.plus(remote.get(&server_key(&record.incarnation)).copied().unwrap_or_default());
         Candidate {
             in_flight: load.in_flight,
-            pending_millis: load.pending.millis_ahead_of(self.route.priority),
+            pending_millis: load.pending.millis_ahead_of(self.urgency()),
             backlog_millis: load.pending.millis(),
             slots: record.slots,
             same_zone: record.zone == self.traffic.settings.zone,
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -6,6 +6,7 @@
 
 use super::exchange::{Received, SendError};
 use super::migration::Continuation;
+use super::outcome::Refusal;
 use super::relay::{self, EventPauses, FirstEvent, RelayError, StreamState};
 use super::{Finish, Forward};
 use crate::clock;
@@ -19,6 +20,8 @@
     Finished(Finish),
     /// Nothing left for the server.
     Unreachable,
+    /// Nothing left for the server, since the caller's key does not hold any more.
+    KeyLapsed(Refusal),
     /// The server did not run the request.
     NotRun { status: u16, misdirected: bool },
     /// The request may have run; nothing went to the client.
@@ -67,6 +70,12 @@
         if !server.takes_work() || is_quarantined {
             return Sent::Unreachable;
         }
+        // A run that goes on from its copy was sent before.
+        if copy.is_none()
+            && let Err(refusal) = self.check_key()
+        {
+            return Sent::KeyLapsed(refusal);
+        }
         let waits_for_nobody = copy.is_none() && self.traffic.is_idle(&record.incarnation);
         let sent_at = waits_for_nobody.then(clock::now);
         let pending = match copy {
@@ -118,7 +127,7 @@
 
     /// The prompt as work that waits at a server.
     fn pending_work(&self) -> PendingWork {
-        PendingWork::of(self.reading(self.facts.prompt_tokens), self.route.priority)
+        PendingWork::of(self.reading(self.facts.prompt_tokens), self.urgency())
     }
 
     fn note_not_run(&self, server: &Server, misdirected: bool) {
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -12,7 +12,7 @@
 
 impl Forward<'_> {
     pub(super) fn log_sent(&self, server: &str, reused: bool) {
-        if !crate::log::may_tell_good(self.traffic.started) {
+        if !crate::log::may_tell_good() {
             return;
         }
         let estimate = self.estimate.get();
@@ -89,7 +89,7 @@
     fn note_answered(&self) -> bool {
         self.traffic.metrics.ended("answered", "server", "-");
         self.traffic.metrics.observe(&self.traffic.metrics.whole, clock::elapsed(self.received));
-        crate::log::may_tell_good(self.traffic.started)
+        crate::log::may_tell_good()
     }
 
     /// A refusal with what decided it. Where servers held the model, the best of
--- a/crates/cometmoor-gateway/src/frontend.rs
+++ b/crates/cometmoor-gateway/src/frontend.rs
@@ -1,24 +1,25 @@
 //! Clients' connections.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cometmoor_core::gateway::admission::finishes_before_stop;
 use cometmoor_core::gateway::configuration::{ClientLimits, Route};
+use cometmoor_core::gateway::tenants::Access;
+use cometmoor_core::keys::PresentedKey;
 use cometmoor_core::time::BootInstant;
 use spdlog::warn;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
 use crate::dialect::RequestFacts;
-use crate::forward::{Finish, Forward, OwnAnswer, Traffic};
+use crate::forward::{Admitted, Finish, Forward, OwnAnswer, Traffic, access_to};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::{closed, prepare, read_some, write_all};
-use crate::http::head::{HeadError, RequestHead, take_request};
+use crate::http::head::{Framing, HeadError, RequestHead, take_request};
 use crate::load::{RequestWork, model_key};
-use crate::published::{Phase, Published};
+use crate::published::{Phase, Published, age_millis};
 
 /// Pause after the listener failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -66,9 +67,19 @@
     traffic: Rc<Traffic>,
 }
 
+/// A request that was read.
+struct Request {
+    head: RequestHead,
+    facts: RequestFacts,
+    body: Bytes,
+    received: BootInstant,
+}
+
 /// A request that was read, or why there is none.
 enum Read {
-    Request(Box<RequestHead>, Bytes, BootInstant),
+    Request(Box<Request>),
+    /// Its key is nobody's; the body was not read.
+    Unauthorized(Box<RequestHead>, RequestFacts),
     Rejected(u16),
     Ended,
 }
@@ -78,14 +89,19 @@
         loop {
             let limits = self.limits();
             match self.read_request(&limits).await {
-                Read::Request(head, body, received) => {
+                Read::Request(request) => {
                     let guard = self.traffic.loads.enter();
-                    let finish = self.serve(&head, &body, received).await;
+                    let finish = self.serve(*request).await;
                     drop(guard);
                     if finish != Finish::Keep {
                         return;
                     }
                 }
+                Read::Unauthorized(head, facts) => {
+                    if self.refuse_unauthorized(&head, &facts).await != Finish::Keep {
+                        return self.linger().await;
+                    }
+                }
                 Read::Rejected(status) => return self.reject(status).await,
                 Read::Ended => return,
             }
@@ -115,8 +131,14 @@
             }
             Err(_) => return Read::Rejected(408),
         };
+        let Ok(facts) = self.traffic.dialect.request_facts(&head.headers) else {
+            return Read::Rejected(400);
+        };
+        if is_unauthorized(&self.traffic, &head, &facts) {
+            return Read::Unauthorized(Box::new(head), facts);
+        }
         match clock::timeout(limits.idle_timeout, self.read_body(&head, limits)).await {
-            Ok(Ok(body)) => Read::Request(Box::new(head), body, received),
+            Ok(Ok(body)) => Read::Request(Box::new(Request { head, facts, body, received })),
             Ok(Err(Some(status))) => Read::Rejected(status),
             Ok(Err(None)) => Read::Ended,
             Err(_) => Read::Rejected(408),
@@ -141,7 +163,7 @@
         head: &RequestHead,
         limits: &ClientLimits,
     ) -> Result<Bytes, Option<u16>> {
-        if let crate::http::head::Framing::Length(length) = head.framing
+        if let Framing::Length(length) = head.framing
             && length > limits.max_body_bytes as u64
         {
             return Err(Some(413));
@@ -173,8 +195,8 @@
     }
 
     /// Serves a request unless the client leaves before.
-    async fn serve(&mut self, head: &RequestHead, body: &Bytes, received: BootInstant) -> Finish {
-        let serving = serve_request(&self.traffic, &self.stream, head, body, received);
+    async fn serve(&mut self, request: Request) -> Finish {
+        let serving = serve_request(&self.traffic, &self.stream, request);
         tokio::select! {
             biased;
             finish = serving => finish,
@@ -185,16 +207,42 @@
         }
     }
 
-    async fn reject(mut self, status: u16) {
+    async fn reject(self, status: u16) {
         warn!("[frontend] a request was rejected", kv: { status, step = "read" });
         self.traffic.metrics.ended("rejected", "read", "bad input");
         let answer = OwnAnswer::rejected(status);
         let bytes = answer.encode(&*self.traffic.dialect, "", false);
-        if write_all(&self.stream, &bytes).await.is_err() {
-            return;
+        if write_all(&self.stream, &bytes).await.is_ok() {
+            self.linger().await;
         }
-        // Closing with unread bytes would reset the connection and could take
-        // the answer away from the client.
+    }
+
+    /// Answers a request without a valid key, as cheaply as can be: a stranger may send
+    /// any number of them. The connection is kept where nothing was left unread.
+    async fn refuse_unauthorized(&self, head: &RequestHead, facts: &RequestFacts) -> Finish {
+        self.traffic.metrics.ended("refused", "key", "no valid key");
+        if crate::log::may_tell_unauthorized() {
+            warn!("[frontend] a request without a valid key was refused", kv: {
+                request = &*facts.id,
+                key = key_form(&facts.key),
+                step = "key",
+                status = 401,
+                configuration = self.configuration_version(),
+                proof_age_millis = age_millis(self.traffic.board.fleet.load().configuration_proven),
+            });
+        }
+        let keep = head.keeps_connection() && head.framing == Framing::Empty;
+        answer(&self.traffic, &self.stream, OwnAnswer::unauthorized(), &facts.id, keep).await
+    }
+
+    fn configuration_version(&self) -> u64 {
+        let fleet = self.traffic.board.fleet.load();
+        fleet.configuration.as_ref().map_or(0, |known| known.version)
+    }
+
+    /// Reads what a refused client still sends: closing with unread bytes would reset the
+    /// connection and could take the answer away from the client.
+    async fn linger(mut self) {
         let _ = clock::timeout(LINGER, self.drop_rest()).await;
     }
 
@@ -213,36 +261,31 @@
 /// What to do with a request.
 enum Decision {
     Answer(OwnAnswer),
-    Forward(Arc<Route>, String),
+    Forward(Admitted, String),
 }
 
-async fn serve_request(
-    traffic: &Traffic,
-    client: &TcpStream,
-    head: &RequestHead,
-    body: &Bytes,
-    received: BootInstant,
-) -> Finish {
-    let Ok(facts) = traffic.dialect.request_facts(&head.headers) else {
-        return answer(traffic, client, OwnAnswer::rejected(400), "", false).await;
-    };
+async fn serve_request(traffic: &Traffic, client: &TcpStream, request: Request) -> Finish {
+    let Request { head, facts, body, received } = request;
     let fleet = traffic.board.fleet.load_full();
     let keep = head.keeps_connection() && fleet.phase == Phase::Ready;
-    match decide(&fleet, head, &facts) {
+    match decide(&fleet, &head, &facts) {
         Decision::Answer(own) => {
             let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
-            traffic.metrics.ended("refused", "route", "no route or not ready");
+            traffic.metrics.ended("refused", "route", "no route, no key or not ready");
             warn!("[frontend] answered without a server", kv: {
                 request = &*facts.id,
                 status = own.status(),
+                key = key_form(&facts.key),
                 phase = format!("{:?}", fleet.phase),
                 configuration = version,
+                proof_age_millis = age_millis(fleet.configuration_proven),
+                is_known_behind = fleet.is_known_behind,
             });
             answer(traffic, client, own, &facts.id, keep).await
         }
-        Decision::Forward(route, service) => {
+        Decision::Forward(admitted, service) => {
             record_demand(traffic, &facts);
-            let forward = Forward::new(traffic, client, head, body, facts, route, received);
+            let forward = Forward::new(traffic, client, &head, &body, facts, admitted, received);
             forward.serve(&service).await
         }
     }
@@ -265,6 +308,15 @@
     }
 }
 
+/// Whether a request has a route that needs a key, and its key is nobody's.
+fn is_unauthorized(traffic: &Traffic, head: &RequestHead, facts: &RequestFacts) -> bool {
+    let fleet = traffic.board.fleet.load();
+    let Some(configuration) = &fleet.configuration else { return false };
+    let host = head.host().unwrap_or_default();
+    let Some(route) = configuration.route(&host, head.path()) else { return false };
+    access_to(&fleet, route, facts) == Access::Denied
+}
+
 fn decide(fleet: &Published, head: &RequestHead, facts: &RequestFacts) -> Decision {
     let refusal = Decision::Answer(OwnAnswer::not_run(COME_BACK));
     let Some(configuration) = &fleet.configuration else {
@@ -278,15 +330,31 @@
         let unknown = fleet.configuration_is_current();
         return if unknown { Decision::Answer(OwnAnswer::no_route()) } else { refusal };
     };
+    let tenant = match access_to(fleet, route, facts) {
+        Access::Granted(tenant) => tenant,
+        Access::Denied => return Decision::Answer(OwnAnswer::unauthorized()),
+        Access::Undecided => return refusal,
+    };
     if !finishes_in_time(fleet, route, facts) {
         return Decision::Answer(OwnAnswer::not_run(COME_BACK_ELSEWHERE));
     }
     match route.target(rand::random()) {
-        Some(service) => Decision::Forward(route.clone(), service.to_owned()),
+        Some(service) => {
+            Decision::Forward(Admitted { route: route.clone(), tenant }, service.to_owned())
+        }
         None => refusal,
     }
 }
 
+/// What came as a key, for log lines.
+fn key_form(key: &PresentedKey) -> &'static str {
+    match key {
+        PresentedKey::Missing => "missing",
+        PresentedKey::Malformed => "malformed",
+        PresentedKey::Key(_) => "present",
+    }
+}
+
 /// Whether the request will be finished before a planned stop ends.
 fn finishes_in_time(fleet: &Published, route: &Route, facts: &RequestFacts) -> bool {
     let Some(stop) = fleet.stop else { return true };
--- a/crates/cometmoor-gateway/src/http/head.rs
+++ b/crates/cometmoor-gateway/src/http/head.rs
@@ -67,6 +67,12 @@
             .filter_map(|(_, value)| std::str::from_utf8(value).ok().map(str::trim))
     }
 
+    /// All values of a header, also those that are no text.
+    pub fn all_bytes<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = self.lines.iter().filter(move |(known, _)| known.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_slice())
+    }
+
     /// Header lines that concern the message and not the connection.
     pub fn end_to_end(&self) -> impl Iterator<Item = &(String, Vec<u8>)> {
         let named: Vec<String> = self
--- a/crates/cometmoor-gateway/src/log.rs
+++ b/crates/cometmoor-gateway/src/log.rs
@@ -10,7 +10,6 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::Duration;
 
-use cometmoor_core::time::BootInstant;
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{LevelFilter, Logger};
@@ -26,10 +25,43 @@
 /// Lines a second of requests that went well.
 const GOOD_LINES_A_SECOND: u64 = 20;
 
+/// Lines a second of requests without a valid key, of which a stranger may send any number.
+const UNAUTHORIZED_LINES_A_SECOND: u64 = 2;
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
-static SKIPPED: AtomicU64 = AtomicU64::new(0);
-static SECOND: AtomicU64 = AtomicU64::new(0);
-static IN_SECOND: AtomicU64 = AtomicU64::new(0);
+static GOOD: LineRate = LineRate::new(GOOD_LINES_A_SECOND);
+static UNAUTHORIZED: LineRate = LineRate::new(UNAUTHORIZED_LINES_A_SECOND);
+
+/// Lets only so many lines of a kind pass in a second.
+struct LineRate {
+    most: u64,
+    second: AtomicU64,
+    in_second: AtomicU64,
+    skipped: AtomicU64,
+}
+
+impl LineRate {
+    const fn new(most: u64) -> LineRate {
+        LineRate {
+            most,
+            second: AtomicU64::new(0),
+            in_second: AtomicU64::new(0),
+            skipped: AtomicU64::new(0),
+        }
+    }
+
+    fn may_pass(&self) -> bool {
+        let second = clock::timestamp().0 / 1000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.in_second.store(0, Ordering::Relaxed);
+        }
+        let passes = self.in_second.fetch_add(1, Ordering::Relaxed) < self.most;
+        if !passes {
+            self.skipped.fetch_add(1, Ordering::Relaxed);
+        }
+        passes
+    }
+}
 
 /// Lines that were dropped because the reader was too slow.
 pub fn dropped_lines() -> u64 {
@@ -38,20 +70,17 @@
 
 /// Lines of good requests that were left out.
 pub fn skipped_lines() -> u64 {
-    SKIPPED.load(Ordering::Relaxed)
+    GOOD.skipped.load(Ordering::Relaxed)
 }
 
 /// Whether a line of a request that goes well may be written now.
-pub fn may_tell_good(started: BootInstant) -> bool {
-    let second = clock::elapsed(started).as_secs();
-    if SECOND.swap(second, Ordering::Relaxed) != second {
-        IN_SECOND.store(0, Ordering::Relaxed);
-    }
-    let told = IN_SECOND.fetch_add(1, Ordering::Relaxed) < GOOD_LINES_A_SECOND;
-    if !told {
-        SKIPPED.fetch_add(1, Ordering::Relaxed);
-    }
-    told
+pub fn may_tell_good() -> bool {
+    GOOD.may_pass()
+}
+
+/// Whether a line of a request without a valid key may be written now.
+pub fn may_tell_unauthorized() -> bool {
+    UNAUTHORIZED.may_pass()
 }
 
 /// Sends log lines of this level and above to standard output, with the node's
--- a/crates/cometmoor-gateway/src/membership/asked.rs
+++ b/crates/cometmoor-gateway/src/membership/asked.rs
@@ -31,6 +31,11 @@
         self.silent.remove(&hub);
     }
 
+    /// Hubs that are asked and give digests.
+    pub(super) fn answering(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.asked.keys().copied().filter(|hub| !self.is_silent(*hub))
+    }
+
     /// Whether a hub is asked and gives no digests.
     pub(super) fn is_silent(&self, hub: SocketAddrV4) -> bool {
         self.silent.contains(&hub)
--- a/crates/cometmoor-gateway/src/membership/duty.rs
+++ b/crates/cometmoor-gateway/src/membership/duty.rs
@@ -118,6 +118,11 @@
         self.asked.get(&address).is_some_and(|asker| now.since(asker.asked) <= SERVED_FOR)
     }
 
+    /// Whether any node has lately sent its heartbeats here.
+    pub(super) fn serves_any(&self) -> bool {
+        !self.asked.is_empty()
+    }
+
     /// Whether nodes take this one for their hub.
     pub(super) fn is_on_duty(&self, now: Timestamp) -> bool {
         self.asked.values().any(|asker| now.since(asker.asked) <= ANSWERED_FOR)
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -9,7 +9,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 16;
+const FORMAT: u8 = 17;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -208,6 +208,27 @@
     pub suspects: Vec<SuspectReport>,
 }
 
+/// Asks a node since when it knows that its configuration is the store's newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofRequest {
+    /// Where the answer goes.
+    pub from: SocketAddrV4,
+    /// Tells the answer from those to other requests.
+    pub number: u64,
+}
+
+/// The answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofAnswer {
+    /// Number of the request.
+    pub number: u64,
+    /// Version of the configuration in force at the node that answers.
+    pub configuration: u64,
+    /// Milliseconds since the store is known to have held nothing newer; none where that
+    /// is not known.
+    pub age_millis: Option<u32>,
+}
+
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -219,6 +240,10 @@
     ZoneDigest(Digest),
     /// A hub tells a node of the fleet.
     FleetDigest(Digest),
+    /// A node asks since when its configuration is the newest.
+    ProofRequest(ProofRequest),
+    /// The answer.
+    ProofAnswer(ProofAnswer),
 }
 
 impl Message {
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -27,8 +27,8 @@
 pub use self::hubs::Outgoing;
 use self::leader_word::LeaderWord;
 pub use self::message::{
-    CopyAge, CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement, Question,
-    RosterUpdate, RosterVersion, ZoneMembers,
+    CopyAge, CopyVersions, Digest, Heartbeat, MemberEntry, Message, PeerPhase, Placement,
+    ProofAnswer, ProofRequest, Question, RosterUpdate, RosterVersion, ZoneMembers,
 };
 use self::peers::{DirectPeers, SUSPECT_AFTER};
 pub use self::peers::{Member, PeerChange, Rank};
@@ -47,6 +47,8 @@
 const MAX_KNOWN: usize = 16;
 /// Addresses of other nodes that a heartbeat tells.
 const TOLD_AT_ONCE: usize = 3;
+/// Nodes that are asked for proofs, one after the other where they do not answer.
+const MOST_PROOF_SOURCES: usize = 8;
 /// Nodes that may find that the store does not answer them, for each reader.
 const FAILING_READERS: usize = 2;
 
@@ -259,6 +261,23 @@
         (answered.len(), failing.len())
     }
 
+    /// Nodes to ask for a proof of the configuration, the best first: in a large fleet the
+    /// hubs of this node that answer, then the nodes that read the store, by rank, so that
+    /// the one on duty comes first.
+    pub fn proof_sources(&self) -> Vec<SocketAddrV4> {
+        let is_hub = self.is_small() || self.hub.serves_any();
+        let hubs: Vec<SocketAddrV4> = match is_hub {
+            true => Vec::new(),
+            false => self.asked.answering().collect(),
+        };
+        let mut readers: Vec<&Member> =
+            self.members.iter().filter(|member| member.entry.reads_store).collect();
+        readers.sort_unstable_by_key(|member| member.rank);
+        let others = self.members.iter().filter(|member| !member.entry.reads_store);
+        let known = readers.into_iter().chain(others).map(Member::address);
+        hubs.into_iter().chain(known).take(MOST_PROOF_SOURCES).collect()
+    }
+
     /// Whether a node told itself that it led when it was last heard.
     pub fn leads(&self, address: SocketAddrV4) -> bool {
         self.direct.get(address).is_some_and(|peer| peer.heartbeat.placement.is_some())
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -147,6 +147,11 @@
         &self.quarantine
     }
 
+    /// Requests of clients that this node works on.
+    pub fn in_progress(&self) -> usize {
+        self.loads.in_progress()
+    }
+
     /// The planned stop.
     pub async fn drain(&self) {
         drain(&self.settings, &self.fleet, &self.loads).await;
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -3,10 +3,13 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
+use cometmoor_core::gateway::proof::ProofLimits;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::keys::KeyKnowledge;
 use cometmoor_core::time::BootInstant;
 use tokio::sync::Notify;
 
@@ -54,9 +57,13 @@
     pub phase: Phase,
     /// Configuration in force.
     pub configuration: Option<Arc<GatewayConfiguration>>,
-    /// Until when the configuration is taken for the store's newest; none where a peer has
-    /// a newer one, or nobody has confirmed it.
-    pub configuration_current_until: Option<BootInstant>,
+    /// The latest point at which the store is known to have held nothing newer than the
+    /// configuration in force.
+    pub configuration_proven: Option<BootInstant>,
+    /// For how long it counts after that point.
+    pub proof_limits: ProofLimits,
+    /// Whether a peer is known to have a newer configuration.
+    pub is_known_behind: bool,
     /// Entries of the registry that name no server to use.
     pub ignored_entries: usize,
     /// Servers in the registry.
@@ -84,10 +91,21 @@
 }
 
 impl Published {
-    /// Whether the configuration is taken for the store's newest: what it lacks does not
-    /// exist then.
+    /// Time since the configuration was shown to be the store's newest.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.configuration_proven.map(clock::elapsed)
+    }
+
+    /// Whether the configuration is the store's newest, so that what it lacks does not
+    /// exist.
     pub fn configuration_is_current(&self) -> bool {
-        self.configuration_current_until.is_some_and(|until| clock::now() < until)
+        !self.is_known_behind && self.proof_limits.tells_absence(self.proof_age())
+    }
+
+    /// What the configuration's keys are good for now.
+    pub fn key_knowledge(&self) -> KeyKnowledge {
+        let knowledge = self.proof_limits.key_knowledge(self.proof_age());
+        KeyKnowledge { denies: knowledge.denies && !self.is_known_behind, ..knowledge }
     }
 
     /// Milliseconds since the servers' entries were last confirmed; -1 where
--- a/crates/cometmoor-gateway/src/ready.rs
+++ b/crates/cometmoor-gateway/src/ready.rs
@@ -55,9 +55,11 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cometmoor_core::gateway::proof::ProofLimits;
 use cometmoor_core::gateway::staleness::StalenessLimits;
 use serde::{Deserialize, Serialize};
 
@@ -124,6 +125,11 @@
     /// Milliseconds from the store's answer until a configuration is in force.
     #[serde(default = "default_bound_millis")]
     pub apply_millis: u64,
+    /// Milliseconds from the store's answer until a key that was taken away runs nothing,
+    /// also on nodes that are cut off; left out where that is promised for nodes in touch
+    /// with the store only.
+    #[serde(default)]
+    pub revoke_millis: Option<u64>,
 }
 
 fn default_bound_millis() -> u64 {
@@ -163,6 +169,7 @@
             ("bounds.loadWindowSeconds", self.bounds.load_window_seconds),
             ("bounds.drainMillis", self.bounds.drain_millis as f64),
             ("bounds.applyMillis", self.bounds.apply_millis as f64),
+            ("bounds.revokeMillis", self.bounds.revoke_millis.unwrap_or(1) as f64),
             ("directoryLifetimeMillis", self.directory_lifetime_millis as f64),
             ("maxConnections", self.max_connections as f64),
         ];
@@ -195,6 +202,13 @@
         StalenessLimits::new(Duration::from_millis(millis))
     }
 
+    /// For how long this node's copy of the configuration counts after it was shown to be
+    /// the newest.
+    pub fn proof_limits(&self) -> ProofLimits {
+        let revoke = self.bounds.revoke_millis.map(Duration::from_millis);
+        ProofLimits::new(Duration::from_millis(self.bounds.apply_millis), revoke)
+    }
+
     /// Window in which repeated sends are counted.
     pub fn retry_window(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.retry_window_seconds)
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -263,6 +263,8 @@
                 node.quarantine.merge(&digest.suspects, now);
                 node.membership.receive_fleet(digest, now);
             }
+            // Proofs are no part of membership.
+            Message::ProofRequest(_) | Message::ProofAnswer(_) => {}
         }
     }
 
--- a/crates/cometmoor/src/control/snapshot.rs
+++ b/crates/cometmoor/src/control/snapshot.rs
@@ -5,12 +5,9 @@
 use arc_swap::ArcSwap;
 use cometmoor_core::catalog::Catalog;
 use cometmoor_core::freshness::Freshness;
+use cometmoor_core::keys::{KeyCheck, KeyDigest, KeyKnowledge, KeyRing, PresentedKey};
 use cometmoor_core::membership::Member;
 use cometmoor_core::routing::RouteTable;
-use subtle::ConstantTimeEq;
-
-/// SHA-256 of a bearer key.
-pub type KeyHash = [u8; 32];
 
 /// A group as a request's credentials tell it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,7 +18,6 @@
     pub entitlement: u32,
     /// Priority of the group.
     pub priority: u32,
-    key_hash: KeyHash,
 }
 
 /// The state of the node at one moment.
@@ -32,7 +28,7 @@
     /// The declared resources.
     pub catalog: Arc<Catalog>,
     /// Accepted keys of the groups.
-    pub access: Arc<Vec<GroupAccess>>,
+    pub access: Arc<KeyRing<GroupAccess>>,
     /// Which engines can answer with what.
     pub routes: Arc<RouteTable>,
     /// All known nodes, this one first.
@@ -42,36 +38,25 @@
 }
 
 impl Snapshot {
-    /// Finds the group of a bearer key. Every known hash is compared in
-    /// constant time, so that the time taken tells nothing.
-    pub fn authenticate(&self, key_hash: &KeyHash) -> Option<&GroupAccess> {
-        let mut found = None;
-        for access in self.access.iter() {
-            if bool::from(access.key_hash.ct_eq(key_hash)) {
-                found = Some(access);
-            }
-        }
-        found
+    /// Decides on a bearer key. A node that may not serve its configuration cannot tell.
+    pub fn authenticate(&self, key: PresentedKey) -> KeyCheck<'_, GroupAccess> {
+        let may_serve = self.freshness.may_serve();
+        self.access.check(key, KeyKnowledge { admits: may_serve, denies: may_serve })
     }
 }
 
-/// Lists the accepted keys of a catalog's groups.
-pub fn group_access(catalog: &Catalog) -> Vec<GroupAccess> {
-    let mut all = Vec::new();
-    for group in catalog.groups() {
-        for text in &group.spec.key_hashes {
-            let Ok(key_hash) = hex::decode(text).unwrap_or_default().try_into() else {
-                continue;
-            };
-            all.push(GroupAccess {
-                group: group.metadata.name.clone(),
-                entitlement: group.spec.entitlement,
-                priority: group.spec.priority,
-                key_hash,
-            });
-        }
-    }
-    all
+/// The accepted keys of a catalog's groups.
+pub fn group_access(catalog: &Catalog) -> KeyRing<GroupAccess> {
+    let keys = catalog.groups().flat_map(|group| {
+        let access = GroupAccess {
+            group: group.metadata.name.clone(),
+            entitlement: group.spec.entitlement,
+            priority: group.spec.priority,
+        };
+        let digests = group.spec.key_hashes.iter().filter_map(|text| KeyDigest::from_hex(text));
+        digests.map(move |digest| (digest, access.clone()))
+    });
+    keys.collect()
 }
 
 /// The newest snapshot; written by the control thread only.
--- a/crates/cometmoor/src/operator/server.rs
+++ b/crates/cometmoor/src/operator/server.rs
@@ -8,7 +8,7 @@
 use actix_web::dev::{Server, ServiceRequest, ServiceResponse};
 use actix_web::middleware::{Next, from_fn};
 use actix_web::{App, HttpServer, ResponseError, web};
-use subtle::ConstantTimeEq;
+use cometmoor_core::keys::{KeyDigest, PresentedKey};
 use tokio::sync::{Notify, watch};
 
 use super::state::OperatorState;
@@ -17,7 +17,7 @@
 use crate::control::configuration::ConfigurationActor;
 use crate::store::etcd::EtcdStore;
 use crate::store::layout::Layout;
-use crate::traffic::authentication::{bearer_hash, unauthorized};
+use crate::traffic::authentication::{bearer_key, unauthorized};
 use crate::traffic::health::live;
 use crate::traffic::server::not_found;
 
@@ -86,12 +86,10 @@
     next: Next<Body>,
 ) -> Result<ServiceResponse<EitherBody<Body>>, actix_web::Error> {
     let state = request.app_data::<web::Data<OperatorState>>();
-    let expected = state.and_then(|state| hex::decode(&state.node.settings.operator_key_hash).ok());
-    let presented = bearer_hash(request.request());
-    let allowed = match (expected, presented) {
-        (Some(expected), Some(presented)) => bool::from(expected.ct_eq(&presented)),
-        _ => false,
-    };
+    let expected =
+        state.and_then(|state| KeyDigest::from_hex(&state.node.settings.operator_key_hash));
+    let presented = bearer_key(request.request());
+    let allowed = expected.is_some_and(|expected| presented == PresentedKey::Key(expected));
     if allowed {
         return Ok(next.call(request).await?.map_into_left_body());
     }
--- a/crates/cometmoor/src/traffic/authentication.rs
+++ b/crates/cometmoor/src/traffic/authentication.rs
@@ -3,20 +3,20 @@
 use actix_web::HttpRequest;
 use actix_web::http::StatusCode;
 use actix_web::http::header::AUTHORIZATION;
+use cometmoor_core::keys::{KeyCheck, PresentedKey};
 use cometmoor_protocol::error::Step;
-use sha2::{Digest, Sha256};
 
 use super::error::RequestError;
-use crate::control::snapshot::{GroupAccess, KeyHash, Snapshot};
+use crate::control::snapshot::{GroupAccess, Snapshot};
 
 /// Scheme of the `Authorization` header.
-const BEARER: &str = "Bearer ";
+const BEARER: &[u8] = b"Bearer ";
 
-/// SHA-256 of the request's bearer key.
-pub fn bearer_hash(request: &HttpRequest) -> Option<KeyHash> {
-    let header = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
-    let key = header.strip_prefix(BEARER)?;
-    Some(Sha256::digest(key.as_bytes()).into())
+/// The request's bearer key.
+pub fn bearer_key(request: &HttpRequest) -> PresentedKey {
+    let bearers = request.headers().get_all(AUTHORIZATION);
+    let keys = bearers.filter_map(|value| value.as_bytes().strip_prefix(BEARER));
+    PresentedKey::from_values(keys)
 }
 
 /// The refusal of a request without valid credentials.
@@ -30,6 +30,12 @@
     snapshot: &Snapshot,
     request: &HttpRequest,
 ) -> Result<GroupAccess, RequestError> {
-    let hash = bearer_hash(request).ok_or_else(unauthorized)?;
-    snapshot.authenticate(&hash).cloned().ok_or_else(unauthorized)
+    match snapshot.authenticate(bearer_key(request)) {
+        KeyCheck::Admitted(access) => Ok(access.clone()),
+        KeyCheck::Unknown => Err(unauthorized()),
+        KeyCheck::Undecided => {
+            let message = "this node has no current configuration";
+            Err(RequestError::not_run(StatusCode::SERVICE_UNAVAILABLE, Step::Authenticate, message))
+        }
+    }
 }
