--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod planner;
 pub mod proof;
 pub mod quarantine;
+pub mod quota;
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/bucket.rs
@@ -0,0 +1,76 @@
+//! A token bucket.
+
+use std::time::Duration;
+
+use crate::time::BootInstant;
+
+/// Longest time that is told until tokens are there.
+const LONGEST: Duration = Duration::from_secs(3600);
+
+/// Tokens that come at a rate, up to a number.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TokenBucket {
+    level: f64,
+    most: f64,
+    per_second: f64,
+    at: BootInstant,
+}
+
+impl TokenBucket {
+    /// A bucket with so many tokens in it.
+    pub fn new(level: f64, most: f64, per_second: f64, now: BootInstant) -> TokenBucket {
+        TokenBucket { level: level.min(most), most, per_second, at: now }
+    }
+
+    /// Tokens that are there; below zero where more were spent.
+    pub fn level(&mut self, now: BootInstant) -> f64 {
+        let come = self.per_second * now.since(self.at).as_secs_f64();
+        self.level = (self.level + come).min(self.most);
+        self.at = self.at.max(now);
+        self.level
+    }
+
+    /// Most tokens that it holds.
+    pub fn most(&self) -> f64 {
+        self.most
+    }
+
+    /// Changes the rate and the most.
+    pub fn set(&mut self, most: f64, per_second: f64, now: BootInstant) {
+        self.level(now);
+        self.most = most;
+        self.per_second = per_second;
+        self.level = self.level.min(most);
+    }
+
+    /// Changes the most.
+    pub fn set_most(&mut self, most: f64) {
+        self.most = most;
+        self.level = self.level.min(most);
+    }
+
+    /// Whether a request of this cost may be granted. One that costs more than the bucket
+    /// holds may be where it is full.
+    pub fn covers(&mut self, cost: f64, now: BootInstant) -> bool {
+        self.level(now) >= cost.min(self.most)
+    }
+
+    /// Takes tokens, whether they are there or not.
+    pub fn spend(&mut self, tokens: f64) {
+        self.level -= tokens;
+    }
+
+    /// Puts tokens back that were not used.
+    pub fn give_back(&mut self, tokens: f64) {
+        self.level = (self.level + tokens).min(self.most);
+    }
+
+    /// Time until a request of this cost may be granted.
+    pub fn time_until(&mut self, cost: f64, now: BootInstant) -> Duration {
+        let lacks = cost.min(self.most) - self.level(now);
+        if lacks <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(lacks / self.per_second).unwrap_or(LONGEST).min(LONGEST)
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -0,0 +1,652 @@
+//! The books of the tenants for which a node lends.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::askers::Askers;
+use super::message::{Ask, AskedLimit, LentMessage, Outcome};
+use crate::gateway::quota::bucket::TokenBucket;
+use crate::gateway::quota::ranks::FleetRanks;
+use crate::gateway::quota::{QuotaBounds, TenantKey};
+use crate::gateway::tenants::{QuotaUnit, TenantLimit};
+use crate::time::BootInstant;
+
+/// Time by which a request may come earlier at the lender than at its node, or another one
+/// later: what lacks no more than comes in this time is lent from the leeway.
+const JITTER: Duration = Duration::from_millis(60);
+/// Part of the headroom that the leeway holds.
+const LEEWAY_PART: f64 = 0.15;
+/// Part of the rate at which the leeway comes back.
+const LEEWAY_RATE: f64 = 0.02;
+/// Part of it with which a book begins whose predecessor is not known.
+const START_PART: f64 = 0.2;
+/// Part of the rate, for the nodes that ask it, at which a node lends that may not be the
+/// only one.
+const UNCERTAIN_RATE: f64 = 0.7;
+/// Part of the rate at which a seed lends while the fleet starts: nodes that cannot reach it
+/// ask another one.
+const START_RATE: f64 = 0.6;
+/// Time for which a node that has not answered a probe is passed over.
+const SILENT_FOR: Duration = Duration::from_secs(2);
+/// Longest wait for what is left in the book of another node, or for its answer to a probe.
+const LONGEST_WAIT: Duration = Duration::from_millis(90);
+/// Time after which those that have not answered are asked once more.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(35);
+/// Time for which a seed's word counts that the fleet runs.
+const RUNS_FOR: Duration = Duration::from_secs(2);
+/// Time after which a book that nobody asked for is closed.
+const IDLE_FOR: Duration = Duration::from_secs(30);
+/// Time for which a node that has handed a book over says so.
+const HANDED_FOR: Duration = Duration::from_secs(4);
+/// Longest time that is promised to those who are told to come back one after the other.
+const LONGEST_PROMISE: Duration = Duration::from_secs(4);
+
+/// An answer to a node's question.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    pub(super) to: SocketAddrV4,
+    pub(super) tenant: TenantKey,
+    pub(super) number: u64,
+    pub(super) outcome: Outcome,
+}
+
+/// What follows from what a lender took.
+#[derive(Debug, Default)]
+pub(super) struct LenderEffects {
+    pub(super) answers: Vec<Answer>,
+    pub(super) messages: Vec<(SocketAddrV4, LentMessage)>,
+}
+
+/// A node that has asked.
+#[derive(Clone, Copy, Debug)]
+struct Asker {
+    /// Its last question that was answered.
+    answered: Option<(u64, Outcome)>,
+    /// Number of its last return.
+    returned: u64,
+}
+
+/// By what a node lends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mandate {
+    /// It comes first, as it sees the fleet.
+    First,
+    /// The first one does not answer; it may lend to others, too.
+    Stopgap,
+    /// It is a seed, and the fleet starts.
+    Start,
+}
+
+/// How a book stands.
+#[derive(Clone, Debug, PartialEq)]
+enum Standing {
+    /// Tokens are lent.
+    Lends(Mandate),
+    /// Other nodes' answers are awaited.
+    Awaits(Awaited),
+}
+
+/// Answers that a book waits for.
+#[derive(Clone, Debug, PartialEq)]
+struct Awaited {
+    what: Question,
+    /// Nodes that have not answered.
+    from: Vec<SocketAddrV4>,
+    began: BootInstant,
+    is_asked_again: bool,
+}
+
+/// What other nodes are asked before a book lends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Question {
+    /// What is left in their books; the least that was answered.
+    Left(Option<f64>),
+    /// Whether the first one answers.
+    FirstAnswers,
+    /// Whether another seed knows more than this one.
+    SeedKnows,
+}
+
+impl Question {
+    fn message(self, tenant: TenantKey) -> LentMessage {
+        match self {
+            Question::Left(_) => LentMessage::TakeOver { tenant },
+            Question::FirstAnswers | Question::SeedKnows => LentMessage::Probe { tenant },
+        }
+    }
+}
+
+/// How another node stands that was probed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerStanding {
+    pub(super) node: SocketAddrV4,
+    pub(super) lends: bool,
+    pub(super) is_settled: bool,
+}
+
+/// What is lent to a tenant.
+#[derive(Clone, Debug)]
+struct Book {
+    number: u32,
+    standing: Standing,
+    limit: AskedLimit,
+    /// The limit itself.
+    bucket: TokenBucket,
+    /// What may be lent beyond it, to requests that would have been in time by the order of
+    /// their callers.
+    leeway: TokenBucket,
+    /// Part of the start allowance that an uncertain lender has put in.
+    started_with: f64,
+    nodes: HashMap<SocketAddrV4, Asker>,
+    askers: Askers,
+    /// Questions that wait until the book lends.
+    held: Vec<(SocketAddrV4, Ask)>,
+    asked: BootInstant,
+    /// Until when tokens that come are promised to those who were told to come back.
+    promised: BootInstant,
+}
+
+/// The tenants for which a node lends.
+#[derive(Clone, Debug)]
+pub(super) struct Lender {
+    bounds: QuotaBounds,
+    books: HashMap<TenantKey, Book>,
+    handed: HashMap<TenantKey, (SocketAddrV4, BootInstant)>,
+    /// A seed that has said that the fleet runs, and when.
+    running_seed: Option<(SocketAddrV4, BootInstant)>,
+    next_book: u32,
+}
+
+fn limit_of(limit: &AskedLimit) -> TenantLimit {
+    let AskedLimit { per_second, burst, .. } = *limit;
+    TenantLimit { per_second, burst, unit: QuotaUnit::Requests }
+}
+
+/// Asks nodes something; the book waits for their answers.
+fn awaits(
+    what: Question,
+    from: Vec<SocketAddrV4>,
+    tenant: TenantKey,
+    now: BootInstant,
+    effects: &mut LenderEffects,
+) -> Standing {
+    let message = what.message(tenant);
+    effects.messages.extend(from.iter().map(|node| (*node, message)));
+    Standing::Awaits(Awaited { what, from, began: now, is_asked_again: false })
+}
+
+/// Most that the leeway of a lender to the whole fleet holds.
+fn most_leeway(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
+    LEEWAY_PART * bounds.headroom(&limit_of(limit))
+}
+
+/// What a book begins with whose predecessor is not known, at a lender to the whole fleet.
+fn start(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
+    START_PART * bounds.headroom(&limit_of(limit))
+}
+
+impl Lender {
+    /// A node that lends nothing yet. Books are numbered from a number that is drawn for
+    /// each process, so that tokens are not given back to the book of another one.
+    pub(super) fn new(bounds: QuotaBounds, first_book: u32) -> Lender {
+        Lender {
+            bounds,
+            books: HashMap::new(),
+            handed: HashMap::new(),
+            running_seed: None,
+            next_book: first_book,
+        }
+    }
+
+    /// Closes all books: their use by others is not known any more.
+    pub(super) fn close_all(&mut self) {
+        self.books.clear();
+        self.handed.clear();
+    }
+
+    /// Takes a question.
+    pub(super) fn take_ask(
+        &mut self,
+        from: SocketAddrV4,
+        ask: Ask,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let tenant = ask.tenant;
+        let answer = |outcome| Answer { to: from, tenant, number: ask.number, outcome };
+        if self.books.contains_key(&tenant) {
+            return self.ask_book(from, ask, ranks, now, effects);
+        }
+        if let Some((to, at)) = self.handed.get(&tenant)
+            && now.since(*at) < HANDED_FOR
+            && !ask.passed_over
+        {
+            effects.answers.push(answer(Outcome::Elsewhere(*to)));
+            return;
+        }
+        if !ranks.is_settled(now) {
+            if ask.starts && ranks.is_seed() {
+                return self.start_as_seed(from, ask, ranks, now, effects);
+            }
+            effects.answers.push(answer(Outcome::NotReady));
+            return;
+        }
+        match ranks.first(tenant) {
+            None => effects.answers.push(answer(Outcome::NotReady)),
+            Some(first) if first == ranks.own() => {
+                let standing = self.begin(tenant, ranks, now, effects);
+                self.open(ask, standing, ranks, now);
+                self.ask_book(from, ask, ranks, now, effects);
+                self.conclude_if_alone(tenant, ranks, now, effects);
+            }
+            Some(first) if ask.passed_over => {
+                let standing = awaits(Question::FirstAnswers, vec![first], tenant, now, effects);
+                self.open(ask, standing, ranks, now);
+                self.ask_book(from, ask, ranks, now, effects);
+            }
+            Some(first) => effects.answers.push(answer(Outcome::Elsewhere(first))),
+        }
+    }
+
+    /// Opens a book at a seed that knows too little of the others, unless another seed knows
+    /// more: then only this one starts, and not the fleet.
+    fn start_as_seed(
+        &mut self,
+        from: SocketAddrV4,
+        ask: Ask,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let (tenant, number) = (ask.tenant, ask.number);
+        if let Some((seed, at)) = self.running_seed
+            && now.since(at) < RUNS_FOR
+        {
+            let outcome = Outcome::Elsewhere(seed);
+            return effects.answers.push(Answer { to: from, tenant, number, outcome });
+        }
+        let seeds: Vec<SocketAddrV4> = ranks.other_seeds().collect();
+        let standing = match seeds.is_empty() {
+            true => Standing::Lends(Mandate::Start),
+            false => awaits(Question::SeedKnows, seeds, tenant, now, effects),
+        };
+        self.open(ask, standing, ranks, now);
+        self.ask_book(from, ask, ranks, now, effects);
+    }
+
+    /// How a new book stands at a node that comes first: where another one may have lent in
+    /// the last window, what is left there is asked for.
+    fn begin(
+        &self,
+        tenant: TenantKey,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) -> Standing {
+        let gone = ranks.gone_ahead(tenant, now);
+        if gone.is_none() && ranks.age(now) >= self.bounds.window {
+            return Standing::Lends(Mandate::First);
+        }
+        let second = ranks.lenders(tenant).get(1).copied();
+        let is_young = ranks.age(now) < self.bounds.window;
+        let seeds = ranks.other_seeds().filter(|_| is_young);
+        let mut from: Vec<SocketAddrV4> = gone.into_iter().chain(second).chain(seeds).collect();
+        from.sort_unstable();
+        from.dedup();
+        awaits(Question::Left(None), from, tenant, now, effects)
+    }
+
+    /// Opens a book. It is full only where nobody can have lent in the last window.
+    fn open(&mut self, ask: Ask, standing: Standing, ranks: &FleetRanks, now: BootInstant) {
+        let is_full = standing == Standing::Lends(Mandate::First);
+        let share = ranks.share(now);
+        let most = ask.limit.burst * share;
+        let level = if is_full { most } else { 0.0 };
+        let leeway = if is_full { most_leeway(&self.bounds, &ask.limit) * share } else { 0.0 };
+        self.next_book = self.next_book.wrapping_add(1);
+        let book = Book {
+            number: self.next_book,
+            standing,
+            limit: ask.limit,
+            bucket: TokenBucket::new(level, most, ask.limit.per_second, now),
+            leeway: TokenBucket::new(leeway, leeway, 0.0, now),
+            started_with: 0.0,
+            nodes: HashMap::new(),
+            askers: Askers::default(),
+            held: Vec::new(),
+            asked: now,
+            promised: now,
+        };
+        self.books.insert(ask.tenant, book);
+    }
+
+    /// Answers a question from a book, or holds it until the book lends.
+    fn ask_book(
+        &mut self,
+        from: SocketAddrV4,
+        ask: Ask,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let bounds = self.bounds;
+        let Some(book) = self.books.get_mut(&ask.tenant) else { return };
+        book.asked = now;
+        let fresh = Asker { answered: None, returned: 0 };
+        let asker = book.nodes.entry(from).or_insert(fresh);
+        let again = asker.answered.filter(|(number, _)| *number == ask.number);
+        if let Some((number, outcome)) = again {
+            effects.answers.push(Answer { to: from, tenant: ask.tenant, number, outcome });
+            return;
+        }
+        book.askers.note(from, now);
+        let Standing::Lends(mandate) = book.standing else {
+            book.held.retain(|(holder, _)| *holder != from);
+            book.held.push((from, ask));
+            return;
+        };
+        if ask.limit.version > book.limit.version {
+            book.limit = ask.limit;
+        }
+        let first = ranks.first(ask.tenant).filter(|_| ranks.is_settled(now));
+        let is_first = first == Some(ranks.own());
+        if is_first && mandate == Mandate::Stopgap {
+            book.begin_anew(&bounds, ranks.share(now));
+        }
+        let mandate = if is_first { Mandate::First } else { mandate };
+        book.standing = Standing::Lends(mandate);
+        let outcome = match first {
+            // The fleet has started; the first one asks for what is left here.
+            Some(first) if mandate == Mandate::Start => Outcome::Elsewhere(first),
+            _ => {
+                book.set_rate(mandate, &bounds, ranks, now);
+                book.lend(&ask, now)
+            }
+        };
+        if let Some(asker) = book.nodes.get_mut(&from) {
+            asker.answered = Some((ask.number, outcome));
+        }
+        effects.answers.push(Answer { to: from, tenant: ask.tenant, number: ask.number, outcome });
+    }
+
+    /// Takes tokens back.
+    pub(super) fn take_return(
+        &mut self,
+        from: SocketAddrV4,
+        tenant: TenantKey,
+        number: u64,
+        book_number: u32,
+        tokens: f64,
+    ) {
+        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Some(asker) = book.nodes.get_mut(&from) else { return };
+        // A datagram may come twice, or from before this book was opened.
+        if book.number == book_number && number > asker.returned {
+            asker.returned = number;
+            book.bucket.give_back(tokens);
+        }
+    }
+
+    /// Hands a book over to a node that takes its place; tells what is left.
+    pub(super) fn hand_over(
+        &mut self,
+        to: SocketAddrV4,
+        tenant: TenantKey,
+        now: BootInstant,
+    ) -> Option<f64> {
+        let lends = |book: &Book| matches!(book.standing, Standing::Lends(_));
+        if !self.books.get(&tenant).is_some_and(lends) {
+            return None;
+        }
+        let mut book = self.books.remove(&tenant)?;
+        self.handed.insert(tenant, (to, now));
+        let level = book.bucket.level(now);
+        // What others have lent beside this one is not in its book.
+        let is_first = book.standing == Standing::Lends(Mandate::First);
+        Some(if is_first { level } else { level.min(start(&self.bounds, &book.limit)) })
+    }
+
+    /// Takes what is left in another node's book.
+    pub(super) fn take_left(
+        &mut self,
+        node: SocketAddrV4,
+        tenant: TenantKey,
+        level: Option<f64>,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Standing::Awaits(awaited) = &mut book.standing else { return };
+        let Question::Left(least) = &mut awaited.what else { return };
+        *least = match (*least, level) {
+            (Some(known), Some(level)) => Some(known.min(level)),
+            (known, level) => known.or(level),
+        };
+        awaited.from.retain(|asked| *asked != node);
+        if awaited.from.is_empty() {
+            self.conclude(tenant, ranks, now, effects);
+        }
+    }
+
+    /// Takes the answer of a node that was probed: whoever asked is sent there if it lends,
+    /// or knows who does. A first one that has begun anew does not; this node lends until it
+    /// is asked to hand over.
+    pub(super) fn take_probe_answer(
+        &mut self,
+        peer: PeerStanding,
+        tenant: TenantKey,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let node = peer.node;
+        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Standing::Awaits(awaited) = &mut book.standing else { return };
+        let knows_more = match awaited.what {
+            Question::FirstAnswers => peer.lends && awaited.from.contains(&node),
+            Question::SeedKnows => peer.is_settled,
+            Question::Left(_) => return,
+        };
+        awaited.from.retain(|asked| *asked != node);
+        if !knows_more && !awaited.from.is_empty() {
+            return;
+        }
+        if !knows_more {
+            return self.conclude(tenant, ranks, now, effects);
+        }
+        if awaited.what == Question::SeedKnows {
+            self.running_seed = Some((node, now));
+        }
+        let Some(book) = self.books.remove(&tenant) else { return };
+        for (to, ask) in book.held {
+            let outcome = Outcome::Elsewhere(node);
+            effects.answers.push(Answer { to, tenant, number: ask.number, outcome });
+        }
+    }
+
+    /// Whether this node lends for a tenant, or would by its rank.
+    pub(super) fn lends(
+        &self,
+        tenant: TenantKey,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+    ) -> bool {
+        let is_first = ranks.first(tenant) == Some(ranks.own());
+        self.books.contains_key(&tenant) || (is_first && ranks.is_settled(now))
+    }
+
+    /// Lets a book lend that waits for nobody.
+    fn conclude_if_alone(
+        &mut self,
+        tenant: TenantKey,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let is_alone = self.books.get(&tenant).is_some_and(
+            |book| matches!(&book.standing, Standing::Awaits(awaited) if awaited.from.is_empty()),
+        );
+        if is_alone {
+            self.conclude(tenant, ranks, now, effects);
+        }
+    }
+
+    /// Lets a book lend that has waited for other nodes.
+    fn conclude(
+        &mut self,
+        tenant: TenantKey,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        let bounds = self.bounds;
+        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let start = start(&bounds, &book.limit) * ranks.share(now);
+        let Standing::Awaits(awaited) = &book.standing else { return };
+        let (mandate, level) = match awaited.what {
+            Question::Left(least) => (Mandate::First, least.unwrap_or(start)),
+            Question::FirstAnswers => (Mandate::Stopgap, 0.0),
+            Question::SeedKnows => (Mandate::Start, 0.0),
+        };
+        book.standing = Standing::Lends(mandate);
+        let (most, rate) = (book.bucket.most(), book.limit.per_second);
+        book.bucket = TokenBucket::new(level, most, rate, now);
+        for (from, ask) in std::mem::take(&mut book.held) {
+            self.ask_book(from, ask, ranks, now, effects);
+        }
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(
+        &mut self,
+        ranks: &mut FleetRanks,
+        now: BootInstant,
+        effects: &mut LenderEffects,
+    ) {
+        self.books.retain(|_, book| now.since(book.asked) < IDLE_FOR);
+        self.handed.retain(|_, (_, at)| now.since(*at) < HANDED_FOR);
+        let mut overdue = Vec::new();
+        for (tenant, book) in &mut self.books {
+            let Standing::Awaits(awaited) = &mut book.standing else { continue };
+            let waited = now.since(awaited.began);
+            if waited >= LONGEST_WAIT {
+                overdue.push((*tenant, awaited.what, awaited.from.clone()));
+            } else if waited >= ASK_AGAIN_AFTER && !awaited.is_asked_again {
+                awaited.is_asked_again = true;
+                let message = awaited.what.message(*tenant);
+                effects.messages.extend(awaited.from.iter().map(|node| (*node, message)));
+            }
+        }
+        for (tenant, what, silent) in overdue {
+            if what == Question::FirstAnswers {
+                silent.iter().for_each(|node| ranks.pass_over(*node, SILENT_FOR, now));
+            }
+            self.conclude(tenant, ranks, now, effects);
+        }
+    }
+
+    /// Whether questions are held.
+    pub(super) fn holds_any(&self) -> bool {
+        self.books.values().any(|book| !book.held.is_empty())
+    }
+
+    /// Number of tenants for which this node lends.
+    pub(super) fn len(&self) -> usize {
+        self.books.len()
+    }
+}
+
+impl Book {
+    /// Sets the rate by how many nodes this one lends to.
+    fn set_rate(
+        &mut self,
+        mandate: Mandate,
+        bounds: &QuotaBounds,
+        ranks: &FleetRanks,
+        now: BootInstant,
+    ) {
+        let rate = self.limit.per_second;
+        let sharing = ranks.sharing(now);
+        let estimate = self.askers.estimate(sharing, now);
+        if mandate == Mandate::Start {
+            // How many nodes there are is not known yet.
+            self.bucket.set(self.limit.burst, rate * START_RATE, now);
+            return self.put_in(start(bounds, &self.limit));
+        }
+        if mandate == Mandate::First {
+            let share = ranks.share(now);
+            let share = if estimate.is_apart { share.min(estimate.part) } else { share };
+            self.bucket.set(self.limit.burst * share, rate * share, now);
+            let leeway = most_leeway(bounds, &self.limit) * share;
+            self.leeway.set(leeway, rate * LEEWAY_RATE * share, now);
+            return;
+        }
+        let start = start(bounds, &self.limit) * estimate.part;
+        self.bucket.set(start, rate * UNCERTAIN_RATE * estimate.part, now);
+        self.put_in(start);
+    }
+
+    /// Puts a start allowance in, less what was put in before.
+    fn put_in(&mut self, start: f64) {
+        if start > self.started_with {
+            self.bucket.give_back(start - self.started_with);
+            self.started_with = start;
+        }
+    }
+
+    /// Begins as the lender of all nodes that are there.
+    fn begin_anew(&mut self, bounds: &QuotaBounds, share: f64) {
+        let start = start(bounds, &self.limit) * share;
+        self.bucket.set_most(self.limit.burst * share);
+        self.put_in(start);
+    }
+
+    /// Lends what is asked for, or tells when it may be asked for again.
+    fn lend(&mut self, ask: &Ask, now: BootInstant) -> Outcome {
+        let level = self.bucket.level(now);
+        let whole = ask.all + ask.ahead;
+        // What is lent ahead may not be used, so that is done from plenty only; parts of
+        // requests would be used late, in another window.
+        let tokens = if level - whole >= self.bucket.most() / 2.0 {
+            whole
+        } else if level >= ask.all {
+            ask.all
+        } else if self.bucket.covers(ask.first, now) {
+            ask.first
+        } else if self.covers_nearly(ask.first, now) {
+            // The limit itself is not charged: the request that comes next by its order is
+            // not to be refused for this one.
+            self.leeway.spend(ask.first);
+            return Outcome::Lent { tokens: ask.first, book: self.number };
+        } else {
+            return self.deny(ask.first, now);
+        };
+        self.bucket.spend(tokens);
+        Outcome::Lent { tokens, book: self.number }
+    }
+
+    /// Whether a request lacks only what comes within the jitter, and the leeway covers it.
+    fn covers_nearly(&mut self, cost: f64, now: BootInstant) -> bool {
+        self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
+    }
+
+    /// Refuses a request. It finds tokens after those that were told to come back before it,
+    /// so that not all come at once.
+    fn deny(&mut self, cost: f64, now: BootInstant) -> Outcome {
+        let empty = self.bucket.time_until(cost, now);
+        let at = (now + empty).max(self.promised);
+        let after = at.since(now);
+        if after < LONGEST_PROMISE && self.limit.per_second > 0.0 {
+            let takes = Duration::try_from_secs_f64(cost / self.limit.per_second);
+            self.promised = at + takes.unwrap_or_default().min(LONGEST_PROMISE);
+        }
+        let certain = empty.saturating_sub(JITTER);
+        Outcome::Denied {
+            empty_micros: u32::try_from(certain.as_micros()).unwrap_or(u32::MAX),
+            after_millis: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/lent/message.rs
@@ -0,0 +1,117 @@
+//! What nodes tell one another that lend allowances.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::quota::TenantKey;
+
+/// A limit as the node that asks knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AskedLimit {
+    /// Amount a second.
+    pub per_second: f64,
+    /// Amount on top, at once.
+    pub burst: f64,
+    /// Version of the configuration that it is from.
+    pub version: u64,
+}
+
+/// Asks a node to lend.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Rises with each question of a node, so that one that is sent again is known.
+    pub number: u64,
+    /// The tenant.
+    pub tenant: TenantKey,
+    /// Its limit.
+    pub limit: AskedLimit,
+    /// What the first request that waits costs.
+    pub first: f64,
+    /// What all that wait cost.
+    pub all: f64,
+    /// What the node expects to need next.
+    pub ahead: f64,
+    /// Whether nodes that come before the one that is asked do not answer.
+    pub passed_over: bool,
+    /// Whether the node that asks knows too little of the others, so that it asks a seed.
+    pub starts: bool,
+}
+
+/// What is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// So many tokens are lent.
+    Lent {
+        /// The tokens.
+        tokens: f64,
+        /// The book that they are lent from.
+        book: u32,
+    },
+    /// The limit is used up.
+    Denied {
+        /// Microseconds for which nothing that costs as much can be granted.
+        empty_micros: u32,
+        /// Milliseconds after which the caller should come back: later than those who were
+        /// refused before it.
+        after_millis: u32,
+    },
+    /// Another node lends for this tenant.
+    Elsewhere(SocketAddrV4),
+    /// The node knows too little of the others to lend.
+    NotReady,
+}
+
+/// A datagram between nodes that lend allowances.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LentMessage {
+    /// Asks for tokens.
+    Ask(Ask),
+    /// The answer.
+    Answer {
+        /// The tenant.
+        tenant: TenantKey,
+        /// Number of the question.
+        number: u64,
+        /// What is answered.
+        outcome: Outcome,
+    },
+    /// Gives tokens back that were not used.
+    Return {
+        /// The tenant.
+        tenant: TenantKey,
+        /// Rises with each return of a node.
+        number: u64,
+        /// The book that they were lent from.
+        book: u32,
+        /// The tokens.
+        tokens: f64,
+    },
+    /// Asks the node that has lent until now for what is left in its book, and to stop.
+    TakeOver {
+        /// The tenant.
+        tenant: TenantKey,
+    },
+    /// The answer: what is left, if it has a book.
+    Left {
+        /// The tenant.
+        tenant: TenantKey,
+        /// Tokens that are left.
+        level: Option<f64>,
+    },
+    /// Asks a node how it stands: one that is said to be silent, or another seed while the
+    /// fleet may be starting.
+    Probe {
+        /// The tenant that it would lend for.
+        tenant: TenantKey,
+    },
+    /// The answer.
+    ProbeAnswer {
+        /// The tenant.
+        tenant: TenantKey,
+        /// Whether it lends.
+        lends: bool,
+        /// Whether it has watched the others for long enough to know who does.
+        is_settled: bool,
+    },
+}
--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -0,0 +1,152 @@
+//! Tenants' limits, held by all nodes together.
+//!
+//! In any window all nodes together may run what a limit allows, a part of that as excess,
+//! and a fixed slack. Nodes that are cut off count. Nobody within a limit is refused for it,
+//! though a node sees only a few of each tenant's requests: equal shares of a limit are
+//! less than one request at a hundred nodes.
+//!
+//! Behind [`QuotaPolicy`] one node lends for each tenant ([`lent`]). The other way that was
+//! built, sums of what all nodes have used, is kept with the tests that compare the two.
+
+pub mod bucket;
+pub mod lent;
+pub mod ranks;
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::tenants::TenantLimit;
+use crate::time::BootInstant;
+
+/// A tenant in messages between nodes: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TenantKey(u64);
+
+impl TenantKey {
+    /// The key of a tenant.
+    pub fn of(name: &str) -> TenantKey {
+        TenantKey(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+    }
+}
+
+/// What operators promise of limits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of any span in which requests are counted.
+    pub window: Duration,
+    /// Part of what a limit allows by which it may be exceeded.
+    pub excess: f64,
+    /// Amount beyond that, in the limit's unit.
+    pub slack: f64,
+}
+
+impl QuotaBounds {
+    /// Most that a limit allows in a window.
+    fn allowance(&self, limit: &TenantLimit) -> f64 {
+        limit.per_second * self.window.as_secs_f64() + limit.burst
+    }
+
+    /// Most that all nodes may run in a window.
+    pub fn most(&self, limit: &TenantLimit) -> f64 {
+        self.allowance(limit) * (1.0 + self.excess) + self.slack
+    }
+
+    /// What lies between what a limit allows and what may be run: room for nodes that do not
+    /// know of one another.
+    pub fn headroom(&self, limit: &TenantLimit) -> f64 {
+        self.allowance(limit) * self.excess + self.slack
+    }
+}
+
+/// A limit as a configuration tells it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct VersionedLimit {
+    /// The limit.
+    pub limit: TenantLimit,
+    /// Version of the configuration.
+    pub version: u64,
+}
+
+/// Names a request that waits for a decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// What is decided on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It may run.
+    Granted,
+    /// It lies beyond the limit; tokens are there after this time.
+    Refused(Duration),
+    /// Nobody could be asked.
+    Undecided,
+    /// Another node was asked.
+    Pending(Ticket),
+}
+
+/// A decision on a request that had to wait for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// The request.
+    pub ticket: Ticket,
+    /// The decision; never that it is pending.
+    pub decision: Decision,
+}
+
+/// What a policy does beside deciding: messages to send, and requests that need not wait
+/// any longer.
+#[derive(Debug)]
+pub struct Effects<Message> {
+    /// Messages, with the nodes that get them.
+    pub messages: Vec<(SocketAddrV4, Message)>,
+    /// Requests that are decided now.
+    pub settled: Vec<Settled>,
+}
+
+impl<Message> Default for Effects<Message> {
+    fn default() -> Effects<Message> {
+        Effects { messages: Vec::new(), settled: Vec::new() }
+    }
+}
+
+/// How a node holds the tenants' limits together with the others.
+pub trait QuotaPolicy {
+    /// What nodes tell one another.
+    type Message;
+
+    /// Decides on a request of a tenant that costs so much.
+    fn request(
+        &mut self,
+        tenant: TenantKey,
+        limit: VersionedLimit,
+        cost: f64,
+        now: BootInstant,
+        effects: &mut Effects<Self::Message>,
+    ) -> Decision;
+
+    /// Notes that a request which was granted has not run and will not.
+    fn give_back(
+        &mut self,
+        tenant: TenantKey,
+        cost: f64,
+        now: BootInstant,
+        effects: &mut Effects<Self::Message>,
+    );
+
+    /// Takes a message of another node.
+    fn receive(
+        &mut self,
+        from: SocketAddrV4,
+        message: Self::Message,
+        now: BootInstant,
+        effects: &mut Effects<Self::Message>,
+    );
+
+    /// Takes the nodes that are there, this one included while it takes requests.
+    fn set_nodes(&mut self, alive: &[SocketAddrV4], now: BootInstant);
+
+    /// Lets time pass; called each 20 ms while requests wait, some times a second otherwise.
+    fn tick(&mut self, now: BootInstant, effects: &mut Effects<Self::Message>);
+}
--- a/crates/cometmoor-gateway/src/control_traffic.rs
+++ b/crates/cometmoor-gateway/src/control_traffic.rs
@@ -17,6 +17,8 @@
     FleetDigest,
     /// A question for a proof that the configuration is the newest, or its answer.
     Proof,
+    /// Allowances of tenants that nodes lend one another.
+    Quota,
     /// A copy of the configuration, for a peer.
     ConfigurationCopy,
     /// A copy of the servers' entries, for a peer.
@@ -33,11 +35,12 @@
 
 impl TrafficKind {
     /// All of them.
-    const ALL: [TrafficKind; 10] = [
+    const ALL: [TrafficKind; 11] = [
         TrafficKind::Heartbeat,
         TrafficKind::ZoneDigest,
         TrafficKind::FleetDigest,
         TrafficKind::Proof,
+        TrafficKind::Quota,
         TrafficKind::ConfigurationCopy,
         TrafficKind::ServersCopy,
         TrafficKind::StoreRead,
@@ -52,6 +55,7 @@
             TrafficKind::ZoneDigest => "zone_digest",
             TrafficKind::FleetDigest => "fleet_digest",
             TrafficKind::Proof => "proof",
+            TrafficKind::Quota => "quota",
             TrafficKind::ConfigurationCopy => "configuration_copy",
             TrafficKind::ServersCopy => "servers_copy",
             TrafficKind::StoreRead => "store_read",
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -70,6 +70,8 @@
     pub route: Arc<Route>,
     /// The tenant whose request it is, by the configuration that decided last.
     tenant: RefCell<Option<Arc<Tenant>>>,
+    /// The tenant to whose limit it is charged, where it is.
+    charged: RefCell<Option<Arc<Tenant>>>,
     /// When it began to arrive.
     pub received: BootInstant,
     attempts: Cell<Attempts>,
@@ -82,6 +84,7 @@
     /// The client has left while its request was being served: what serves it
     /// is dropped, and the server's connection with it.
     fn drop(&mut self) {
+        self.give_quota_back();
         if !self.ended.get() {
             let server = self.server.borrow().clone();
             let step = self.attempts.get().progress().step();
@@ -113,6 +116,7 @@
             content: fingerprint(head, body),
             route,
             tenant: RefCell::new(tenant),
+            charged: RefCell::default(),
             received,
             attempts,
             estimate: Cell::default(),
@@ -164,6 +168,9 @@
     }
 
     async fn run(&self, service: &str) -> Finish {
+        if let Err((refusal, come_back)) = self.acquire_quota().await {
+            return self.refuse(refusal, come_back).await;
+        }
         let now = self.traffic.now();
         self.traffic.with_budget(service, |budget| budget.record_request(now));
         let mut tried: Vec<Arc<str>> = Vec::new();
@@ -320,6 +327,7 @@
         self.traffic.metrics.ended("refused", "queue", refusal.name());
         let answer = match refusal {
             Refusal::KeyTakenAway => OwnAnswer::unauthorized(),
+            Refusal::OverLimit => OwnAnswer::over_limit(after),
             _ => OwnAnswer::not_run(after),
         };
         self.answer(answer).await
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -37,6 +37,10 @@
     KeyTakenAway,
     /// The copy of the keys is too old to tell whether its key still holds.
     KeyUndecided,
+    /// It lies beyond its tenant's limit.
+    OverLimit,
+    /// No node could tell whether it lies within its tenant's limit.
+    LimitUndecided,
 }
 
 impl Refusal {
@@ -51,6 +55,8 @@
             Refusal::OutOfTime => "the time was over",
             Refusal::Quarantined => "servers have crashed under it",
             Refusal::KeyTakenAway => "its key was taken away",
+            Refusal::OverLimit => "it lies beyond the tenant's limit",
+            Refusal::LimitUndecided => "no node lends for the tenant",
             Refusal::KeyUndecided => "the keys are not known to be the newest",
         }
     }
@@ -86,6 +92,11 @@
         OwnAnswer { status: 401, outcome: "unauthorized", come_back: None, close: false }
     }
 
+    /// The tenant's limit is used up; the request has not run and will not.
+    pub fn over_limit(come_back: Duration) -> OwnAnswer {
+        OwnAnswer { status: 429, outcome: "not_run", come_back: Some(come_back), close: false }
+    }
+
     /// No route fits.
     pub fn no_route() -> OwnAnswer {
         OwnAnswer { status: 404, outcome: "no_route", come_back: None, close: false }
--- a/crates/cometmoor-gateway/src/forward/tenant.rs
+++ b/crates/cometmoor-gateway/src/forward/tenant.rs
@@ -1,15 +1,20 @@
 //! Whose request it is, and whether its key still holds.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cometmoor_core::gateway::configuration::Route;
+use cometmoor_core::gateway::quota::Decision;
 use cometmoor_core::gateway::tenants::{Access, Tenant, access};
 
-use super::Forward;
 use super::outcome::Refusal;
+use super::{COME_BACK_SOON, Forward};
 use crate::dialect::RequestFacts;
 use crate::published::Published;
 
+/// Shortest time after which a caller is told to come back that met a limit.
+const SHORTEST_COME_BACK: Duration = Duration::from_millis(20);
+
 /// A request that may run, as far as its route and its key are concerned.
 #[derive(Clone, Debug)]
 pub struct Admitted {
@@ -41,11 +46,45 @@
         }
     }
 
+    /// Charges the request to its tenant's limit; tells why and when to come back where that
+    /// does not allow it.
+    pub(super) async fn acquire_quota(&self) -> Result<(), (Refusal, Duration)> {
+        let Some(tenant) = self.tenant.borrow().clone() else { return Ok(()) };
+        let version = {
+            let fleet = self.traffic.board.fleet.load();
+            fleet.configuration.as_ref().map_or(0, |known| known.version)
+        };
+        match self.traffic.quota.acquire(&tenant, version, self.facts.tokens()).await {
+            Decision::Granted => {
+                self.charged.replace(Some(tenant));
+                Ok(())
+            }
+            Decision::Refused(after) => Err((Refusal::OverLimit, after.max(SHORTEST_COME_BACK))),
+            Decision::Undecided | Decision::Pending(_) => {
+                Err((Refusal::LimitUndecided, COME_BACK_SOON))
+            }
+        }
+    }
+
+    /// Gives back what the request was charged, if no server can have run it.
+    pub(super) fn give_quota_back(&self) {
+        if self.attempts.get().may_say_not_run()
+            && let Some(tenant) = self.charged.take()
+        {
+            self.traffic.quota.give_back(&tenant, self.facts.tokens());
+        }
+    }
+
     /// Name of the tenant whose request it is.
     pub(super) fn tenant_name(&self) -> Option<String> {
         self.tenant.borrow().as_ref().map(|tenant| tenant.name.clone())
     }
 
+    /// The same for log lines.
+    pub(super) fn tenant_label(&self) -> String {
+        self.tenant_name().unwrap_or_else(|| "-".to_owned())
+    }
+
     /// Rank of the request: the tenant's, or else the route's; 0 is the most urgent.
     pub(super) fn urgency(&self) -> u8 {
         let of_tenant = self.tenant.borrow().as_ref().and_then(|tenant| tenant.priority);
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -15,6 +15,7 @@
 use crate::pace::{FEW_RUNNING, PaceTable};
 use crate::published::Board;
 use crate::quarantine::QuarantineBoard;
+use crate::quota::QuotaDesk;
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
 
@@ -30,6 +31,8 @@
     pub loads: LoadBoard,
     /// Requests that crash servers.
     pub quarantine: QuarantineBoard,
+    /// Tenants' limits.
+    pub quota: Rc<QuotaDesk>,
     /// The servers.
     pub servers: RefCell<ServerTable>,
     pub(super) started: BootInstant,
@@ -48,6 +51,7 @@
         board: Arc<Board>,
         loads: LoadBoard,
         quarantine: QuarantineBoard,
+        quota: Rc<QuotaDesk>,
         metrics: Arc<Metrics>,
     ) -> Traffic {
         Traffic {
@@ -56,6 +60,7 @@
             board,
             loads,
             quarantine,
+            quota,
             metrics,
             servers: RefCell::default(),
             started: clock::now(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod published;
 pub mod quarantine;
+pub mod quota;
 pub mod ready;
 pub mod servers;
 pub mod settings;
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -27,6 +27,7 @@
 use crate::peer::{Subject, renewal_from_path};
 use crate::published::{Board, Phase, StopTimes};
 use crate::quarantine::QuarantineBoard;
+use crate::quota::QuotaDesk;
 use crate::ready::{SmallAnswer, serve as serve_small};
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::store::Store;
@@ -181,8 +182,17 @@
                 return;
             }
         };
+        let quota = match QuotaDesk::start(&settings, board.clone(), metrics.control.clone()) {
+            Ok(quota) => quota,
+            Err(source) => {
+                let address = settings.quota_address.to_string();
+                error!("[quota] cannot be listened on", kv: { address, reason = source.to_string() });
+                return;
+            }
+        };
+        let settings = Rc::new(settings);
         let traffic =
-            Rc::new(Traffic::new(Rc::new(settings), dialect, board, loads, quarantine, metrics));
+            Rc::new(Traffic::new(settings, dialect, board, loads, quarantine, quota, metrics));
         actix_rt::spawn(sweep_pools(traffic.clone()));
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::proof::ProofLimits;
+use cometmoor_core::gateway::quota::QuotaBounds;
 use cometmoor_core::gateway::staleness::StalenessLimits;
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +43,9 @@
     pub directory_address: SocketAddrV4,
     /// Address for other nodes, by UDP and TCP; its port is the same on all.
     pub peer_address: SocketAddrV4,
+    /// Address at which nodes lend one another allowances of tenants, by UDP; its port is
+    /// the same on all.
+    pub quota_address: SocketAddrV4,
     /// Address for metrics; none where it is missing.
     #[serde(default)]
     pub metrics_address: Option<SocketAddrV4>,
@@ -130,6 +134,23 @@
     /// with the store only.
     #[serde(default)]
     pub revoke_millis: Option<u64>,
+    /// Window in which what a tenant runs is counted, in seconds.
+    #[serde(default = "default_quota_window")]
+    pub quota_window_seconds: f64,
+    /// Part of a limit by which all nodes together may exceed it.
+    #[serde(default = "default_quota_excess")]
+    pub quota_excess: f64,
+    /// Amount beyond that, in the limit's unit.
+    #[serde(default)]
+    pub quota_slack: f64,
+}
+
+fn default_quota_window() -> f64 {
+    10.0
+}
+
+fn default_quota_excess() -> f64 {
+    0.1
 }
 
 fn default_bound_millis() -> u64 {
@@ -169,6 +190,7 @@
             ("bounds.loadWindowSeconds", self.bounds.load_window_seconds),
             ("bounds.drainMillis", self.bounds.drain_millis as f64),
             ("bounds.applyMillis", self.bounds.apply_millis as f64),
+            ("bounds.quotaWindowSeconds", self.bounds.quota_window_seconds),
             ("bounds.revokeMillis", self.bounds.revoke_millis.unwrap_or(1) as f64),
             ("directoryLifetimeMillis", self.directory_lifetime_millis as f64),
             ("maxConnections", self.max_connections as f64),
@@ -182,6 +204,8 @@
         let shares = [
             ("bounds.retryRatio", self.bounds.retry_ratio),
             ("bounds.retryExtra", self.bounds.retry_extra),
+            ("bounds.quotaExcess", self.bounds.quota_excess),
+            ("bounds.quotaSlack", self.bounds.quota_slack),
         ];
         for (name, value) in shares {
             if !(value.is_finite() && value >= 0.0) {
@@ -209,6 +233,15 @@
         ProofLimits::new(Duration::from_millis(self.bounds.apply_millis), revoke)
     }
 
+    /// What operators promise of tenants' limits.
+    pub fn quota_bounds(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: Duration::from_secs_f64(self.bounds.quota_window_seconds),
+            excess: self.bounds.quota_excess,
+            slack: self.bounds.quota_slack,
+        }
+    }
+
     /// Window in which repeated sends are counted.
     pub fn retry_window(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.retry_window_seconds)
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -0,0 +1,569 @@
+//! A fleet in virtual time whose nodes hold tenants' limits together: callers send to nodes
+//! drawn at random, datagrams take time and may be lost, and what has run is measured.
+
+#![allow(dead_code, reason = "each test uses its part of the world")]
+
+use std::cmp::Reverse;
+pub mod summed;
+
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use cometmoor_core::gateway::quota::lent::LentQuota;
+use cometmoor_core::gateway::quota::{
+    Decision, Effects, QuotaBounds, QuotaPolicy, Settled, TenantKey, Ticket, VersionedLimit,
+};
+use cometmoor_core::gateway::tenants::{QuotaUnit, TenantLimit};
+use cometmoor_core::time::BootInstant;
+
+use self::summed::{HeardUse, SummedQuota, Used};
+use crate::world::{self, World, zone_of};
+
+/// Bounds that operators set in these tests.
+pub const BOUNDS: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(8), excess: 0.1, slack: 17_000.0 };
+/// Of a thousand datagrams, how many are lost.
+const LOST: u64 = 50;
+/// Microseconds on the way within a zone and between zones, and at the receiver, whose
+/// thread does other work, too.
+const NEAR: u64 = 100;
+const FAR: u64 = 500;
+const HANDLING: u64 = 700;
+/// Between two looks of a node at the others, and between two ticks while requests wait and
+/// while none does, in microseconds.
+const LOOK: u64 = 250_000;
+const BUSY_TICK: u64 = 20_000;
+const IDLE_TICK: u64 = 250_000;
+const TURN: u64 = world::TURN * 1000;
+/// Time between two heartbeats that tell of use, and how many heartbeats old it is when it
+/// is heard.
+const HEAR: u64 = 200_000;
+const HEARTBEATS_NEAR: usize = 2;
+const HEARTBEATS_FAR: usize = 3;
+/// Bytes that a heartbeat, the hubs' and their nodes' digests take for a tenant.
+const BYTES_TOLD: u64 = 3 * 24;
+const SECOND: u64 = 1_000_000;
+/// What requests cost, in tokens: plain calls, short and long prompts.
+const COSTS: [f64; 8] = [200.0, 200.0, 200.0, 1500.0, 1630.0, 2400.0, 2400.0, 5200.0];
+
+/// A tenant's limit, and what its callers send of it.
+#[derive(Clone, Debug)]
+pub struct SimulatedTenant {
+    pub key: TenantKey,
+    pub limit: VersionedLimit,
+    /// Part of the limit that is sent, from a second on.
+    pub sends: Vec<(u64, f64)>,
+}
+
+impl SimulatedTenant {
+    pub fn new(name: usize, per_second: f64, sends: f64) -> SimulatedTenant {
+        let unit = QuotaUnit::Tokens { unnamed: 200 };
+        let limit = TenantLimit { per_second, burst: per_second, unit };
+        SimulatedTenant {
+            key: TenantKey::of(&format!("tenant-{name}")),
+            limit: VersionedLimit { limit, version: 1 },
+            sends: vec![(0, sends)],
+        }
+    }
+
+    fn sends_at(&self, second: u64) -> f64 {
+        self.sends.iter().rev().find(|(from, _)| *from <= second).map_or(0.0, |(_, part)| *part)
+    }
+}
+
+/// What became of a tenant's requests.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub granted: usize,
+    pub refused: usize,
+    pub undecided: usize,
+    /// Requests that the limit itself, held at one place, would have let through, and those
+    /// of them that were not.
+    pub conforming: usize,
+    pub conforming_refused: usize,
+    /// When requests ran, and what they cost.
+    pub runs: Vec<(u64, f64)>,
+}
+
+impl Outcome {
+    /// Most that ran in any window, against the most that may.
+    pub fn worst_window(&self, limit: &TenantLimit) -> f64 {
+        let mut runs = self.runs.clone();
+        runs.sort_unstable_by_key(|(at, _)| *at);
+        let window = u64::try_from(BOUNDS.window.as_micros()).unwrap();
+        let (mut first, mut inside, mut most) = (0, 0.0, 0.0_f64);
+        for (at, cost) in &runs {
+            inside += cost;
+            while runs[first].0 + window < *at {
+                inside -= runs[first].1;
+                first += 1;
+            }
+            most = most.max(inside);
+        }
+        most / BOUNDS.most(limit)
+    }
+
+    /// Part of the limit that ran from one second to another one.
+    pub fn use_of(&self, limit: &TenantLimit, from: u64, until: u64) -> f64 {
+        let inside = |at: &u64| *at >= from * SECOND && *at < until * SECOND;
+        let ran: f64 = self.runs.iter().filter(|(at, _)| inside(at)).map(|(_, cost)| cost).sum();
+        ran / (limit.per_second * (until - from) as f64)
+    }
+}
+
+enum Event<Message> {
+    Arrives { tenant: usize },
+    Datagram { from: SocketAddrV4, to: SocketAddrV4, message: Message },
+    Tick { node: SocketAddrV4, life: u64 },
+    Look { node: SocketAddrV4, life: u64 },
+    Hear { node: SocketAddrV4, life: u64 },
+    Turn,
+}
+
+struct Waiting {
+    tenant: usize,
+    cost: f64,
+    conforms: bool,
+}
+
+/// A way to hold limits, as the world runs it.
+pub trait SimulatedPolicy: QuotaPolicy + Sized {
+    /// A node that has just started.
+    fn start(own: SocketAddrV4, seeds: Vec<SocketAddrV4>, number: u64, now: BootInstant) -> Self;
+    /// Bytes of a message.
+    fn bytes(message: &Self::Message) -> u64;
+    /// Whether requests wait.
+    fn has_waiting(&self) -> bool;
+    /// What a node tells of its use by its heartbeat, where it does.
+    fn used(&self) -> Vec<(TenantKey, Used)> {
+        Vec::new()
+    }
+    /// Takes what it hears of the use of others.
+    fn hear(&mut self, _used: HeardUse, _now: BootInstant) {}
+    /// The node that is asked first for a tenant, where one is.
+    fn lender_of(&mut self, _tenant: TenantKey) -> Option<SocketAddrV4> {
+        None
+    }
+}
+
+impl SimulatedPolicy for LentQuota {
+    fn start(own: SocketAddrV4, seeds: Vec<SocketAddrV4>, number: u64, now: BootInstant) -> Self {
+        LentQuota::new(own, seeds, BOUNDS, number, now)
+    }
+
+    fn bytes(message: &Self::Message) -> u64 {
+        postcard::to_stdvec(message).unwrap().len() as u64
+    }
+
+    fn has_waiting(&self) -> bool {
+        LentQuota::has_waiting(self)
+    }
+
+    fn lender_of(&mut self, tenant: TenantKey) -> Option<SocketAddrV4> {
+        LentQuota::lender_of(self, tenant)
+    }
+}
+
+impl SimulatedPolicy for SummedQuota {
+    fn start(own: SocketAddrV4, _: Vec<SocketAddrV4>, _: u64, now: BootInstant) -> Self {
+        SummedQuota::new(own, BOUNDS, now)
+    }
+
+    fn bytes(_: &Self::Message) -> u64 {
+        0
+    }
+
+    fn has_waiting(&self) -> bool {
+        false
+    }
+
+    fn used(&self) -> Vec<(TenantKey, Used)> {
+        SummedQuota::used(self)
+    }
+
+    fn hear(&mut self, used: HeardUse, now: BootInstant) {
+        self.receive(SocketAddrV4::new([0, 0, 0, 0].into(), 0), used, now, &mut Effects::default());
+    }
+}
+
+/// What a node's heartbeats told of its use: the last ones, the newest first.
+type ToldUse = VecDeque<HashMap<TenantKey, Used>>;
+
+struct QuotaNode<Policy> {
+    policy: Policy,
+    told: ToldUse,
+    /// What it has heard of each other node.
+    heard: HashMap<(SocketAddrV4, u64), HashMap<TenantKey, Used>>,
+    /// Tells this process from an earlier one.
+    life: u64,
+    waiting: HashMap<Ticket, Waiting>,
+    /// Until when it stands still, and what has come meanwhile.
+    frozen_until: u64,
+}
+
+/// The fleet.
+pub struct QuotaWorld<Policy: SimulatedPolicy> {
+    pub world: World,
+    pub tenants: Vec<SimulatedTenant>,
+    pub outcomes: Vec<Outcome>,
+    /// Microseconds since it began.
+    pub now: u64,
+    /// Bytes and datagrams that nodes have sent.
+    pub bytes: u64,
+    pub datagrams: u64,
+    /// Waits of requests for their decision, in microseconds.
+    pub waits: Vec<u64>,
+    /// Nodes from this place on reach nobody else.
+    pub isolated: Vec<SocketAddrV4>,
+    nodes: BTreeMap<SocketAddrV4, QuotaNode<Policy>>,
+    /// Limits as one place would hold them.
+    ideal: Vec<(f64, u64)>,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    queue: HashMap<u64, Event<Policy::Message>>,
+    next_event: u64,
+    since: HashMap<(SocketAddrV4, Ticket), u64>,
+    random: u64,
+}
+
+fn at(micros: u64) -> BootInstant {
+    BootInstant::after_boot(Duration::from_micros(micros))
+}
+
+impl<Policy: SimulatedPolicy> QuotaWorld<Policy> {
+    /// A fleet of so many nodes that have just started.
+    pub fn new(nodes: usize, tenants: Vec<SimulatedTenant>, seed: u64) -> Self {
+        let mut world = QuotaWorld {
+            world: World::new(seed),
+            outcomes: vec![Outcome::default(); tenants.len()],
+            ideal: tenants.iter().map(|tenant| (tenant.limit.limit.burst, 0)).collect(),
+            tenants,
+            now: 0,
+            bytes: 0,
+            datagrams: 0,
+            waits: Vec::new(),
+            isolated: Vec::new(),
+            nodes: BTreeMap::new(),
+            events: BinaryHeap::new(),
+            queue: HashMap::new(),
+            next_event: 0,
+            since: HashMap::new(),
+            random: seed ^ 0x5851_f42d_4c95_7f2d,
+        };
+        world.start(0..nodes);
+        world.push(TURN, Event::Turn);
+        world
+    }
+
+    /// Starts nodes.
+    pub fn start(&mut self, indexes: std::ops::Range<usize>) {
+        self.world.start(indexes);
+        let new: Vec<SocketAddrV4> = self
+            .world
+            .nodes
+            .keys()
+            .copied()
+            .filter(|node| !self.nodes.contains_key(node))
+            .collect();
+        for node in new {
+            let life = self.now + 1;
+            let seed = self.draw(u64::MAX);
+            let seeds = (0..3).map(world::address).collect();
+            let policy = Policy::start(node, seeds, seed, at(self.now));
+            let new = QuotaNode {
+                policy,
+                told: ToldUse::new(),
+                heard: HashMap::new(),
+                life,
+                waiting: HashMap::new(),
+                frozen_until: 0,
+            };
+            self.nodes.insert(node, new);
+            let (tick, look, hear) = (self.draw(IDLE_TICK), self.draw(LOOK), self.draw(HEAR));
+            self.push(tick, Event::Tick { node, life });
+            self.push(look, Event::Look { node, life });
+            self.push(hear, Event::Hear { node, life });
+        }
+    }
+
+    /// Kills a node.
+    pub fn kill(&mut self, node: SocketAddrV4) {
+        self.world.nodes.remove(&node);
+        self.nodes.remove(&node);
+    }
+
+    /// Nodes that run.
+    pub fn addresses(&self) -> Vec<SocketAddrV4> {
+        self.nodes.keys().copied().collect()
+    }
+
+    /// Address of the node that was started in this place.
+    pub fn address(&self, place: usize) -> SocketAddrV4 {
+        world::address(place)
+    }
+
+    /// Lets a node stand still.
+    pub fn freeze(&mut self, node: SocketAddrV4, millis: u64) {
+        let until = self.now + millis * 1000;
+        if let Some(node) = self.nodes.get_mut(&node) {
+            node.frozen_until = until;
+        }
+    }
+
+    /// The node that most of those that run ask first for a tenant.
+    pub fn lender(&mut self, tenant: usize) -> SocketAddrV4 {
+        let key = self.tenants[tenant].key;
+        let mut votes: BTreeMap<SocketAddrV4, usize> = BTreeMap::new();
+        let first = self.nodes.keys().next().copied().unwrap();
+        for node in self.nodes.values_mut() {
+            *votes.entry(node.policy.lender_of(key).unwrap_or(first)).or_default() += 1;
+        }
+        votes.into_iter().max_by_key(|(_, votes)| *votes).map(|(node, _)| node).unwrap()
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed ^ (mixed >> 31)) % below
+    }
+
+    fn push(&mut self, after: u64, event: Event<Policy::Message>) {
+        self.next_event += 1;
+        self.events.push(Reverse((self.now + after, self.next_event)));
+        self.queue.insert(self.next_event, event);
+    }
+
+    /// Begins the callers' requests.
+    pub fn open_to_callers(&mut self) {
+        for tenant in 0..self.tenants.len() {
+            self.push_arrival(tenant);
+        }
+    }
+
+    fn push_arrival(&mut self, tenant: usize) {
+        let known = &self.tenants[tenant];
+        let part = known.sends_at(self.now / SECOND);
+        let mean_cost = COSTS.iter().sum::<f64>() / COSTS.len() as f64;
+        let per_second = known.limit.limit.per_second * part / mean_cost;
+        if per_second <= 0.0 {
+            return self.push(SECOND / 2, Event::Arrives { tenant: tenant | NO_REQUEST });
+        }
+        // Times between requests are spread as those of many callers are.
+        let uniform = (self.draw(1 << 30) + 1) as f64 / (1_u64 << 30) as f64;
+        let gap = -uniform.ln() / per_second;
+        self.push((gap * SECOND as f64) as u64, Event::Arrives { tenant });
+    }
+
+    /// Lets time pass.
+    pub fn run_until(&mut self, second: u64) {
+        while let Some(Reverse((time, number))) = self.events.peek().copied()
+            && time < second * SECOND
+        {
+            self.events.pop();
+            self.now = time;
+            if let Some(event) = self.queue.remove(&number) {
+                self.happen(event);
+            }
+        }
+        self.now = second * SECOND;
+    }
+
+    fn happen(&mut self, event: Event<Policy::Message>) {
+        match event {
+            Event::Turn => {
+                self.world.turn();
+                self.push(TURN, Event::Turn);
+            }
+            Event::Arrives { tenant } if tenant & NO_REQUEST != 0 => {
+                self.push_arrival(tenant & !NO_REQUEST);
+            }
+            Event::Arrives { tenant } => {
+                self.push_arrival(tenant);
+                self.request(tenant);
+            }
+            Event::Datagram { from, to, message } => self.deliver(from, to, message),
+            Event::Tick { node, life } => self.tick(node, life),
+            Event::Look { node, life } => self.look(node, life),
+            Event::Hear { node, life } => self.hear(node, life),
+        }
+    }
+
+    /// Whether a node stands still; what was to happen then happens when it goes on.
+    fn is_frozen(&self, node: SocketAddrV4) -> Option<u64> {
+        let until = self.nodes.get(&node)?.frozen_until;
+        (self.now < until).then(|| until - self.now)
+    }
+
+    fn request(&mut self, tenant: usize) {
+        let cost = COSTS[self.draw(COSTS.len() as u64) as usize];
+        let conforms = self.conforms(tenant, cost);
+        let count = self.nodes.len() as u64;
+        if count == 0 {
+            return;
+        }
+        let place = self.draw(count) as usize;
+        let Some(address) = self.nodes.keys().nth(place).copied() else { return };
+        if self.is_frozen(address).is_some() {
+            return;
+        }
+        let SimulatedTenant { key, limit, .. } = self.tenants[tenant];
+        let mut effects = Effects::default();
+        let now = at(self.now);
+        let Some(node) = self.nodes.get_mut(&address) else { return };
+        let waiting = Waiting { tenant, cost, conforms };
+        match node.policy.request(key, limit, cost, now, &mut effects) {
+            Decision::Pending(ticket) => {
+                node.waiting.insert(ticket, waiting);
+                self.since.insert((address, ticket), self.now);
+                let life = node.life;
+                self.push(BUSY_TICK, Event::Tick { node: address, life });
+            }
+            decision => {
+                self.waits.push(0);
+                self.note(&waiting, decision);
+            }
+        }
+        self.follow(address, effects);
+    }
+
+    /// Whether the limit itself would let a request through.
+    fn conforms(&mut self, tenant: usize, cost: f64) -> bool {
+        let limit = self.tenants[tenant].limit.limit;
+        let (level, since) = self.ideal[tenant];
+        let come = limit.per_second * (self.now - since) as f64 / SECOND as f64;
+        let level = (level + come).min(limit.burst);
+        let conforms = level >= cost;
+        self.ideal[tenant] = (if conforms { level - cost } else { level }, self.now);
+        conforms
+    }
+
+    fn note(&mut self, waiting: &Waiting, decision: Decision) {
+        let now = self.now;
+        let outcome = &mut self.outcomes[waiting.tenant];
+        outcome.conforming += usize::from(waiting.conforms);
+        match decision {
+            Decision::Granted => {
+                outcome.granted += 1;
+                outcome.runs.push((now, waiting.cost));
+                return;
+            }
+            Decision::Refused(_) => outcome.refused += 1,
+            Decision::Undecided => outcome.undecided += 1,
+            Decision::Pending(_) => unreachable!("a pending request is not noted"),
+        }
+        outcome.conforming_refused += usize::from(waiting.conforms);
+    }
+
+    fn follow(&mut self, own: SocketAddrV4, effects: Effects<Policy::Message>) {
+        for Settled { ticket, decision } in effects.settled {
+            let Some(node) = self.nodes.get_mut(&own) else { continue };
+            let Some(waiting) = node.waiting.remove(&ticket) else { continue };
+            if let Some(since) = self.since.remove(&(own, ticket)) {
+                self.waits.push(self.now - since);
+            }
+            self.note(&waiting, decision);
+        }
+        for (to, message) in effects.messages {
+            self.bytes += Policy::bytes(&message);
+            self.datagrams += 1;
+            if self.draw(1000) < LOST {
+                continue;
+            }
+            let way = if zone_of(own) == zone_of(to) { NEAR } else { FAR };
+            let handling = HANDLING / 2 + self.draw(HANDLING);
+            self.push(way + handling, Event::Datagram { from: own, to, message });
+        }
+    }
+
+    fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, message: Policy::Message) {
+        if !self.reaches(from, to) {
+            return;
+        }
+        if let Some(left) = self.is_frozen(to) {
+            return self.push(left, Event::Datagram { from, to, message });
+        }
+        let mut effects = Effects::default();
+        let now = at(self.now);
+        let Some(node) = self.nodes.get_mut(&to) else { return };
+        node.policy.receive(from, message, now, &mut effects);
+        self.follow(to, effects);
+    }
+
+    fn tick(&mut self, own: SocketAddrV4, life: u64) {
+        if let Some(left) = self.is_frozen(own) {
+            return self.push(left, Event::Tick { node: own, life });
+        }
+        let mut effects = Effects::default();
+        let now = at(self.now);
+        let Some(node) = self.nodes.get_mut(&own).filter(|node| node.life == life) else { return };
+        node.policy.tick(now, &mut effects);
+        let after = if node.policy.has_waiting() { BUSY_TICK } else { IDLE_TICK };
+        self.follow(own, effects);
+        self.push(after, Event::Tick { node: own, life });
+    }
+
+    fn look(&mut self, own: SocketAddrV4, life: u64) {
+        if let Some(left) = self.is_frozen(own) {
+            return self.push(left, Event::Look { node: own, life });
+        }
+        let Some(known) = self.world.nodes.get(&own) else { return };
+        let mut alive: Vec<SocketAddrV4> =
+            known.membership.members().iter().map(|member| member.address()).collect();
+        alive.push(own);
+        alive.sort_unstable();
+        let now = at(self.now);
+        let Some(node) = self.nodes.get_mut(&own).filter(|node| node.life == life) else { return };
+        node.policy.set_nodes(&alive, now);
+        self.push(LOOK, Event::Look { node: own, life });
+    }
+
+    /// A node tells its use by its heartbeat, and hears what others told some heartbeats
+    /// ago: two in its zone, three elsewhere, as it comes through the hubs.
+    fn hear(&mut self, own: SocketAddrV4, life: u64) {
+        if let Some(left) = self.is_frozen(own) {
+            return self.push(left, Event::Hear { node: own, life });
+        }
+        let is_same = |node: &&mut QuotaNode<Policy>| node.life == life;
+        let Some(node) = self.nodes.get_mut(&own).filter(is_same) else { return };
+        let used: HashMap<TenantKey, Used> = node.policy.used().into_iter().collect();
+        self.bytes += BYTES_TOLD * used.len() as u64;
+        node.told.push_front(used);
+        node.told.truncate(HEARTBEATS_FAR + 1);
+        let others: Vec<SocketAddrV4> =
+            self.nodes.keys().copied().filter(|other| *other != own).collect();
+        let mut sum: HashMap<TenantKey, Used> = HashMap::new();
+        for other in others {
+            if !self.reaches(other, own) || self.draw(1000) < LOST {
+                continue;
+            }
+            let is_near = zone_of(own) == zone_of(other);
+            let age = if is_near { HEARTBEATS_NEAR } else { HEARTBEATS_FAR };
+            let known = &self.nodes[&other];
+            let Some(told) = known.told.get(age).cloned() else { continue };
+            let life = known.life;
+            let Some(node) = self.nodes.get_mut(&own) else { return };
+            let before = node.heard.insert((other, life), told.clone()).unwrap_or_default();
+            for (tenant, used) in told {
+                let since = used.since(before.get(&tenant).copied().unwrap_or_default());
+                let known = sum.entry(tenant).or_default();
+                *known = known.plus(since);
+            }
+        }
+        let now = at(self.now);
+        if let Some(node) = self.nodes.get_mut(&own) {
+            node.policy.hear(HeardUse { used: sum.into_iter().collect() }, now);
+        }
+        self.push(HEAR, Event::Hear { node: own, life });
+    }
+
+    /// Whether what a node sends comes to another one now.
+    fn reaches(&self, from: SocketAddrV4, to: SocketAddrV4) -> bool {
+        let is_cut = |zone: usize| (zone_of(from) == zone) != (zone_of(to) == zone);
+        let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
+        !is_isolated && !self.world.cut.is_some_and(is_cut)
+    }
+}
+
+/// Marks a look for whether a tenant sends again.
+const NO_REQUEST: usize = 1 << 32;
--- a/crates/cometmoor-gateway/tests/settings.rs
+++ b/crates/cometmoor-gateway/tests/settings.rs
@@ -9,6 +9,7 @@
         "node": "node-1", "zone": "zone-a",
         "clientAddress": "127.0.0.1:7000", "readyAddress": "127.0.0.1:7001",
         "directoryAddress": "127.0.0.1:7002", "peerAddress": "127.0.0.1:7003",
+        "quotaAddress": "127.0.0.1:7004",
         "seeds": [], "storeAddress": "127.0.0.1:7100",
         "bounds": {{
             "graceSeconds": 8, "retryRatio": 0.2, "retryExtra": 54,
