--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -158,7 +158,7 @@
         let server = server.as_deref().unwrap_or("-");
         self.log_failure("out of time", progress.step(), server, "the time is over");
         if progress != Progress::Waiting {
-            self.traffic.metrics.ended("unknown", progress.step(), "out of time");
+            self.ended("unknown", progress.step(), "out of time");
         }
         match progress {
             Progress::Waiting => self.refuse(Refusal::OutOfTime, COME_BACK).await,
@@ -229,7 +229,7 @@
                 Sent::Failed(error) => {
                     self.log_failure("failed", "server", &record.incarnation, &error.to_string());
                     if !self.may_send_again(service, &server, Failure::Broken).await {
-                        self.traffic.metrics.ended("unknown", "server", "broken after the send");
+                        self.ended("unknown", "server", "broken after the send");
                         return self.answer(OwnAnswer::bad_gateway()).await;
                     }
                 }
@@ -253,7 +253,7 @@
         self.log_failure("broken", "stream", &server.record().incarnation, "the stream broke off");
         let follows = self.may_send_again(service, server, Failure::StreamBroken).await;
         if !follows {
-            self.traffic.metrics.ended("cut", "stream", "the stream broke off");
+            self.ended("cut", "stream", "the stream broke off");
         }
         follows
     }
@@ -323,8 +323,9 @@
             Refusal::Quarantined => come_back,
             _ => come_back_in(come_back, self.client_time_left()),
         };
-        self.log_refused(refusal.name(), after);
-        self.traffic.metrics.ended("refused", "queue", refusal.name());
+        self.log_refused(refusal, after);
+        let outcome = if refusal == Refusal::OverLimit { "over_limit" } else { "refused" };
+        self.ended(outcome, refusal.step(), refusal.name());
         let answer = match refusal {
             Refusal::KeyTakenAway => OwnAnswer::unauthorized(),
             Refusal::OverLimit => OwnAnswer::over_limit(after),
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -44,6 +44,15 @@
 }
 
 impl Refusal {
+    /// Step at which it was decided, for log lines and metrics.
+    pub fn step(self) -> &'static str {
+        match self {
+            Refusal::KeyTakenAway | Refusal::KeyUndecided => "key",
+            Refusal::OverLimit | Refusal::LimitUndecided => "quota",
+            _ => "queue",
+        }
+    }
+
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -5,6 +5,7 @@
 use spdlog::{info, warn};
 
 use super::Forward;
+use super::outcome::Refusal;
 use super::relay::EventPauses;
 use crate::clock;
 use crate::dialect::RunMoveAnswer;
@@ -89,14 +90,18 @@
 
     /// Counts a good answer; tells whether its line may be written.
     fn note_answered(&self) -> bool {
-        self.traffic.metrics.ended("answered", "server", "-");
+        self.ended("answered", "server", "-");
         self.traffic.metrics.observe(&self.traffic.metrics.whole, clock::elapsed(self.received));
         crate::log::may_tell_good()
     }
 
     /// A refusal with what decided it. Where servers held the model, the best of
     /// them is told; `candidates` is 0 where none did.
-    pub(super) fn log_refused(&self, reason: &str, come_back: Duration) {
+    pub(super) fn log_refused(&self, refusal: Refusal, come_back: Duration) {
+        if refusal == Refusal::OverLimit && !crate::log::may_tell_over_limit() {
+            return;
+        }
+        let reason = refusal.name();
         let fleet = self.traffic.board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
         let estimate = self.estimate.get();
@@ -106,7 +111,7 @@
             route = &*self.route.name,
             tenant = self.tenant_label(),
             tokens = self.facts.tokens().unwrap_or_default(),
-            step = "queue",
+            step = refusal.step(),
             reason,
             sends = self.attempts.get().sends(),
             age_millis = clock::elapsed(self.received).as_millis() as u64,
--- a/crates/cometmoor-gateway/src/forward/tenant.rs
+++ b/crates/cometmoor-gateway/src/forward/tenant.rs
@@ -9,6 +9,7 @@
 
 use super::outcome::Refusal;
 use super::{COME_BACK_SOON, Forward};
+use crate::clock;
 use crate::dialect::RequestFacts;
 use crate::published::Published;
 
@@ -54,7 +55,10 @@
             let fleet = self.traffic.board.fleet.load();
             fleet.configuration.as_ref().map_or(0, |known| known.version)
         };
-        match self.traffic.quota.acquire(&tenant, version, self.facts.tokens()).await {
+        let asked = clock::now();
+        let decision = self.traffic.quota.acquire(&tenant, version, self.facts.tokens()).await;
+        self.traffic.metrics.observe(&self.traffic.metrics.quota, clock::elapsed(asked));
+        match decision {
             Decision::Granted => {
                 self.charged.replace(Some(tenant));
                 Ok(())
@@ -75,6 +79,14 @@
         }
     }
 
+    /// Notes how the request ended.
+    pub(super) fn ended(&self, outcome: &'static str, step: &'static str, cause: &'static str) {
+        self.traffic.metrics.ended(outcome, step, cause);
+        if let Some(tenant) = &*self.tenant.borrow() {
+            self.traffic.metrics.ended_for_tenant(&tenant.name, outcome);
+        }
+    }
+
     /// Name of the tenant whose request it is.
     pub(super) fn tenant_name(&self) -> Option<String> {
         self.tenant.borrow().as_ref().map(|tenant| tenant.name.clone())
--- a/crates/cometmoor-gateway/src/log.rs
+++ b/crates/cometmoor-gateway/src/log.rs
@@ -25,11 +25,15 @@
 /// Lines a second of requests that went well.
 const GOOD_LINES_A_SECOND: u64 = 20;
 
+/// Lines a second of requests beyond their tenant's limit, of which there may be many times
+/// as many as within it.
+const OVER_LIMIT_LINES_A_SECOND: u64 = 10;
 /// Lines a second of requests without a valid key, of which a stranger may send any number.
 const UNAUTHORIZED_LINES_A_SECOND: u64 = 2;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 static GOOD: LineRate = LineRate::new(GOOD_LINES_A_SECOND);
+static OVER_LIMIT: LineRate = LineRate::new(OVER_LIMIT_LINES_A_SECOND);
 static UNAUTHORIZED: LineRate = LineRate::new(UNAUTHORIZED_LINES_A_SECOND);
 
 /// Lets only so many lines of a kind pass in a second.
@@ -78,6 +82,11 @@
     GOOD.may_pass()
 }
 
+/// Whether a line of a request beyond its tenant's limit may be written now.
+pub fn may_tell_over_limit() -> bool {
+    OVER_LIMIT.may_pass()
+}
+
 /// Whether a line of a request without a valid key may be written now.
 pub fn may_tell_unauthorized() -> bool {
     UNAUTHORIZED.may_pass()
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a gateway node, in the Prometheus text format.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -41,6 +43,40 @@
     pub copy: &'static str,
 }
 
+/// Most tenants that are told apart; the others count together, so that configurations
+/// which come and go do not grow the metrics.
+const MOST_TENANTS: usize = 200;
+/// Label of the tenants beyond that.
+const OTHER_TENANTS: &str = "other";
+
+/// Labels of a tenant's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TenantLabels {
+    tenant: String,
+    outcome: &'static str,
+}
+
+/// Requests of tenants by how they ended.
+#[derive(Debug, Default)]
+struct TenantRequests {
+    requests: Family<TenantLabels, Counter>,
+    told_apart: Mutex<BTreeSet<String>>,
+}
+
+impl TenantRequests {
+    /// The label of a tenant.
+    fn label(&self, tenant: &str) -> String {
+        let mut told_apart = self.told_apart.lock().unwrap_or_else(PoisonError::into_inner);
+        if !told_apart.contains(tenant) {
+            if told_apart.len() >= MOST_TENANTS {
+                return OTHER_TENANTS.to_owned();
+            }
+            told_apart.insert(tenant.to_owned());
+        }
+        tenant.to_owned()
+    }
+}
+
 /// A gauge of a figure that need not be whole.
 pub type Amount = Gauge<f64, AtomicU64>;
 
@@ -49,6 +85,13 @@
     registry: Registry,
     /// Requests by how they ended.
     pub requests: Family<OutcomeLabels, Counter>,
+    tenants: TenantRequests,
+    /// Time until it was decided whether a request lies within its tenant's limit.
+    pub quota: Histogram,
+    /// Tenants for which this node lends.
+    pub lends: Gauge,
+    /// Age of the proof that the configuration is the newest, in seconds.
+    pub proof_age: Amount,
     /// Sends to servers beyond the first of a request.
     pub repeats: Counter,
     /// Servers that crashed while requests of this node were there.
@@ -97,6 +140,10 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("cometmoor"),
             requests: Family::default(),
+            tenants: TenantRequests::default(),
+            quota: histogram(),
+            lends: Gauge::default(),
+            proof_age: Amount::default(),
             repeats: Counter::default(),
             server_crashes: Counter::default(),
             quarantine: Family::default(),
@@ -126,6 +173,8 @@
     fn register_requests(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests by how they ended", self.requests.clone());
+        let tenants = self.tenants.requests.clone();
+        registry.register("tenant_requests", "Requests of tenants by how they ended", tenants);
         registry.register("repeats", "Sends beyond a request's first", self.repeats.clone());
         registry.register("run_moves", "Runs moved to other servers", self.run_moves.clone());
         let crashes = self.server_crashes.clone();
@@ -133,6 +182,7 @@
         let quarantine = self.quarantine.clone();
         registry.register("quarantine", "Contents that were present at crashes", quarantine);
         let times = [
+            ("quota_seconds", "Time to decide on a tenant's limit", &self.quota),
             ("queue_seconds", "Time in the queue for a server", &self.queue),
             ("connect_seconds", "Time to get a connection to a server", &self.connect),
             ("first_byte_seconds", "Time to the first byte of an answer", &self.first_byte),
@@ -149,6 +199,7 @@
         let gauges = [
             ("in_progress", "Requests in progress", &self.in_progress),
             ("configuration_version", "Version in force", &self.configuration_version),
+            ("lends", "Tenants for which this node lends", &self.lends),
             ("leads", "Whether this node orders the servers", &self.leads),
             ("nodes", "Nodes that take requests", &self.nodes),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
@@ -157,6 +208,8 @@
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        let proof_age = self.proof_age.clone();
+        registry.register("proof_age_seconds", "Age of the configuration's proof", proof_age);
         registry.register("store_age_seconds", "Age of the store's view", self.store_age.clone());
         registry.register("servers", "Servers by state", self.servers.clone());
         self.control.register(registry);
@@ -167,6 +220,12 @@
         self.requests.get_or_create(&OutcomeLabels { outcome, step, cause }).inc();
     }
 
+    /// Notes how a request of a tenant ended.
+    pub fn ended_for_tenant(&self, tenant: &str, outcome: &'static str) {
+        let tenant = self.tenants.label(tenant);
+        self.tenants.requests.get_or_create(&TenantLabels { tenant, outcome }).inc();
+    }
+
     /// Notes a time.
     pub fn observe(&self, histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -182,7 +182,7 @@
                 return;
             }
         };
-        let quota = match QuotaDesk::start(&settings, board.clone(), metrics.control.clone()) {
+        let quota = match QuotaDesk::start(&settings, board.clone(), metrics.clone()) {
             Ok(quota) => quota,
             Err(source) => {
                 let address = settings.quota_address.to_string();
@@ -279,6 +279,8 @@
             let age = confirmed.map_or(f64::INFINITY, |at| clock::elapsed(at).as_secs_f64());
             metrics.store_age.get_or_create(&CopyLabels { copy: subject.name() }).set(age);
         }
+        let proof_age = fleet.proof_age().map_or(f64::INFINITY, |age| age.as_secs_f64());
+        metrics.proof_age.set(proof_age);
         let draining = fleet.servers.iter().filter(|s| s.state == ServerState::Draining).count();
         let state = |state| metrics.servers.get_or_create(&StateLabels { state });
         state("draining").set(draining as i64);
--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota.rs
@@ -18,7 +18,8 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock;
-use crate::control_traffic::{ControlTraffic, TrafficKind};
+use crate::control_traffic::TrafficKind;
+use crate::metrics::Metrics;
 use crate::published::Board;
 use crate::settings::GatewaySettings;
 
@@ -35,7 +36,7 @@
 pub struct QuotaDesk {
     socket: UdpSocket,
     board: Arc<Board>,
-    traffic: ControlTraffic,
+    metrics: Arc<Metrics>,
     policy: RefCell<LentQuota>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     /// Generation of the published state whose nodes the policy has.
@@ -48,7 +49,7 @@
     pub fn start(
         settings: &GatewaySettings,
         board: Arc<Board>,
-        traffic: ControlTraffic,
+        metrics: Arc<Metrics>,
     ) -> io::Result<Rc<QuotaDesk>> {
         let own = settings.quota_address;
         let socket = std::net::UdpSocket::bind(SocketAddr::V4(own))?;
@@ -59,7 +60,7 @@
         let desk = Rc::new(QuotaDesk {
             socket: UdpSocket::from_std(socket)?,
             board,
-            traffic,
+            metrics,
             policy: RefCell::new(policy),
             waiting: RefCell::default(),
             nodes_of: Cell::new(0),
@@ -70,11 +71,6 @@
         Ok(desk)
     }
 
-    /// Number of tenants for which this node lends.
-    pub fn books(&self) -> usize {
-        self.policy.borrow().books()
-    }
-
     /// Asks whether a request of a tenant that names so many tokens may run; waits for the
     /// answer of another node where that is needed. What a tenant without a limit sends is
     /// granted.
@@ -122,7 +118,7 @@
 
     fn send(&self, target: SocketAddrV4, message: &LentMessage) {
         let bytes = postcard::to_stdvec(&(FORMAT, message)).unwrap_or_default();
-        self.traffic.count(TrafficKind::Quota, 1, bytes.len());
+        self.metrics.control.count(TrafficKind::Quota, 1, bytes.len());
         // A lost message is sent again, or another node is asked.
         let _ = self.socket.try_send_to(&bytes, SocketAddr::V4(target));
     }
@@ -147,6 +143,7 @@
         loop {
             self.take_nodes();
             self.with_policy(|policy, effects| policy.tick(clock::now(), effects));
+            self.metrics.lends.set(self.policy.borrow().books() as i64);
             if !self.policy.borrow().has_waiting() {
                 let _ = clock::timeout(IDLE_TICK, self.changed.notified()).await;
             }
