A configuration spreads over the hubs, in its zone; estimates of few questions say nothing

Change: nodes fetch a configuration from the hub that told of it or a reader of their own zone, and a hub sends digests at once when it has a newer one. Fewest questions for an estimate: 12, and 0.3 for each node. A request that costs more than the burst runs from a full bucket and the leeway.

--- a/crates/cometmoor-core/src/gateway/quota/bucket.rs
+++ b/crates/cometmoor-core/src/gateway/quota/bucket.rs
@@ -49,10 +49,9 @@
         self.level = self.level.min(most);
     }
 
-    /// Whether a request of this cost may be granted. One that costs more than the bucket
-    /// holds may be where it is full.
-    pub fn covers(&mut self, cost: f64, now: BootInstant) -> bool {
-        self.level(now) >= cost.min(self.most)
+    /// Whether so many tokens are there.
+    pub fn covers(&mut self, tokens: f64, now: BootInstant) -> bool {
+        self.level(now) >= tokens
     }
 
     /// Takes tokens, whether they are there or not.
@@ -65,9 +64,9 @@
         self.level = (self.level + tokens).min(self.most);
     }
 
-    /// Time until a request of this cost may be granted.
-    pub fn time_until(&mut self, cost: f64, now: BootInstant) -> Duration {
-        let lacks = cost.min(self.most) - self.level(now);
+    /// Time until so many tokens are there, or the bucket is full.
+    pub fn time_until(&mut self, tokens: f64, now: BootInstant) -> Duration {
+        let lacks = tokens.min(self.most) - self.level(now);
         if lacks <= 0.0 {
             return Duration::ZERO;
         }
--- a/crates/cometmoor-core/src/gateway/quota/lent/askers.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/askers.rs
@@ -17,6 +17,10 @@
 const SHORTEST_SPAN: Duration = Duration::from_millis(400);
 /// Questions for each node that are looked at, where so many came.
 const QUESTIONS_FOR_NODE: f64 = 1.5;
+/// Fewest questions, and fewest for each node, that tell whether the fleet is apart: two
+/// of one node say nothing.
+const LEAST_QUESTIONS: f64 = 12.0;
+const LEAST_FOR_NODE: f64 = 0.3;
 /// Part of the nodes of which fewer have to ask for the fleet to count as apart: not all
 /// nodes have as many callers.
 const APART_BELOW: f64 = 0.85;
@@ -83,7 +87,8 @@
     fn of(distinct: f64, questions: f64, nodes: f64) -> Estimate {
         let part = (asking(distinct, questions) / nodes).min(1.0);
         let by_chance = met(nodes, questions) - DEVIATIONS * deviation(nodes, questions);
-        Estimate { part, is_apart: part < APART_BELOW && distinct < by_chance }
+        let suffices = questions >= LEAST_QUESTIONS.max(LEAST_FOR_NODE * nodes);
+        Estimate { part, is_apart: suffices && part < APART_BELOW && distinct < by_chance }
     }
 }
 
--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -621,6 +621,11 @@
             // not to be refused for this one.
             self.leeway.spend(ask.first);
             return Outcome::Lent { tokens: ask.first, book: self.number };
+        } else if self.covers_with_leeway(ask.first, now) {
+            let most = self.bucket.most();
+            self.leeway.spend(ask.first - most);
+            self.bucket.spend(most);
+            return Outcome::Lent { tokens: ask.first, book: self.number };
         } else {
             return self.deny(ask.first, now);
         };
@@ -628,9 +633,17 @@
         Outcome::Lent { tokens, book: self.number }
     }
 
+    /// Whether a request that costs more than the burst finds the bucket full, and the rest
+    /// in the leeway: otherwise it could never run.
+    fn covers_with_leeway(&mut self, cost: f64, now: BootInstant) -> bool {
+        let most = self.bucket.most();
+        cost > most && self.bucket.covers(most, now) && self.leeway.covers(cost - most, now)
+    }
+
     /// Whether a request lacks only what comes within the jitter, and the leeway covers it.
     fn covers_nearly(&mut self, cost: f64, now: BootInstant) -> bool {
-        self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
+        let fits = cost <= self.bucket.most();
+        fits && self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
     }
 
     /// Refuses a request. It finds tokens after those that were told to come back before it,
--- a/crates/cometmoor-gateway/src/control/fleet/copies.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/copies.rs
@@ -217,13 +217,19 @@
     }
 
     /// The node whose copy is fetched. A configuration may be large, and all nodes
-    /// that hear of it from one hub want it at once: they spread over the nodes
-    /// that read the store.
+    /// that hear of it from one hub want it at once: they spread over the hubs that have it,
+    /// which ask the nodes that read the store, and over such nodes of their own zone. From
+    /// the four nodes that read the store alone, 301 nodes before 2,999 servers had a
+    /// configuration in force after 2.6 s (played day), and most of it crossed zones.
     fn source_of(&self, subject: Subject, peer: &PeerCopies) -> SocketAddrV4 {
         if subject == Subject::Servers || self.peers.is_small() {
             return peer.address;
         }
-        let readers = self.peers.members().iter().filter(|member| member.entry.reads_store);
+        let is_hub = self.peers.is_hub();
+        let reads_near = |member: &&Member| {
+            member.entry.reads_store && (is_hub || member.zone == self.context.settings.zone)
+        };
+        let readers = self.peers.members().iter().filter(reads_near);
         let readers: Vec<SocketAddrV4> = readers.map(Member::address).collect();
         let place = rand::random_range(0..=readers.len());
         readers.get(place).copied().unwrap_or(peer.address)
@@ -270,6 +276,10 @@
             let (what, revision) = (answer.subject.name(), copy.mirror.at);
             info!("[peers] a newer copy was taken", kv: { what, peer = answer.peer.to_string(), revision });
             self.take_in(answer.subject);
+            if answer.subject == Subject::Configuration {
+                // Those that ask this node for digests wait for it.
+                self.context.board.heartbeat_wanted.notify_one();
+            }
         }
     }
 }
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -218,6 +218,11 @@
         &self.members
     }
 
+    /// Whether other nodes take this one for their hub.
+    pub fn is_hub(&self) -> bool {
+        self.hub.serves_any()
+    }
+
     /// Whether every node tells every other one.
     pub fn is_small(&self) -> bool {
         !self.is_large
@@ -265,7 +270,7 @@
     /// hubs of this node that answer, then the nodes that read the store, by rank, so that
     /// the one on duty comes first.
     pub fn proof_sources(&self) -> Vec<SocketAddrV4> {
-        let is_hub = self.is_small() || self.hub.serves_any();
+        let is_hub = self.is_small() || self.is_hub();
         let hubs: Vec<SocketAddrV4> = match is_hub {
             true => Vec::new(),
             false => self.asked.answering().collect(),
