Sight: a line and a counter when a server names a limit, leaves or asks for a rest

The logs could not tell whether a node had read what a server says of itself: no line, metric or message mentioned it. The adapter decodes the three headers now, and a table in the core keeps the last word of each server and reports what changed; of answers whose times overlap the stricter counts. Log lines and the counter signal_changes are written on changes only, the gauge signaling_servers tells how many servers are under each. Nothing is decided by it yet.

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -16,5 +16,6 @@
 pub mod registry;
 pub mod retry_budget;
 pub mod selection;
+pub mod signals;
 pub mod staleness;
 pub mod tenants;
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -364,6 +364,7 @@
 
     fn tick(&mut self) {
         self.suspensions.look();
+        self.context.signals.tick();
         let now = self.now();
         self.peers.tick(now);
         self.log_member_changes();
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -23,6 +23,7 @@
 use crate::published::Board;
 use crate::quarantine::QuarantineBoard;
 use crate::settings::GatewaySettings;
+use crate::signals::SignalBoard;
 use crate::store::Store;
 
 /// What the control thread's parts share.
@@ -37,6 +38,8 @@
     pub loads: LoadBoard,
     /// Requests that crash servers.
     pub quarantine: QuarantineBoard,
+    /// What servers report of themselves in their answers.
+    pub signals: SignalBoard,
     /// Messages to other nodes and the store.
     pub traffic: ControlTraffic,
     /// The store.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::time::BootInstant;
 use tokio::net::TcpStream;
 
 use super::{Forward, encode};
@@ -134,9 +135,11 @@
         };
         let dialect = &*self.traffic.dialect;
         let bytes = encode::request(dialect, self.head, self.body, &facts);
+        let sent = clock::now();
         let mut received = send_and_read(lent.stream, &bytes, self.head.method == "HEAD").await?;
         for _ in 0..MAX_SURPLUS_ANSWERS {
             if self.is_own(&received) {
+                self.note_signals(record, &received, sent);
                 return Ok(received);
             }
             self.log_failure(
@@ -153,6 +156,13 @@
         Err(SendError::Broken(invalid()))
     }
 
+    fn note_signals(&self, record: &ServerRecord, received: &Received, sent: BootInstant) {
+        let facts = self.traffic.dialect.answer_facts(&received.head);
+        if let Some(signals) = facts.signals {
+            self.traffic.signals.note_answer(&record.incarnation, &self.facts.id, signals, sent);
+        }
+    }
+
     fn is_own(&self, received: &Received) -> bool {
         let facts = self.traffic.dialect.answer_facts(&received.head);
         facts.request_id.unwrap_or_default() == self.facts.id
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -18,6 +18,7 @@
 use crate::quota::QuotaDesk;
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
+use crate::signals::SignalBoard;
 
 /// What the traffic thread's requests share.
 pub struct Traffic {
@@ -31,6 +32,8 @@
     pub loads: LoadBoard,
     /// Requests that crash servers.
     pub quarantine: QuarantineBoard,
+    /// What servers report of themselves.
+    pub signals: SignalBoard,
     /// Tenants' limits.
     pub quota: Rc<QuotaDesk>,
     /// The servers.
@@ -45,12 +48,14 @@
 
 impl Traffic {
     /// The traffic thread's state.
+    #[expect(clippy::too_many_arguments, reason = "each is a part of the thread's state")]
     pub fn new(
         settings: Rc<GatewaySettings>,
         dialect: Arc<dyn Dialect>,
         board: Arc<Board>,
         loads: LoadBoard,
         quarantine: QuarantineBoard,
+        signals: SignalBoard,
         quota: Rc<QuotaDesk>,
         metrics: Arc<Metrics>,
     ) -> Traffic {
@@ -60,6 +65,7 @@
             board,
             loads,
             quarantine,
+            signals,
             quota,
             metrics,
             servers: RefCell::default(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod ready;
 pub mod servers;
 pub mod settings;
+pub mod signals;
 pub mod store;
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -29,6 +29,15 @@
     pub cause: &'static str,
 }
 
+/// Labels of a change of what a server reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SignalLabels {
+    /// `limit`, `leaving` or `rest`.
+    signal: &'static str,
+    /// `set`, `changed` or `ended`.
+    event: &'static str,
+}
+
 /// Labels of a state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StateLabels {
@@ -98,6 +107,9 @@
     pub server_crashes: Counter,
     /// Contents that were present at crashes, by state: quarantined or suspect.
     pub quarantine: Family<StateLabels, Gauge>,
+    signal_changes: Family<SignalLabels, Counter>,
+    /// Servers by what they report of themselves: limited, leaving or resting.
+    pub signaling: Family<StateLabels, Gauge>,
     /// Runs that were stopped to go on at another server, by what came of it.
     pub run_moves: Family<StateLabels, Counter>,
     /// Time in the queue for a server.
@@ -147,6 +159,8 @@
             repeats: Counter::default(),
             server_crashes: Counter::default(),
             quarantine: Family::default(),
+            signal_changes: Family::default(),
+            signaling: Family::default(),
             run_moves: Family::default(),
             queue: histogram(),
             connect: histogram(),
@@ -181,6 +195,10 @@
         registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
         registry.register("quarantine", "Contents that were present at crashes", quarantine);
+        let changes = self.signal_changes.clone();
+        registry.register("signal_changes", "Changes of what servers report", changes);
+        let signaling = self.signaling.clone();
+        registry.register("signaling_servers", "Servers by what they report", signaling);
         let times = [
             ("quota_seconds", "Time to decide on a tenant's limit", &self.quota),
             ("queue_seconds", "Time in the queue for a server", &self.queue),
@@ -226,6 +244,11 @@
         self.tenants.requests.get_or_create(&TenantLabels { tenant, outcome }).inc();
     }
 
+    /// Notes that a server reports something new of itself.
+    pub fn signal_changed(&self, signal: &'static str, event: &'static str) {
+        self.signal_changes.get_or_create(&SignalLabels { signal, event }).inc();
+    }
+
     /// Notes a time.
     pub fn observe(&self, histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::quota::QuotaDesk;
 use crate::ready::{SmallAnswer, serve as serve_small};
 use crate::settings::{GatewaySettings, SettingsError};
+use crate::signals::SignalBoard;
 use crate::store::Store;
 
 /// Connections that may wait to be taken.
@@ -109,6 +110,7 @@
     board: Arc<Board>,
     loads: LoadBoard,
     quarantine: QuarantineBoard,
+    signals: SignalBoard,
     metrics: Arc<Metrics>,
 }
 
@@ -119,12 +121,14 @@
         dialect: Arc<dyn Dialect>,
     ) -> Result<Node, StartError> {
         let (board, loads) = (Arc::new(Board::default()), LoadBoard::default());
+        let metrics = Arc::new(Metrics::default());
         let shared = Shared {
             dialect,
             board: board.clone(),
             loads: loads.clone(),
             quarantine: QuarantineBoard::default(),
-            metrics: Arc::new(Metrics::default()),
+            signals: SignalBoard::new(metrics.clone()),
+            metrics,
         };
         start_traffic(&settings, &shared)?;
         let fleet = start_control_thread(&settings, &shared).await?;
@@ -173,6 +177,7 @@
     let (settings, dialect) = (settings.clone(), shared.dialect.clone());
     let (board, loads) = (shared.board.clone(), shared.loads.clone());
     let (quarantine, metrics) = (shared.quarantine.clone(), shared.metrics.clone());
+    let signals = shared.signals.clone();
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn_fn(move || {
         let listener = match TcpListener::from_std(listener) {
@@ -192,7 +197,7 @@
         };
         let settings = Rc::new(settings);
         let traffic =
-            Rc::new(Traffic::new(settings, dialect, board, loads, quarantine, quota, metrics));
+            Rc::new(Traffic::new(settings, dialect, board, loads, quarantine, signals, quota, metrics));
         actix_rt::spawn(sweep_pools(traffic.clone()));
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
@@ -210,13 +215,14 @@
     settings: &GatewaySettings,
     shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
-    let Shared { dialect, board, loads, quarantine, metrics } = shared;
+    let Shared { dialect, board, loads, quarantine, signals, metrics } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
         board: board.clone(),
         loads: loads.clone(),
         quarantine: quarantine.clone(),
+        signals: signals.clone(),
         traffic: metrics.control.clone(),
         store: Store::new(dialect.clone(), settings.store_address, metrics.control.clone()),
         incarnation: new_incarnation(),
@@ -263,7 +269,7 @@
 
 /// Metrics as text; the states are read when they are asked for.
 fn metrics_answer(shared: &Shared) -> Answering {
-    let Shared { board, loads, quarantine, metrics, .. } = shared.clone();
+    let Shared { board, loads, quarantine, signals, metrics, .. } = shared.clone();
     Rc::new(move |_| {
         let fleet = board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
@@ -289,6 +295,11 @@
         let contents = |state| metrics.quarantine.get_or_create(&StateLabels { state });
         contents("quarantined").set(quarantined as i64);
         contents("suspect").set(suspects as i64);
+        let counts = signals.counts();
+        let signaling = |state| metrics.signaling.get_or_create(&StateLabels { state });
+        signaling("limited").set(counts.limited as i64);
+        signaling("leaving").set(counts.leaving as i64);
+        signaling("resting").set(counts.resting as i64);
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
         let body = metrics.text().into_bytes();
