Allowances of a limit are kept by a key, whatever names the limit

No change of behaviour: TenantKey is QuotaKey, fields and comments speak of limits. Servers' limits are to be held by the same code as tenants'.

--- a/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::message::{Ask, AskedLimit};
-use crate::gateway::quota::{Decision, Settled, TenantKey, Ticket, VersionedLimit};
+use crate::gateway::quota::{Decision, QuotaKey, Settled, Ticket, VersionedLimit};
 use crate::time::BootInstant;
 
 /// Time for which what was lent may be used.
@@ -14,9 +14,9 @@
 const AHEAD: Duration = Duration::from_millis(250);
 /// Longest time for which a refusal counts for the requests that follow.
 const DENIED_FOR: Duration = Duration::from_millis(100);
-/// Time over which a tenant's rate at this node is averaged.
+/// Time over which a limit's rate at this node is averaged.
 const RATE_SPAN: Duration = Duration::from_secs(2);
-/// Weight of the newest request in the mean cost of a tenant's requests.
+/// Weight of the newest request in the mean cost of a limit's requests.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Time after which a node that has not answered is asked once more.
 pub(super) const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
@@ -68,7 +68,7 @@
     pub(super) book: u32,
 }
 
-/// A tenant's account at this node.
+/// A limit's account at this node.
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     limit: VersionedLimit,
@@ -142,7 +142,7 @@
     /// The next question, if requests wait and none is open.
     pub(super) fn next_ask(
         &self,
-        tenant: TenantKey,
+        key: QuotaKey,
         number: u64,
         way: AskWay,
         now: BootInstant,
@@ -156,7 +156,7 @@
         let VersionedLimit { limit, version } = self.limit;
         Some(Ask {
             number,
-            tenant,
+            key,
             limit: AskedLimit { per_second: limit.per_second, burst: limit.burst, version },
             first: (first - balance).max(0.0),
             all: (all - balance).max(0.0),
@@ -236,10 +236,10 @@
     }
 }
 
-/// What a node has been lent, by tenant.
+/// What a node has been lent, by limit.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Borrower {
-    pub(super) accounts: HashMap<TenantKey, Account>,
+    pub(super) accounts: HashMap<QuotaKey, Account>,
     next_ticket: u64,
 }
 
@@ -247,12 +247,12 @@
     /// Decides on a request by what is there; tells its ticket where it has to wait.
     pub(super) fn request(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         limit: VersionedLimit,
         cost: f64,
         now: BootInstant,
     ) -> Decision {
-        let account = self.accounts.entry(tenant).or_insert_with(|| Account::new(limit, now));
+        let account = self.accounts.entry(key).or_insert_with(|| Account::new(limit, now));
         if limit.version > account.limit.version {
             account.limit = limit;
         }
@@ -274,12 +274,12 @@
     /// here.
     pub(super) fn give_back(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         cost: f64,
         now: BootInstant,
         settled: &mut Vec<Settled>,
     ) -> Option<(Source, f64)> {
-        let account = self.accounts.get_mut(&tenant)?;
+        let account = self.accounts.get_mut(&key)?;
         if now >= account.balance_until {
             account.balance = 0.0;
             account.balance_until = now + LENT_FOR;
@@ -295,13 +295,13 @@
         &mut self,
         now: BootInstant,
         settled: &mut Vec<Settled>,
-    ) -> Vec<(TenantKey, Source, f64)> {
+    ) -> Vec<(QuotaKey, Source, f64)> {
         let mut returned = Vec::new();
-        for (tenant, account) in &mut self.accounts {
+        for (key, account) in &mut self.accounts {
             if now >= account.balance_until
                 && let Some((source, tokens)) = account.surplus(now)
             {
-                returned.push((*tenant, source, tokens));
+                returned.push((*key, source, tokens));
             }
             while let Some(first) = account.waiting.front().copied()
                 && now.since(first.since) >= LONGEST_WAIT
--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -1,4 +1,4 @@
-//! The books of the tenants for which a node lends.
+//! The books of the limits for which a node lends.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -8,7 +8,7 @@
 use super::message::{Ask, AskedLimit, LentMessage, Outcome};
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::ranks::FleetRanks;
-use crate::gateway::quota::{QuotaBounds, TenantKey};
+use crate::gateway::quota::{QuotaBounds, QuotaKey};
 use crate::gateway::tenants::{QuotaUnit, TenantLimit};
 use crate::time::BootInstant;
 
@@ -46,7 +46,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answer {
     pub(super) to: SocketAddrV4,
-    pub(super) tenant: TenantKey,
+    pub(super) key: QuotaKey,
     pub(super) number: u64,
     pub(super) outcome: Outcome,
 }
@@ -109,10 +109,10 @@
 }
 
 impl Question {
-    fn message(self, tenant: TenantKey) -> LentMessage {
+    fn message(self, key: QuotaKey) -> LentMessage {
         match self {
-            Question::Left(_) => LentMessage::TakeOver { tenant },
-            Question::FirstAnswers | Question::SeedKnows => LentMessage::Probe { tenant },
+            Question::Left(_) => LentMessage::TakeOver { key },
+            Question::FirstAnswers | Question::SeedKnows => LentMessage::Probe { key },
         }
     }
 }
@@ -125,7 +125,7 @@
     pub(super) is_settled: bool,
 }
 
-/// What is lent to a tenant.
+/// What is lent to a limit.
 #[derive(Clone, Debug)]
 struct Book {
     number: u32,
@@ -147,12 +147,12 @@
     promised: BootInstant,
 }
 
-/// The tenants for which a node lends.
+/// The limits for which a node lends.
 #[derive(Clone, Debug)]
 pub(super) struct Lender {
     bounds: QuotaBounds,
-    books: HashMap<TenantKey, Book>,
-    handed: HashMap<TenantKey, (SocketAddrV4, BootInstant)>,
+    books: HashMap<QuotaKey, Book>,
+    handed: HashMap<QuotaKey, (SocketAddrV4, BootInstant)>,
     /// A seed that has said that the fleet runs, and when.
     running_seed: Option<(SocketAddrV4, BootInstant)>,
     next_book: u32,
@@ -167,11 +167,11 @@
 fn awaits(
     what: Question,
     from: Vec<SocketAddrV4>,
-    tenant: TenantKey,
+    key: QuotaKey,
     now: BootInstant,
     effects: &mut LenderEffects,
 ) -> Standing {
-    let message = what.message(tenant);
+    let message = what.message(key);
     effects.messages.extend(from.iter().map(|node| (*node, message)));
     Standing::Awaits(Awaited { what, from, began: now, is_asked_again: false })
 }
@@ -214,12 +214,12 @@
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
-        let tenant = ask.tenant;
-        let answer = |outcome| Answer { to: from, tenant, number: ask.number, outcome };
-        if self.books.contains_key(&tenant) {
+        let key = ask.key;
+        let answer = |outcome| Answer { to: from, key, number: ask.number, outcome };
+        if self.books.contains_key(&key) {
             return self.ask_book(from, ask, ranks, now, effects);
         }
-        if let Some((to, at)) = self.handed.get(&tenant)
+        if let Some((to, at)) = self.handed.get(&key)
             && now.since(*at) < HANDED_FOR
             && !ask.passed_over
         {
@@ -233,16 +233,16 @@
             effects.answers.push(answer(Outcome::NotReady));
             return;
         }
-        match ranks.first(tenant) {
+        match ranks.first(key) {
             None => effects.answers.push(answer(Outcome::NotReady)),
             Some(first) if first == ranks.own() => {
-                let standing = self.begin(tenant, ranks, now, effects);
+                let standing = self.begin(key, ranks, now, effects);
                 self.open(ask, standing, ranks, now);
                 self.ask_book(from, ask, ranks, now, effects);
-                self.conclude_if_alone(tenant, ranks, now, effects);
+                self.conclude_if_alone(key, ranks, now, effects);
             }
             Some(first) if ask.passed_over => {
-                let standing = awaits(Question::FirstAnswers, vec![first], tenant, now, effects);
+                let standing = awaits(Question::FirstAnswers, vec![first], key, now, effects);
                 self.open(ask, standing, ranks, now);
                 self.ask_book(from, ask, ranks, now, effects);
             }
@@ -260,17 +260,17 @@
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
-        let (tenant, number) = (ask.tenant, ask.number);
+        let (key, number) = (ask.key, ask.number);
         if let Some((seed, at)) = self.running_seed
             && now.since(at) < RUNS_FOR
         {
             let outcome = Outcome::Elsewhere(seed);
-            return effects.answers.push(Answer { to: from, tenant, number, outcome });
+            return effects.answers.push(Answer { to: from, key, number, outcome });
         }
         let seeds: Vec<SocketAddrV4> = ranks.other_seeds().collect();
         let standing = match seeds.is_empty() {
             true => Standing::Lends(Mandate::Start),
-            false => awaits(Question::SeedKnows, seeds, tenant, now, effects),
+            false => awaits(Question::SeedKnows, seeds, key, now, effects),
         };
         self.open(ask, standing, ranks, now);
         self.ask_book(from, ask, ranks, now, effects);
@@ -280,22 +280,22 @@
     /// the last window, what is left there is asked for.
     fn begin(
         &self,
-        tenant: TenantKey,
+        key: QuotaKey,
         ranks: &mut FleetRanks,
         now: BootInstant,
         effects: &mut LenderEffects,
     ) -> Standing {
-        let gone = ranks.gone_ahead(tenant, now);
+        let gone = ranks.gone_ahead(key, now);
         if gone.is_none() && ranks.age(now) >= self.bounds.window {
             return Standing::Lends(Mandate::First);
         }
-        let second = ranks.lenders(tenant).get(1).copied();
+        let second = ranks.lenders(key).get(1).copied();
         let is_young = ranks.age(now) < self.bounds.window;
         let seeds = ranks.other_seeds().filter(|_| is_young);
         let mut from: Vec<SocketAddrV4> = gone.into_iter().chain(second).chain(seeds).collect();
         from.sort_unstable();
         from.dedup();
-        awaits(Question::Left(None), from, tenant, now, effects)
+        awaits(Question::Left(None), from, key, now, effects)
     }
 
     /// Opens a book. It is full only where nobody can have lent in the last window.
@@ -319,7 +319,7 @@
             asked: now,
             promised: now,
         };
-        self.books.insert(ask.tenant, book);
+        self.books.insert(ask.key, book);
     }
 
     /// Answers a question from a book, or holds it until the book lends.
@@ -332,13 +332,13 @@
         effects: &mut LenderEffects,
     ) {
         let bounds = self.bounds;
-        let Some(book) = self.books.get_mut(&ask.tenant) else { return };
+        let Some(book) = self.books.get_mut(&ask.key) else { return };
         book.asked = now;
         let fresh = Asker { answered: None, returned: 0 };
         let asker = book.nodes.entry(from).or_insert(fresh);
         let again = asker.answered.filter(|(number, _)| *number == ask.number);
         if let Some((number, outcome)) = again {
-            effects.answers.push(Answer { to: from, tenant: ask.tenant, number, outcome });
+            effects.answers.push(Answer { to: from, key: ask.key, number, outcome });
             return;
         }
         book.askers.note(from, now);
@@ -350,7 +350,7 @@
         if ask.limit.version > book.limit.version {
             book.limit = ask.limit;
         }
-        let first = ranks.first(ask.tenant).filter(|_| ranks.is_settled(now));
+        let first = ranks.first(ask.key).filter(|_| ranks.is_settled(now));
         let is_first = first == Some(ranks.own());
         if is_first && mandate == Mandate::Stopgap {
             book.begin_anew(&bounds, ranks.share(now));
@@ -368,19 +368,19 @@
         if let Some(asker) = book.nodes.get_mut(&from) {
             asker.answered = Some((ask.number, outcome));
         }
-        effects.answers.push(Answer { to: from, tenant: ask.tenant, number: ask.number, outcome });
+        effects.answers.push(Answer { to: from, key: ask.key, number: ask.number, outcome });
     }
 
     /// Takes tokens back.
     pub(super) fn take_return(
         &mut self,
         from: SocketAddrV4,
-        tenant: TenantKey,
+        key: QuotaKey,
         number: u64,
         book_number: u32,
         tokens: f64,
     ) {
-        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Some(book) = self.books.get_mut(&key) else { return };
         let Some(asker) = book.nodes.get_mut(&from) else { return };
         // A datagram may come twice, or from before this book was opened.
         if book.number == book_number && number > asker.returned {
@@ -393,15 +393,15 @@
     pub(super) fn hand_over(
         &mut self,
         to: SocketAddrV4,
-        tenant: TenantKey,
+        key: QuotaKey,
         now: BootInstant,
     ) -> Option<f64> {
         let lends = |book: &Book| matches!(book.standing, Standing::Lends(_));
-        if !self.books.get(&tenant).is_some_and(lends) {
+        if !self.books.get(&key).is_some_and(lends) {
             return None;
         }
-        let mut book = self.books.remove(&tenant)?;
-        self.handed.insert(tenant, (to, now));
+        let mut book = self.books.remove(&key)?;
+        self.handed.insert(key, (to, now));
         let level = book.bucket.level(now);
         // What others have lent beside this one is not in its book.
         let is_first = book.standing == Standing::Lends(Mandate::First);
@@ -412,13 +412,13 @@
     pub(super) fn take_left(
         &mut self,
         node: SocketAddrV4,
-        tenant: TenantKey,
+        key: QuotaKey,
         level: Option<f64>,
         ranks: &mut FleetRanks,
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
-        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Some(book) = self.books.get_mut(&key) else { return };
         let Standing::Awaits(awaited) = &mut book.standing else { return };
         let Question::Left(least) = &mut awaited.what else { return };
         *least = match (*least, level) {
@@ -427,7 +427,7 @@
         };
         awaited.from.retain(|asked| *asked != node);
         if awaited.from.is_empty() {
-            self.conclude(tenant, ranks, now, effects);
+            self.conclude(key, ranks, now, effects);
         }
     }
 
@@ -437,13 +437,13 @@
     pub(super) fn take_probe_answer(
         &mut self,
         peer: PeerStanding,
-        tenant: TenantKey,
+        key: QuotaKey,
         ranks: &mut FleetRanks,
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
         let node = peer.node;
-        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Some(book) = self.books.get_mut(&key) else { return };
         let Standing::Awaits(awaited) = &mut book.standing else { return };
         let knows_more = match awaited.what {
             Question::FirstAnswers => peer.lends && awaited.from.contains(&node),
@@ -455,55 +455,50 @@
             return;
         }
         if !knows_more {
-            return self.conclude(tenant, ranks, now, effects);
+            return self.conclude(key, ranks, now, effects);
         }
         if awaited.what == Question::SeedKnows {
             self.running_seed = Some((node, now));
         }
-        let Some(book) = self.books.remove(&tenant) else { return };
+        let Some(book) = self.books.remove(&key) else { return };
         for (to, ask) in book.held {
             let outcome = Outcome::Elsewhere(node);
-            effects.answers.push(Answer { to, tenant, number: ask.number, outcome });
+            effects.answers.push(Answer { to, key, number: ask.number, outcome });
         }
     }
 
-    /// Whether this node lends for a tenant, or would by its rank.
-    pub(super) fn lends(
-        &self,
-        tenant: TenantKey,
-        ranks: &mut FleetRanks,
-        now: BootInstant,
-    ) -> bool {
-        let is_first = ranks.first(tenant) == Some(ranks.own());
-        self.books.contains_key(&tenant) || (is_first && ranks.is_settled(now))
+    /// Whether this node lends for a limit, or would by its rank.
+    pub(super) fn lends(&self, key: QuotaKey, ranks: &mut FleetRanks, now: BootInstant) -> bool {
+        let is_first = ranks.first(key) == Some(ranks.own());
+        self.books.contains_key(&key) || (is_first && ranks.is_settled(now))
     }
 
     /// Lets a book lend that waits for nobody.
     fn conclude_if_alone(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         ranks: &mut FleetRanks,
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
-        let is_alone = self.books.get(&tenant).is_some_and(
+        let is_alone = self.books.get(&key).is_some_and(
             |book| matches!(&book.standing, Standing::Awaits(awaited) if awaited.from.is_empty()),
         );
         if is_alone {
-            self.conclude(tenant, ranks, now, effects);
+            self.conclude(key, ranks, now, effects);
         }
     }
 
     /// Lets a book lend that has waited for other nodes.
     fn conclude(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         ranks: &mut FleetRanks,
         now: BootInstant,
         effects: &mut LenderEffects,
     ) {
         let bounds = self.bounds;
-        let Some(book) = self.books.get_mut(&tenant) else { return };
+        let Some(book) = self.books.get_mut(&key) else { return };
         let start = start(&bounds, &book.limit) * ranks.share(now);
         let Standing::Awaits(awaited) = &book.standing else { return };
         let (mandate, level) = match awaited.what {
@@ -529,22 +524,22 @@
         self.books.retain(|_, book| now.since(book.asked) < IDLE_FOR);
         self.handed.retain(|_, (_, at)| now.since(*at) < HANDED_FOR);
         let mut overdue = Vec::new();
-        for (tenant, book) in &mut self.books {
+        for (key, book) in &mut self.books {
             let Standing::Awaits(awaited) = &mut book.standing else { continue };
             let waited = now.since(awaited.began);
             if waited >= LONGEST_WAIT {
-                overdue.push((*tenant, awaited.what, awaited.from.clone()));
+                overdue.push((*key, awaited.what, awaited.from.clone()));
             } else if waited >= ASK_AGAIN_AFTER && !awaited.is_asked_again {
                 awaited.is_asked_again = true;
-                let message = awaited.what.message(*tenant);
+                let message = awaited.what.message(*key);
                 effects.messages.extend(awaited.from.iter().map(|node| (*node, message)));
             }
         }
-        for (tenant, what, silent) in overdue {
+        for (key, what, silent) in overdue {
             if what == Question::FirstAnswers {
                 silent.iter().for_each(|node| ranks.pass_over(*node, SILENT_FOR, now));
             }
-            self.conclude(tenant, ranks, now, effects);
+            self.conclude(key, ranks, now, effects);
         }
     }
 
@@ -553,7 +548,7 @@
         self.books.values().any(|book| !book.held.is_empty())
     }
 
-    /// Number of tenants for which this node lends.
+    /// Number of limits for which this node lends.
     pub(super) fn len(&self) -> usize {
         self.books.len()
     }
--- a/crates/cometmoor-core/src/gateway/quota/lent/message.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::quota::TenantKey;
+use crate::gateway::quota::QuotaKey;
 
 /// A limit as the node that asks knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,8 +22,8 @@
 pub struct Ask {
     /// Rises with each question of a node, so that one that is sent again is known.
     pub number: u64,
-    /// The tenant.
-    pub tenant: TenantKey,
+    /// The limit.
+    pub key: QuotaKey,
     /// Its limit.
     pub limit: AskedLimit,
     /// What the first request that waits costs.
@@ -56,7 +56,7 @@
         /// refused before it.
         after_millis: u32,
     },
-    /// Another node lends for this tenant.
+    /// Another node lends for this limit.
     Elsewhere(SocketAddrV4),
     /// The node knows too little of the others to lend.
     NotReady,
@@ -69,8 +69,8 @@
     Ask(Ask),
     /// The answer.
     Answer {
-        /// The tenant.
-        tenant: TenantKey,
+        /// The limit.
+        key: QuotaKey,
         /// Number of the question.
         number: u64,
         /// What is answered.
@@ -78,8 +78,8 @@
     },
     /// Gives tokens back that were not used.
     Return {
-        /// The tenant.
-        tenant: TenantKey,
+        /// The limit.
+        key: QuotaKey,
         /// Rises with each return of a node.
         number: u64,
         /// The book that they were lent from.
@@ -89,26 +89,26 @@
     },
     /// Asks the node that has lent until now for what is left in its book, and to stop.
     TakeOver {
-        /// The tenant.
-        tenant: TenantKey,
+        /// The limit.
+        key: QuotaKey,
     },
     /// The answer: what is left, if it has a book.
     Left {
-        /// The tenant.
-        tenant: TenantKey,
+        /// The limit.
+        key: QuotaKey,
         /// Tokens that are left.
         level: Option<f64>,
     },
     /// Asks a node how it stands: one that is said to be silent, or another seed while the
     /// fleet may be starting.
     Probe {
-        /// The tenant that it would lend for.
-        tenant: TenantKey,
+        /// The limit that it would lend for.
+        key: QuotaKey,
     },
     /// The answer.
     ProbeAnswer {
-        /// The tenant.
-        tenant: TenantKey,
+        /// The limit.
+        key: QuotaKey,
         /// Whether it lends.
         lends: bool,
         /// Whether it has watched the others for long enough to know who does.
--- a/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
@@ -1,9 +1,9 @@
-//! Allowances that one node lends for each tenant.
+//! Allowances that one node lends for each limit.
 //!
-//! The first of the live nodes by a hash of tenant and node lends. Its book is a bucket of
+//! The first of the live nodes by a hash of limit and node lends. Its book is a bucket of
 //! the limit's rate and burst; the others ask it for the tokens of a request, and for a
 //! little ahead while there are plenty. While one node lends, the sum is right whatever
-//! tenants send. What happens while two do, or none is known, is in [`lender`].
+//! callers send. What happens while two do, or none is known, is in [`lender`].
 
 mod askers;
 mod borrower;
@@ -18,7 +18,7 @@
 pub use self::message::{Ask, AskedLimit, LentMessage, Outcome};
 use super::ranks::FleetRanks;
 use super::{
-    Decision, Effects, QuotaBounds, QuotaPolicy, Settled, TenantKey, Ticket, VersionedLimit,
+    Decision, Effects, QuotaBounds, QuotaKey, QuotaPolicy, Settled, Ticket, VersionedLimit,
 };
 use crate::time::BootInstant;
 
@@ -32,7 +32,7 @@
 /// Times that a question is sent on to another node.
 const MOST_REDIRECTS: u32 = 3;
 
-/// A node that borrows, and lends for some tenants.
+/// A node that borrows, and lends for some limits.
 #[derive(Clone, Debug)]
 pub struct LentQuota {
     ranks: FleetRanks,
@@ -66,12 +66,12 @@
         self.borrower.has_waiting() || self.lender.holds_any()
     }
 
-    /// The node that this one asks first for a tenant.
-    pub fn lender_of(&mut self, tenant: TenantKey) -> Option<SocketAddrV4> {
-        self.ranks.first(tenant)
+    /// The node that this one asks first for a limit.
+    pub fn lender_of(&mut self, key: QuotaKey) -> Option<SocketAddrV4> {
+        self.ranks.first(key)
     }
 
-    /// Number of tenants for which this node lends.
+    /// Number of limits for which this node lends.
     pub fn books(&self) -> usize {
         self.lender.len()
     }
@@ -81,20 +81,20 @@
         self.next_number
     }
 
-    /// Asks for the requests of a tenant that wait, as far as that is not done.
-    fn ask(&mut self, tenant: TenantKey, now: BootInstant, effects: &mut Effects<LentMessage>) {
+    /// Asks for the requests of a limit that wait, as far as that is not done.
+    fn ask(&mut self, key: QuotaKey, now: BootInstant, effects: &mut Effects<LentMessage>) {
         let starts = !self.ranks.is_settled(now);
-        let nodes = self.ranks.to_ask(tenant, now);
+        let nodes = self.ranks.to_ask(key, now);
         let first = nodes.first().copied();
         let answers = |node: &SocketAddrV4| !self.ranks.is_passed_over(*node, now);
         let target = nodes.into_iter().find(answers);
         let number = self.number();
-        let Some(account) = self.borrower.accounts.get_mut(&tenant) else { return };
+        let Some(account) = self.borrower.accounts.get_mut(&key) else { return };
         let Some(target) = target else {
             return account.give_up(&mut effects.settled);
         };
         let way = AskWay { passed_over: !starts && first != Some(target), starts };
-        let Some(ask) = account.next_ask(tenant, number, way, now) else { return };
+        let Some(ask) = account.next_ask(key, number, way, now) else { return };
         account.ask = Some(OpenAsk { ask, target, redirects: 0, first_sent: now, sent: now });
         self.send(target, ask, now, effects);
     }
@@ -123,11 +123,11 @@
         effects: &mut Effects<LentMessage>,
     ) {
         effects.messages.extend(lent.messages);
-        for Answer { to, tenant, number, outcome } in lent.answers {
+        for Answer { to, key, number, outcome } in lent.answers {
             if to == self.ranks.own() {
-                self.take_answer(to, tenant, number, outcome, now, effects);
+                self.take_answer(to, key, number, outcome, now, effects);
             } else {
-                effects.messages.push((to, LentMessage::Answer { tenant, number, outcome }));
+                effects.messages.push((to, LentMessage::Answer { key, number, outcome }));
             }
         }
     }
@@ -135,18 +135,18 @@
     fn take_answer(
         &mut self,
         from: SocketAddrV4,
-        tenant: TenantKey,
+        key: QuotaKey,
         number: u64,
         outcome: Outcome,
         now: BootInstant,
         effects: &mut Effects<LentMessage>,
     ) {
         self.ranks.answers(from);
-        let Some(account) = self.borrower.accounts.get_mut(&tenant) else { return };
+        let Some(account) = self.borrower.accounts.get_mut(&key) else { return };
         let Some(open) = account.ask.filter(|open| open.ask.number == number) else {
             // It comes too late; what it lends goes back.
             if let Outcome::Lent { tokens, book } = outcome {
-                self.give_back_to(tenant, Source { lender: from, book }, tokens, effects);
+                self.give_back_to(key, Source { lender: from, book }, tokens, effects);
             }
             return;
         };
@@ -169,12 +169,12 @@
             Outcome::Elsewhere(_) => self.ranks.pass_over(from, NOT_READY_FOR, now),
             Outcome::NotReady => self.ranks.pass_over(from, NOT_READY_FOR, now),
         }
-        self.ask(tenant, now, effects);
+        self.ask(key, now, effects);
     }
 
     fn give_back_to(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         source: Source,
         tokens: f64,
         effects: &mut Effects<LentMessage>,
@@ -182,25 +182,25 @@
         let number = self.number();
         let Source { lender, book } = source;
         if lender == self.ranks.own() {
-            self.lender.take_return(lender, tenant, number, book, tokens);
+            self.lender.take_return(lender, key, number, book, tokens);
         } else {
-            effects.messages.push((lender, LentMessage::Return { tenant, number, book, tokens }));
+            effects.messages.push((lender, LentMessage::Return { key, number, book, tokens }));
         }
     }
 
     /// Asks again where an answer is overdue, or another node.
     fn chase_answers(&mut self, now: BootInstant, effects: &mut Effects<LentMessage>) {
         let open = self.borrower.accounts.iter();
-        let open: Vec<(TenantKey, OpenAsk)> =
-            open.filter_map(|(tenant, account)| Some((*tenant, account.ask?))).collect();
-        for (tenant, open) in open {
-            let Some(account) = self.borrower.accounts.get_mut(&tenant) else { continue };
+        let open: Vec<(QuotaKey, OpenAsk)> =
+            open.filter_map(|(key, account)| Some((*key, account.ask?))).collect();
+        for (key, open) in open {
+            let Some(account) = self.borrower.accounts.get_mut(&key) else { continue };
             if now.since(open.first_sent) >= GIVE_UP_AFTER {
                 account.ask = None;
                 if open.target != self.ranks.own() {
                     self.ranks.pass_over(open.target, SILENT_FOR, now);
                 }
-                self.ask(tenant, now, effects);
+                self.ask(key, now, effects);
             } else if now.since(open.sent) >= ASK_AGAIN_AFTER && open.target != self.ranks.own() {
                 account.ask = Some(OpenAsk { sent: now, ..open });
                 self.send(open.target, open.ask, now, effects);
@@ -226,28 +226,28 @@
 
     fn request(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         limit: VersionedLimit,
         cost: f64,
         now: BootInstant,
         effects: &mut Effects<LentMessage>,
     ) -> Decision {
-        let decision = self.borrower.request(tenant, limit, cost, now);
+        let decision = self.borrower.request(key, limit, cost, now);
         let Decision::Pending(ticket) = decision else { return decision };
-        self.ask(tenant, now, effects);
+        self.ask(key, now, effects);
         settled_at_once(ticket, &mut effects.settled).unwrap_or(decision)
     }
 
     fn give_back(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         cost: f64,
         now: BootInstant,
         effects: &mut Effects<LentMessage>,
     ) {
-        let surplus = self.borrower.give_back(tenant, cost, now, &mut effects.settled);
+        let surplus = self.borrower.give_back(key, cost, now, &mut effects.settled);
         if let Some((source, tokens)) = surplus {
-            self.give_back_to(tenant, source, tokens, effects);
+            self.give_back_to(key, source, tokens, effects);
         }
     }
 
@@ -262,28 +262,28 @@
         let ranks = &mut self.ranks;
         match message {
             LentMessage::Ask(ask) => self.lender.take_ask(from, ask, ranks, now, &mut lent),
-            LentMessage::Answer { tenant, number, outcome } => {
-                self.take_answer(from, tenant, number, outcome, now, effects);
+            LentMessage::Answer { key, number, outcome } => {
+                self.take_answer(from, key, number, outcome, now, effects);
             }
-            LentMessage::Return { tenant, number, book, tokens } => {
-                self.lender.take_return(from, tenant, number, book, tokens);
+            LentMessage::Return { key, number, book, tokens } => {
+                self.lender.take_return(from, key, number, book, tokens);
             }
-            LentMessage::TakeOver { tenant } => {
-                let level = self.lender.hand_over(from, tenant, now);
-                lent.messages.push((from, LentMessage::Left { tenant, level }));
+            LentMessage::TakeOver { key } => {
+                let level = self.lender.hand_over(from, key, now);
+                lent.messages.push((from, LentMessage::Left { key, level }));
             }
-            LentMessage::Left { tenant, level } => {
-                self.lender.take_left(from, tenant, level, ranks, now, &mut lent);
+            LentMessage::Left { key, level } => {
+                self.lender.take_left(from, key, level, ranks, now, &mut lent);
             }
-            LentMessage::Probe { tenant } => {
-                let lends = self.lender.lends(tenant, ranks, now);
+            LentMessage::Probe { key } => {
+                let lends = self.lender.lends(key, ranks, now);
                 let is_settled = ranks.is_settled(now);
-                let answer = LentMessage::ProbeAnswer { tenant, lends, is_settled };
+                let answer = LentMessage::ProbeAnswer { key, lends, is_settled };
                 lent.messages.push((from, answer));
             }
-            LentMessage::ProbeAnswer { tenant, lends, is_settled } => {
+            LentMessage::ProbeAnswer { key, lends, is_settled } => {
                 let standing = PeerStanding { node: from, lends, is_settled };
-                self.lender.take_probe_answer(standing, tenant, ranks, now, &mut lent);
+                self.lender.take_probe_answer(standing, key, ranks, now, &mut lent);
             }
         }
         self.pass_on(lent, now, effects);
@@ -301,8 +301,8 @@
         let mut lent = LenderEffects::default();
         self.lender.tick(&mut self.ranks, now, &mut lent);
         self.pass_on(lent, now, effects);
-        for (tenant, source, tokens) in self.borrower.tick(now, &mut effects.settled) {
-            self.give_back_to(tenant, source, tokens, effects);
+        for (key, source, tokens) in self.borrower.tick(now, &mut effects.settled) {
+            self.give_back_to(key, source, tokens, effects);
         }
         self.chase_answers(now, effects);
     }
--- a/crates/cometmoor-core/src/gateway/quota/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -1,11 +1,11 @@
-//! Tenants' limits, held by all nodes together.
+//! Limits that all nodes hold together: tenants', and those that servers name.
 //!
 //! In any window all nodes together may run what a limit allows, a part of that as excess,
 //! and a fixed slack. Nodes that are cut off count. Nobody within a limit is refused for it,
-//! though a node sees only a few of each tenant's requests: equal shares of a limit are
+//! though a node sees only a few of the requests: equal shares of a limit are
 //! less than one request at a hundred nodes.
 //!
-//! Behind [`QuotaPolicy`] one node lends for each tenant ([`lent`]). The other way that was
+//! Behind [`QuotaPolicy`] one node lends for each limit ([`lent`]). The other way that was
 //! built, sums of what all nodes have used, is kept with the tests that compare the two.
 
 pub mod bucket;
@@ -20,14 +20,14 @@
 use super::tenants::TenantLimit;
 use crate::time::BootInstant;
 
-/// A tenant in messages between nodes: a hash of its name.
+/// Names a limit in messages between nodes: a hash of its tenant's or server's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct TenantKey(u64);
+pub struct QuotaKey(u64);
 
-impl TenantKey {
-    /// The key of a tenant.
-    pub fn of(name: &str) -> TenantKey {
-        TenantKey(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+impl QuotaKey {
+    /// The key of a tenant's or server's limit.
+    pub fn of(name: &str) -> QuotaKey {
+        QuotaKey(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
     }
 }
 
@@ -111,15 +111,15 @@
     }
 }
 
-/// How a node holds the tenants' limits together with the others.
+/// How a node holds limits together with the others.
 pub trait QuotaPolicy {
     /// What nodes tell one another.
     type Message;
 
-    /// Decides on a request of a tenant that costs so much.
+    /// Decides on a request under a limit that costs so much.
     fn request(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         limit: VersionedLimit,
         cost: f64,
         now: BootInstant,
@@ -129,7 +129,7 @@
     /// Notes that a request which was granted has not run and will not.
     fn give_back(
         &mut self,
-        tenant: TenantKey,
+        key: QuotaKey,
         cost: f64,
         now: BootInstant,
         effects: &mut Effects<Self::Message>,
--- a/crates/cometmoor-core/src/gateway/quota/ranks.rs
+++ b/crates/cometmoor-core/src/gateway/quota/ranks.rs
@@ -1,10 +1,10 @@
-//! The nodes of the fleet as a node sees them, and which of them lends for which tenant.
+//! The nodes of the fleet as a node sees them, and which of them lends for which limit.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::TenantKey;
+use super::QuotaKey;
 use crate::time::BootInstant;
 
 /// Time for which a node that is not there any more counts among those that share a limit:
@@ -17,7 +17,7 @@
 const STEADY_FOR: Duration = Duration::from_millis(400);
 /// Growth of the view that is not much.
 const STEADY_GROWTH: f64 = 1.05;
-/// Nodes that are ranked for each tenant.
+/// Nodes that are ranked for each limit.
 const RANKED: usize = 4;
 
 /// The nodes as one of them sees them.
@@ -31,17 +31,17 @@
     seen: HashMap<SocketAddrV4, BootInstant>,
     /// Until when nodes that do not answer are passed over.
     silent: HashMap<SocketAddrV4, BootInstant>,
-    /// The first nodes for each tenant that was asked for since the view changed.
-    ranked: HashMap<TenantKey, Vec<SocketAddrV4>>,
+    /// The first nodes for each limit that was asked for since the view changed.
+    ranked: HashMap<QuotaKey, Vec<SocketAddrV4>>,
     began: BootInstant,
     /// Size of the view when it last grew much, and when.
     grown: (usize, BootInstant),
 }
 
-/// Rank of a node for a tenant; the highest is the first.
-fn score(tenant: TenantKey, node: SocketAddrV4) -> u64 {
+/// Rank of a node for a limit; the highest is the first.
+fn score(key: QuotaKey, node: SocketAddrV4) -> u64 {
     let mut bytes = [0; 14];
-    bytes[..8].copy_from_slice(&tenant.0.to_le_bytes());
+    bytes[..8].copy_from_slice(&key.0.to_le_bytes());
     bytes[8..12].copy_from_slice(&node.ip().octets());
     bytes[12..].copy_from_slice(&node.port().to_le_bytes());
     xxhash_rust::xxh3::xxh3_64(&bytes)
@@ -113,27 +113,27 @@
         seen.max(self.alive.len()).max(1)
     }
 
-    /// The nodes that lend for a tenant, the first one first.
-    pub fn lenders(&mut self, tenant: TenantKey) -> &[SocketAddrV4] {
+    /// The nodes that lend for a limit, the first one first.
+    pub fn lenders(&mut self, key: QuotaKey) -> &[SocketAddrV4] {
         let alive = &self.alive;
-        self.ranked.entry(tenant).or_insert_with(|| {
+        self.ranked.entry(key).or_insert_with(|| {
             let mut ranked = alive.clone();
-            ranked.sort_unstable_by_key(|node| std::cmp::Reverse(score(tenant, *node)));
+            ranked.sort_unstable_by_key(|node| std::cmp::Reverse(score(key, *node)));
             ranked.truncate(RANKED);
             ranked
         })
     }
 
-    /// The nodes to ask for a tenant, the best first: those that lend, or the seeds while
+    /// The nodes to ask for a limit, the best first: those that lend, or the seeds while
     /// this node knows too little of the others. A seed knows who lends, or does so itself
     /// while the whole fleet starts.
-    pub fn to_ask(&mut self, tenant: TenantKey, now: BootInstant) -> Vec<SocketAddrV4> {
+    pub fn to_ask(&mut self, key: QuotaKey, now: BootInstant) -> Vec<SocketAddrV4> {
         let mut nodes = Vec::new();
         if !self.is_settled(now) {
             nodes.clone_from(&self.seeds);
-            nodes.sort_unstable_by_key(|node| std::cmp::Reverse(score(tenant, *node)));
+            nodes.sort_unstable_by_key(|node| std::cmp::Reverse(score(key, *node)));
         }
-        nodes.extend(self.lenders(tenant));
+        nodes.extend(self.lenders(key));
         nodes
     }
 
@@ -147,23 +147,23 @@
         self.seeds.contains(&self.own)
     }
 
-    /// The first of the nodes that lend for a tenant.
-    pub fn first(&mut self, tenant: TenantKey) -> Option<SocketAddrV4> {
-        self.lenders(tenant).first().copied()
+    /// The first of the nodes that lend for a limit.
+    pub fn first(&mut self, key: QuotaKey) -> Option<SocketAddrV4> {
+        self.lenders(key).first().copied()
     }
 
-    /// Whether a node comes before another one for a tenant.
-    pub fn is_ahead(&self, tenant: TenantKey, node: SocketAddrV4, other: SocketAddrV4) -> bool {
-        score(tenant, node) > score(tenant, other)
+    /// Whether a node comes before another one for a limit.
+    pub fn is_ahead(&self, key: QuotaKey, node: SocketAddrV4, other: SocketAddrV4) -> bool {
+        score(key, node) > score(key, other)
     }
 
     /// The best of the nodes that have gone lately and come before this one.
-    pub fn gone_ahead(&self, tenant: TenantKey, now: BootInstant) -> Option<SocketAddrV4> {
-        let own = score(tenant, self.own);
+    pub fn gone_ahead(&self, key: QuotaKey, now: BootInstant) -> Option<SocketAddrV4> {
+        let own = score(key, self.own);
         let gone = self.seen.iter().filter(|(node, seen)| {
             now.since(**seen) <= SHARES_FOR && !self.alive.contains(node) && **node != self.own
         });
-        let ahead = gone.map(|(node, _)| (score(tenant, *node), *node));
+        let ahead = gone.map(|(node, _)| (score(key, *node), *node));
         ahead.filter(|(score, _)| *score > own).max().map(|(_, node)| node)
     }
 
--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota.rs
@@ -11,7 +11,7 @@
 
 use cometmoor_core::gateway::quota::lent::{LentMessage, LentQuota};
 use cometmoor_core::gateway::quota::{
-    Decision, Effects, QuotaPolicy, Settled, TenantKey, Ticket, VersionedLimit,
+    Decision, Effects, QuotaKey, QuotaPolicy, Settled, Ticket, VersionedLimit,
 };
 use cometmoor_core::gateway::tenants::Tenant;
 use tokio::net::UdpSocket;
@@ -77,7 +77,7 @@
     pub async fn acquire(&self, tenant: &Tenant, version: u64, tokens: Option<u64>) -> Decision {
         let Some(limit) = tenant.limit else { return Decision::Granted };
         self.take_nodes();
-        let key = TenantKey::of(&tenant.name);
+        let key = QuotaKey::of(&tenant.name);
         let cost = limit.unit.cost(tokens) as f64;
         let limit = VersionedLimit { limit, version };
         let decided = self
@@ -93,7 +93,7 @@
     /// Gives the tokens of a request back that no server has run.
     pub fn give_back(&self, tenant: &Tenant, tokens: Option<u64>) {
         let Some(limit) = tenant.limit else { return };
-        let key = TenantKey::of(&tenant.name);
+        let key = QuotaKey::of(&tenant.name);
         let cost = limit.unit.cost(tokens) as f64;
         self.with_policy(|policy, effects| policy.give_back(key, cost, clock::now(), effects));
     }
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -12,7 +12,7 @@
 
 use cometmoor_core::gateway::quota::lent::LentQuota;
 use cometmoor_core::gateway::quota::{
-    Decision, Effects, QuotaBounds, QuotaPolicy, Settled, TenantKey, Ticket, VersionedLimit,
+    Decision, Effects, QuotaBounds, QuotaKey, QuotaPolicy, Settled, Ticket, VersionedLimit,
 };
 use cometmoor_core::gateway::tenants::{QuotaUnit, TenantLimit};
 use cometmoor_core::time::BootInstant;
@@ -50,7 +50,7 @@
 /// A tenant's limit, and what its callers send of it.
 #[derive(Clone, Debug)]
 pub struct SimulatedTenant {
-    pub key: TenantKey,
+    pub key: QuotaKey,
     pub limit: VersionedLimit,
     /// Part of the limit that is sent, from a second on.
     pub sends: Vec<(u64, f64)>,
@@ -61,7 +61,7 @@
         let unit = QuotaUnit::Tokens { unnamed: 200 };
         let limit = TenantLimit { per_second, burst: per_second, unit };
         SimulatedTenant {
-            key: TenantKey::of(&format!("tenant-{name}")),
+            key: QuotaKey::of(&format!("tenant-{name}")),
             limit: VersionedLimit { limit, version: 1 },
             sends: vec![(0, sends)],
         }
@@ -136,13 +136,13 @@
     /// Whether requests wait.
     fn has_waiting(&self) -> bool;
     /// What a node tells of its use by its heartbeat, where it does.
-    fn used(&self) -> Vec<(TenantKey, Used)> {
+    fn used(&self) -> Vec<(QuotaKey, Used)> {
         Vec::new()
     }
     /// Takes what it hears of the use of others.
     fn hear(&mut self, _used: HeardUse, _now: BootInstant) {}
     /// The node that is asked first for a tenant, where one is.
-    fn lender_of(&mut self, _tenant: TenantKey) -> Option<SocketAddrV4> {
+    fn lender_of(&mut self, _tenant: QuotaKey) -> Option<SocketAddrV4> {
         None
     }
 }
@@ -160,7 +160,7 @@
         LentQuota::has_waiting(self)
     }
 
-    fn lender_of(&mut self, tenant: TenantKey) -> Option<SocketAddrV4> {
+    fn lender_of(&mut self, tenant: QuotaKey) -> Option<SocketAddrV4> {
         LentQuota::lender_of(self, tenant)
     }
 }
@@ -178,7 +178,7 @@
         false
     }
 
-    fn used(&self) -> Vec<(TenantKey, Used)> {
+    fn used(&self) -> Vec<(QuotaKey, Used)> {
         SummedQuota::used(self)
     }
 
@@ -188,13 +188,13 @@
 }
 
 /// What a node's heartbeats told of its use: the last ones, the newest first.
-type ToldUse = VecDeque<HashMap<TenantKey, Used>>;
+type ToldUse = VecDeque<HashMap<QuotaKey, Used>>;
 
 struct QuotaNode<Policy> {
     policy: Policy,
     told: ToldUse,
     /// What it has heard of each other node.
-    heard: HashMap<(SocketAddrV4, u64), HashMap<TenantKey, Used>>,
+    heard: HashMap<(SocketAddrV4, u64), HashMap<QuotaKey, Used>>,
     /// Tells this process from an earlier one.
     life: u64,
     waiting: HashMap<Ticket, Waiting>,
@@ -526,13 +526,13 @@
         }
         let is_same = |node: &&mut QuotaNode<Policy>| node.life == life;
         let Some(node) = self.nodes.get_mut(&own).filter(is_same) else { return };
-        let used: HashMap<TenantKey, Used> = node.policy.used().into_iter().collect();
+        let used: HashMap<QuotaKey, Used> = node.policy.used().into_iter().collect();
         self.bytes += BYTES_TOLD * used.len() as u64;
         node.told.push_front(used);
         node.told.truncate(HEARTBEATS_FAR + 1);
         let others: Vec<SocketAddrV4> =
             self.nodes.keys().copied().filter(|other| *other != own).collect();
-        let mut sum: HashMap<TenantKey, Used> = HashMap::new();
+        let mut sum: HashMap<QuotaKey, Used> = HashMap::new();
         for other in others {
             if !self.reaches(other, own) || self.draw(1000) < LOST {
                 continue;
--- a/crates/cometmoor-gateway/tests/quota_world/summed.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/summed.rs
@@ -13,7 +13,7 @@
 use cometmoor_core::gateway::quota::bucket::TokenBucket;
 use cometmoor_core::gateway::quota::ranks::FleetRanks;
 use cometmoor_core::gateway::quota::{
-    Decision, Effects, QuotaBounds, QuotaPolicy, TenantKey, VersionedLimit,
+    Decision, Effects, QuotaBounds, QuotaKey, QuotaPolicy, VersionedLimit,
 };
 use cometmoor_core::time::BootInstant;
 
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeardUse {
     /// By tenant.
-    pub used: Vec<(TenantKey, Used)>,
+    pub used: Vec<(QuotaKey, Used)>,
 }
 
 /// A tenant at this node.
@@ -76,7 +76,7 @@
 pub struct SummedQuota {
     bounds: QuotaBounds,
     ranks: FleetRanks,
-    accounts: HashMap<TenantKey, Account>,
+    accounts: HashMap<QuotaKey, Account>,
     heard: Option<BootInstant>,
     ticked: BootInstant,
 }
@@ -94,13 +94,13 @@
     }
 
     /// What this node was asked for and has admitted since it began, for the others.
-    pub fn used(&self) -> Vec<(TenantKey, Used)> {
+    pub fn used(&self) -> Vec<(QuotaKey, Used)> {
         self.accounts.iter().map(|(tenant, account)| (*tenant, account.own)).collect()
     }
 
     fn account(
         &mut self,
-        tenant: TenantKey,
+        tenant: QuotaKey,
         limit: VersionedLimit,
         now: BootInstant,
     ) -> &mut Account {
@@ -166,7 +166,7 @@
 
     fn request(
         &mut self,
-        tenant: TenantKey,
+        tenant: QuotaKey,
         limit: VersionedLimit,
         cost: f64,
         now: BootInstant,
@@ -190,7 +190,7 @@
 
     fn give_back(
         &mut self,
-        tenant: TenantKey,
+        tenant: QuotaKey,
         cost: f64,
         _: BootInstant,
         _: &mut Effects<HeardUse>,
