Servers' limits in virtual time: lent allowances against equal shares

Both ways behind QuotaPolicy, at 3 to 300 nodes, limits of 0.5, 1, 5 and 40 a second, 60 requests a second wanted of each server, 5% of the datagrams lost; most in 4 s against what operators allow (8, 11, 35, 245), and the part of the limit that is used.

Sending from a few nodes only, by rank, was not built: it needs the callers there, or a hop. Conclusion: a server's limit is lent like a tenant's.

--- a/crates/cometmoor-core/src/gateway/quota/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -11,6 +11,7 @@
 pub mod bucket;
 pub mod lent;
 pub mod ranks;
+pub mod server_limit;
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/server_limit.rs
@@ -0,0 +1,26 @@
+//! The limit that a server names in its answers, as a quota of all nodes together.
+
+use std::time::Duration;
+
+use super::{QuotaBounds, VersionedLimit};
+use crate::gateway::tenants::{QuotaUnit, TenantLimit};
+
+/// In any four seconds operators allow one and a half times what a limit allows, and five
+/// requests more. The window's allowance holds the burst of a bucket beside the rate, so
+/// excess and slack are smaller here: with [`BURST_PART`] the sum stays below theirs.
+pub const SERVER_LIMIT_BOUNDS: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(4), excess: 0.4, slack: 3.0 };
+/// Requests that may run at once after a pause, beyond one: those of so many seconds.
+const BURST_PART: f64 = 0.1;
+/// Least rate at which a server is asked whether its limit still holds, in requests a second:
+/// otherwise a limit of zero would last for ever.
+const LEAST_PER_SECOND: f64 = 0.1;
+
+/// The quota of a server that names so many requests a second. `version` rises with each
+/// change.
+pub fn server_limit(per_second: f64, version: u64) -> VersionedLimit {
+    let per_second = per_second.max(LEAST_PER_SECOND);
+    let burst = 1.0 + BURST_PART * per_second;
+    let limit = TenantLimit { per_second, burst, unit: QuotaUnit::Requests };
+    VersionedLimit { limit, version }
+}
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses its part of the world")]
 
 use std::cmp::Reverse;
+pub mod equal;
 pub mod summed;
 
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -17,6 +18,7 @@
 use cometmoor_core::gateway::tenants::{QuotaUnit, TenantLimit};
 use cometmoor_core::time::BootInstant;
 
+use self::equal::EqualShares;
 use self::summed::{HeardUse, SummedQuota, Used};
 use crate::world::{self, World, zone_of};
 
@@ -45,7 +47,7 @@
 const BYTES_TOLD: u64 = 3 * 24;
 const SECOND: u64 = 1_000_000;
 /// What requests cost, in tokens: plain calls, short and long prompts.
-const COSTS: [f64; 8] = [200.0, 200.0, 200.0, 1500.0, 1630.0, 2400.0, 2400.0, 5200.0];
+pub const COSTS: [f64; 8] = [200.0, 200.0, 200.0, 1500.0, 1630.0, 2400.0, 2400.0, 5200.0];
 
 /// A tenant's limit, and what its callers send of it.
 #[derive(Clone, Debug)]
@@ -89,9 +91,14 @@
 impl Outcome {
     /// Most that ran in any window, against the most that may.
     pub fn worst_window(&self, limit: &TenantLimit) -> f64 {
+        self.most_in(BOUNDS.window) / BOUNDS.most(limit)
+    }
+
+    /// Most that ran in any span of a length.
+    pub fn most_in(&self, window: Duration) -> f64 {
         let mut runs = self.runs.clone();
         runs.sort_unstable_by_key(|(at, _)| *at);
-        let window = u64::try_from(BOUNDS.window.as_micros()).unwrap();
+        let window = u64::try_from(window.as_micros()).unwrap();
         let (mut first, mut inside, mut most) = (0, 0.0, 0.0_f64);
         for (at, cost) in &runs {
             inside += cost;
@@ -101,7 +108,7 @@
             }
             most = most.max(inside);
         }
-        most / BOUNDS.most(limit)
+        most
     }
 
     /// Part of the limit that ran from one second to another one.
@@ -130,7 +137,13 @@
 /// A way to hold limits, as the world runs it.
 pub trait SimulatedPolicy: QuotaPolicy + Sized {
     /// A node that has just started.
-    fn start(own: SocketAddrV4, seeds: Vec<SocketAddrV4>, number: u64, now: BootInstant) -> Self;
+    fn start(
+        own: SocketAddrV4,
+        seeds: Vec<SocketAddrV4>,
+        bounds: QuotaBounds,
+        number: u64,
+        now: BootInstant,
+    ) -> Self;
     /// Bytes of a message.
     fn bytes(message: &Self::Message) -> u64;
     /// Whether requests wait.
@@ -148,8 +161,14 @@
 }
 
 impl SimulatedPolicy for LentQuota {
-    fn start(own: SocketAddrV4, seeds: Vec<SocketAddrV4>, number: u64, now: BootInstant) -> Self {
-        LentQuota::new(own, seeds, BOUNDS, number, now)
+    fn start(
+        own: SocketAddrV4,
+        seeds: Vec<SocketAddrV4>,
+        bounds: QuotaBounds,
+        number: u64,
+        now: BootInstant,
+    ) -> Self {
+        LentQuota::new(own, seeds, bounds, number, now)
     }
 
     fn bytes(message: &Self::Message) -> u64 {
@@ -165,9 +184,35 @@
     }
 }
 
+impl SimulatedPolicy for EqualShares {
+    fn start(
+        own: SocketAddrV4,
+        _: Vec<SocketAddrV4>,
+        _: QuotaBounds,
+        _: u64,
+        now: BootInstant,
+    ) -> Self {
+        EqualShares::new(own, now)
+    }
+
+    fn bytes(_: &Self::Message) -> u64 {
+        0
+    }
+
+    fn has_waiting(&self) -> bool {
+        false
+    }
+}
+
 impl SimulatedPolicy for SummedQuota {
-    fn start(own: SocketAddrV4, _: Vec<SocketAddrV4>, _: u64, now: BootInstant) -> Self {
-        SummedQuota::new(own, BOUNDS, now)
+    fn start(
+        own: SocketAddrV4,
+        _: Vec<SocketAddrV4>,
+        bounds: QuotaBounds,
+        _: u64,
+        now: BootInstant,
+    ) -> Self {
+        SummedQuota::new(own, bounds, now)
     }
 
     fn bytes(_: &Self::Message) -> u64 {
@@ -206,6 +251,9 @@
 pub struct QuotaWorld<Policy: SimulatedPolicy> {
     pub world: World,
     pub tenants: Vec<SimulatedTenant>,
+    places: usize,
+    bounds: QuotaBounds,
+    costs: Vec<f64>,
     pub outcomes: Vec<Outcome>,
     /// Microseconds since it began.
     pub now: u64,
@@ -233,11 +281,25 @@
 impl<Policy: SimulatedPolicy> QuotaWorld<Policy> {
     /// A fleet of so many nodes that have just started.
     pub fn new(nodes: usize, tenants: Vec<SimulatedTenant>, seed: u64) -> Self {
+        QuotaWorld::with_bounds(nodes, tenants, seed, BOUNDS, COSTS.to_vec())
+    }
+
+    /// The same under other bounds, with requests that cost other amounts.
+    pub fn with_bounds(
+        nodes: usize,
+        tenants: Vec<SimulatedTenant>,
+        seed: u64,
+        bounds: QuotaBounds,
+        costs: Vec<f64>,
+    ) -> Self {
         let mut world = QuotaWorld {
             world: World::new(seed),
             outcomes: vec![Outcome::default(); tenants.len()],
             ideal: tenants.iter().map(|tenant| (tenant.limit.limit.burst, 0)).collect(),
             tenants,
+            places: 0,
+            bounds,
+            costs,
             now: 0,
             bytes: 0,
             datagrams: 0,
@@ -257,6 +319,7 @@
 
     /// Starts nodes.
     pub fn start(&mut self, indexes: std::ops::Range<usize>) {
+        self.places = self.places.max(indexes.end);
         self.world.start(indexes);
         let new: Vec<SocketAddrV4> = self
             .world
@@ -269,7 +332,7 @@
             let life = self.now + 1;
             let seed = self.draw(u64::MAX);
             let seeds = (0..3).map(world::address).collect();
-            let policy = Policy::start(node, seeds, seed, at(self.now));
+            let policy = Policy::start(node, seeds, self.bounds, seed, at(self.now));
             let new = QuotaNode {
                 policy,
                 told: ToldUse::new(),
@@ -297,6 +360,11 @@
         self.nodes.keys().copied().collect()
     }
 
+    /// Places of nodes that were ever started.
+    pub fn places(&self) -> usize {
+        self.places
+    }
+
     /// Address of the node that was started in this place.
     pub fn address(&self, place: usize) -> SocketAddrV4 {
         world::address(place)
@@ -344,7 +412,7 @@
     fn push_arrival(&mut self, tenant: usize) {
         let known = &self.tenants[tenant];
         let part = known.sends_at(self.now / SECOND);
-        let mean_cost = COSTS.iter().sum::<f64>() / COSTS.len() as f64;
+        let mean_cost = self.costs.iter().sum::<f64>() / self.costs.len() as f64;
         let per_second = known.limit.limit.per_second * part / mean_cost;
         if per_second <= 0.0 {
             return self.push(SECOND / 2, Event::Arrives { tenant: tenant | NO_REQUEST });
@@ -396,7 +464,8 @@
     }
 
     fn request(&mut self, tenant: usize) {
-        let cost = COSTS[self.draw(COSTS.len() as u64) as usize];
+        let drawn = self.draw(self.costs.len() as u64) as usize;
+        let cost = self.costs[drawn];
         let conforms = self.conforms(tenant, cost);
         let count = self.nodes.len() as u64;
         if count == 0 {
