A server's limit holds over all nodes: each send asks for a part of it

Callers saw: a server in need that had named 1 request a second went on getting 2 to 7, from all nodes; 12 in 4 s where 11 are allowed.

Cause: what a server says of itself in an answer was passed on to the caller and dropped. Class: a fact about a server that reaches the node in an answer and is not taken in. Evidence: the rate followed demand before, while and after the limit was named; all logged sends were first sends and none was turned away (no repeats); one node alone sent more than its sixth (no shares that add up).

Change: the limit is lent like a tenant's, by the same code: one node by rank lends, and a request asks for its part just before its first byte leaves (forward/gate.rs), whether it is a first send, a repeat, a stream that goes on or one that waited. A server that denied a part is not considered until the node asks again; where all are held, the caller is told at once when there is room. Nodes report limits and their ends to one another; an end counts only if it is certainly later than what is known. Runs move to servers without a limit only.

--- a/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
@@ -153,11 +153,10 @@
         let first = self.waiting.front()?.cost;
         let all: f64 = self.waiting.iter().map(|waiting| waiting.cost).sum();
         let balance = if now < self.balance_until { self.balance } else { 0.0 };
-        let VersionedLimit { limit, version } = self.limit;
         Some(Ask {
             number,
             key,
-            limit: AskedLimit { per_second: limit.per_second, burst: limit.burst, version },
+            limit: AskedLimit::from(self.limit),
             first: (first - balance).max(0.0),
             all: (all - balance).max(0.0),
             ahead: self.ahead(),
--- a/crates/cometmoor-core/src/gateway/quota/lent/message.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::quota::QuotaKey;
+use crate::gateway::quota::{QuotaKey, VersionedLimit};
 
 /// A limit as the node that asks knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -17,6 +17,13 @@
     pub version: u64,
 }
 
+impl From<VersionedLimit> for AskedLimit {
+    fn from(limit: VersionedLimit) -> AskedLimit {
+        let VersionedLimit { limit, version } = limit;
+        AskedLimit { per_second: limit.per_second, burst: limit.burst, version }
+    }
+}
+
 /// Asks a node to lend.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
--- a/crates/cometmoor-core/src/gateway/quota/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -23,7 +23,7 @@
 
 /// Names a limit in messages between nodes: a hash of its tenant's or server's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct QuotaKey(u64);
+pub struct QuotaKey(pub(super) u64);
 
 impl QuotaKey {
     /// The key of a tenant's or server's limit.
--- a/crates/cometmoor-core/src/gateway/quota/server_limit.rs
+++ b/crates/cometmoor-core/src/gateway/quota/server_limit.rs
@@ -16,6 +16,21 @@
 /// otherwise a limit of zero would last for ever.
 const LEAST_PER_SECOND: f64 = 0.1;
 
+/// Questions for each request that a limit allows, so that its bucket is not full while
+/// requests are there: at 5 requests a second, six nodes that were each denied for up to a
+/// second used three quarters of it.
+const QUESTIONS_FOR_REQUEST: f64 = 4.0;
+/// Shortest and longest time for which a server is not considered whose limit was used up.
+const DENIED_FOR: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// How long a node does not consider a server that has denied it a request for `after`: as
+/// all of so many nodes do so, they ask a few times as often as requests are allowed.
+pub fn denied_for(limit: &VersionedLimit, nodes: usize, after: Duration) -> Duration {
+    let questions = QUESTIONS_FOR_REQUEST * limit.limit.per_second;
+    let pause = Duration::try_from_secs_f64(nodes as f64 / questions).unwrap_or(DENIED_FOR.1);
+    after.min(pause).clamp(DENIED_FOR.0, DENIED_FOR.1)
+}
+
 /// The quota of a server that names so many requests a second. `version` rises with each
 /// change.
 pub fn server_limit(per_second: f64, version: u64) -> VersionedLimit {
--- a/crates/cometmoor-core/src/gateway/signals.rs
+++ b/crates/cometmoor-core/src/gateway/signals.rs
@@ -3,11 +3,17 @@
 //!
 //! An answer may overtake another one. What it reports was true at some moment between its
 //! request and its head; where those spans of two answers overlap, neither is known to be
-//! the later one, and the stricter counts.
+//! the later one, and the stricter counts. Nodes report to one another what they learn, a
+//! bounded number of records with each message.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use super::quota::server_limit::{denied_for, server_limit};
+use super::quota::{QuotaKey, VersionedLimit};
 use crate::time::BootInstant;
 
 /// Servers that are remembered: six times as many as at the size to design for. One takes
@@ -19,10 +25,31 @@
 /// still on their way are older.
 const UNLIMITED_REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
+/// Records in one message: 1.2 KB at the most.
+const MOST_REPORTED: usize = 40;
+/// Messages that carry a record after it has changed. Of datagrams one in twenty may be
+/// lost, and hubs pass on what they are sent.
+const REPORTS: u32 = 12;
+/// Time that a report may take from node to node, unknown to the receiver: what it reports
+/// may have been observed so much earlier.
+const MOST_TRANSIT: Duration = Duration::from_millis(500);
+
 /// Identifies one incarnation of a server, as a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct IncarnationHash(u64);
 
+impl From<IncarnationHash> for QuotaKey {
+    fn from(server: IncarnationHash) -> QuotaKey {
+        QuotaKey(server.0)
+    }
+}
+
+impl From<QuotaKey> for IncarnationHash {
+    fn from(key: QuotaKey) -> IncarnationHash {
+        IncarnationHash(key.0)
+    }
+}
+
 impl IncarnationHash {
     /// Of an incarnation's name.
     pub fn of(incarnation: &str) -> IncarnationHash {
@@ -112,6 +139,48 @@
     pub resting: usize,
 }
 
+/// Why a server gets no request from this node now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// Its limit is used up.
+    OverLimit {
+        /// When this node asks for a part of it again.
+        asked_again: Duration,
+        /// When there is one for a caller who comes back.
+        room: Duration,
+    },
+}
+
+impl Hold {
+    /// Name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Hold::OverLimit { .. } => "limit",
+        }
+    }
+
+    /// When the server is considered again.
+    pub fn lasts(self) -> Duration {
+        match self {
+            Hold::OverLimit { asked_again, .. } => asked_again,
+        }
+    }
+
+    /// When a caller should come back whom no other server can serve.
+    pub fn come_back(self) -> Duration {
+        match self {
+            Hold::OverLimit { room, .. } => room,
+        }
+    }
+}
+
+/// A part of a limit that was refused.
+#[derive(Clone, Copy, Debug)]
+struct Denied {
+    asked_again: BootInstant,
+    room: BootInstant,
+}
+
 /// The last word on a server's limit.
 #[derive(Clone, Copy, Debug)]
 struct KnownLimit {
@@ -120,6 +189,48 @@
     observed: Observed,
 }
 
+/// What a node reports of a server's limit. Ages are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Requests a second; none where it has no limit any more.
+    pub per_second: Option<f64>,
+    /// Age of the request to whose answer it was said.
+    pub sent_age: u32,
+    /// Age of that answer.
+    pub received_age: u32,
+}
+
+impl LimitReport {
+    fn of(limit: &KnownLimit, now: BootInstant) -> LimitReport {
+        let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let Observed { sent, received } = limit.observed;
+        LimitReport {
+            per_second: limit.per_second,
+            sent_age: age(sent),
+            received_age: age(received),
+        }
+    }
+
+    /// What it says, as it was observed at the latest; none where that was before the start
+    /// of this machine, or the figure is none.
+    fn read(&self, now: BootInstant) -> Option<KnownLimit> {
+        let before = |age| now.checked_sub(Duration::from_millis(u64::from(age)));
+        let sent = before(self.sent_age)?.checked_sub(MOST_TRANSIT)?;
+        let observed = Observed { sent, received: before(self.received_age)? };
+        let is_figure = self.per_second.is_none_or(|limit| limit.is_finite() && limit >= 0.0);
+        is_figure.then_some(KnownLimit { per_second: self.per_second, observed })
+    }
+}
+
+/// What a node reports of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SignalReport {
+    /// The server.
+    pub server: IncarnationHash,
+    /// The last word on its limit.
+    pub limit: Option<LimitReport>,
+}
+
 impl KnownLimit {
     /// Takes another word; the later one counts, or the stricter where that is not known.
     fn take(&mut self, word: KnownLimit) {
@@ -160,6 +271,12 @@
     /// Since when it is known to be leaving.
     leaving: Option<BootInstant>,
     rest_until: Option<BootInstant>,
+    /// Set while its limit is used up, as far as this node was told.
+    denied: Option<Denied>,
+    /// Number of the last change of its limit.
+    revision: u64,
+    /// Messages that are yet to carry the record.
+    reports_left: u32,
     /// When anything was last learned.
     learned: BootInstant,
 }
@@ -169,13 +286,23 @@
         self.limit.and_then(|limit| limit.per_second)
     }
 
-    fn take_limit(&mut self, word: KnownLimit) -> Option<SignalChange> {
+    fn take_limit(&mut self, word: KnownLimit, revision: u64) -> Option<SignalChange> {
         let before = self.per_second();
         match &mut self.limit {
             Some(known) => known.take(word),
             None => self.limit = Some(word),
         }
-        limit_change(before, self.per_second())
+        let change = limit_change(before, self.per_second())?;
+        self.revision = revision;
+        self.reports_left = REPORTS;
+        self.denied = None;
+        Some(change)
+    }
+
+    fn hold(&self, now: BootInstant) -> Option<Hold> {
+        let denied = self.denied.filter(|denied| now < denied.asked_again)?;
+        let (asked_again, room) = (denied.asked_again.since(now), denied.room.since(now));
+        Some(Hold::OverLimit { asked_again, room })
     }
 
     fn take_leaving(&mut self, now: BootInstant) -> Option<SignalChange> {
@@ -194,6 +321,11 @@
         Some(SignalChange::RestAsked(rest))
     }
 
+    fn report(&self, server: IncarnationHash, now: BootInstant) -> SignalReport {
+        let limit = self.limit.as_ref().map(|limit| LimitReport::of(limit, now));
+        SignalReport { server, limit }
+    }
+
     fn is_resting(&self, now: BootInstant) -> bool {
         self.rest_until.is_some_and(|until| now < until)
     }
@@ -213,6 +345,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SignalTable {
     servers: HashMap<IncarnationHash, ServerSignals>,
+    /// Number of the last change of any server's limit.
+    revision: u64,
 }
 
 impl SignalTable {
@@ -227,19 +361,93 @@
             return Vec::new();
         }
         let now = observed.received;
+        let revision = self.next_revision();
         let known = self.entry(server, now);
         let per_second = match signals.limit {
             LimitSignal::Unlimited => Some(None),
             LimitSignal::PerSecond(limit) => Some(Some(limit)),
             LimitSignal::Unreadable => None,
         };
-        let limit =
-            per_second.and_then(|per_second| known.take_limit(KnownLimit { per_second, observed }));
+        let limit = per_second
+            .and_then(|per_second| known.take_limit(KnownLimit { per_second, observed }, revision));
         let leaving = signals.is_leaving.then(|| known.take_leaving(now)).flatten();
         let rest = signals.rest.and_then(|rest| known.take_rest(rest, now));
         [limit, leaving, rest].into_iter().flatten().collect()
     }
 
+    /// Takes what other nodes report; returns what that changes.
+    pub fn merge(
+        &mut self,
+        reports: &[SignalReport],
+        now: BootInstant,
+    ) -> Vec<(IncarnationHash, SignalChange)> {
+        let mut changes = Vec::new();
+        for report in reports {
+            let revision = self.next_revision();
+            let known = self.entry(report.server, now);
+            let limit = report.limit.and_then(|limit| limit.read(now));
+            let limit = limit.and_then(|word| known.take_limit(word, revision));
+            changes.extend(limit.map(|change| (report.server, change)));
+        }
+        changes
+    }
+
+    /// What the next message to other nodes carries: what has changed lately.
+    pub fn next_reports(&mut self, now: BootInstant) -> Vec<SignalReport> {
+        let due = self.servers.iter_mut().filter(|(_, known)| known.reports_left > 0);
+        let mut due: Vec<(&IncarnationHash, &mut ServerSignals)> = due.collect();
+        due.sort_unstable_by_key(|(server, known)| (Reverse(known.reports_left), **server));
+        due.truncate(MOST_REPORTED);
+        let reports = due.into_iter().map(|(server, known)| {
+            known.reports_left -= 1;
+            known.report(*server, now)
+        });
+        reports.collect()
+    }
+
+    /// What this node knows of one server.
+    pub fn report(&self, server: IncarnationHash, now: BootInstant) -> Option<SignalReport> {
+        Some(self.servers.get(&server)?.report(server, now))
+    }
+
+    /// Reports everything again: a node may have come that lacks it.
+    pub fn report_again(&mut self) {
+        self.servers.values_mut().for_each(|known| known.reports_left = REPORTS);
+    }
+
+    /// Why a server gets no request from this node now.
+    pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
+        self.servers.get(&server)?.hold(now)
+    }
+
+    /// The limit of a server, as a quota of all nodes. Its version rises with each change
+    /// that this node learns of.
+    pub fn limit(&self, server: IncarnationHash) -> Option<VersionedLimit> {
+        let known = self.servers.get(&server)?;
+        known.per_second().map(|per_second| server_limit(per_second, known.revision))
+    }
+
+    /// Notes that a part of a server's limit was refused to one of so many nodes; there is
+    /// one for a caller who comes back after `room`.
+    pub fn note_denied(
+        &mut self,
+        server: IncarnationHash,
+        nodes: usize,
+        room: Duration,
+        now: BootInstant,
+    ) {
+        let Some(limit) = self.limit(server) else { return };
+        let asked_again = now + denied_for(&limit, nodes, room);
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.denied = Some(Denied { asked_again, room: now + room });
+        }
+    }
+
+    fn next_revision(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
     fn entry(&mut self, server: IncarnationHash, now: BootInstant) -> &mut ServerSignals {
         if self.servers.len() >= MOST_SERVERS && !self.servers.contains_key(&server) {
             let oldest = self.servers.iter().min_by_key(|(_, known)| known.learned);
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::signals::{
-    AnswerSignals, IncarnationHash, LimitSignal, Observed, SignalChange, SignalTable,
+    AnswerSignals, Hold, IncarnationHash, LimitReport, LimitSignal, Observed, SignalChange,
+    SignalReport, SignalTable,
 };
 use cometmoor_core::time::BootInstant;
 
@@ -89,3 +90,72 @@
     assert_eq!(table.tick(at(3010)), [server()]);
     assert_eq!(table.counts(at(3010)).resting, 0);
 }
+
+/// What one node has heard comes to another one with its age, and only what is certainly
+/// later lifts a limit there.
+#[test]
+fn a_limit_and_its_end_are_heard_from_other_nodes() {
+    let (mut first, mut second) = (SignalTable::default(), SignalTable::default());
+    first.note_answer(server(), limit(2.0), observed(0, 10));
+    let reports = first.next_reports(at(100));
+    let changes = second.merge(&reports, at(120));
+    assert_eq!(changes, [(server(), SignalChange::LimitSet(2.0))]);
+    assert_eq!(second.limit(server()).unwrap().limit.per_second, 2.0);
+    assert_eq!(second.merge(&reports, at(140)), [], "it is told again");
+    first.note_answer(server(), AnswerSignals::default(), observed(200, 210));
+    let early = first.next_reports(at(220));
+    assert_eq!(second.merge(&early, at(230)), [], "it may be older, for what is known here");
+    first.note_answer(server(), AnswerSignals::default(), observed(900, 910));
+    let late = first.next_reports(at(920));
+    assert_eq!(second.merge(&late, at(930)), [(server(), SignalChange::LimitLifted)]);
+    assert!(second.limit(server()).is_none());
+}
+
+#[test]
+fn a_report_without_a_figure_changes_nothing() {
+    let mut table = SignalTable::default();
+    let report = |per_second| SignalReport {
+        server: server(),
+        limit: Some(LimitReport { per_second: Some(per_second), sent_age: 0, received_age: 0 }),
+    };
+    for figure in [f64::NAN, f64::INFINITY, -1.0] {
+        assert_eq!(table.merge(&[report(figure)], at(0)), []);
+    }
+    let old = LimitReport { per_second: Some(1.0), sent_age: u32::MAX, received_age: u32::MAX };
+    let before_boot = SignalReport { server: server(), limit: Some(old) };
+    assert_eq!(table.merge(&[before_boot], at(0)), []);
+}
+
+/// Messages stay small, and each change goes out with several of them.
+#[test]
+fn reports_are_bounded_and_end() {
+    let mut table = SignalTable::default();
+    for number in 0..100 {
+        let server = IncarnationHash::of(&format!("i-{number}"));
+        table.note_answer(server, limit(1.0), observed(0, 10));
+    }
+    let mut carried = 0;
+    for _ in 0..100 {
+        let reports = table.next_reports(at(20));
+        assert!(reports.len() <= 40);
+        carried += reports.len();
+    }
+    assert_eq!(carried, 100 * 12);
+    table.report_again();
+    assert_eq!(table.next_reports(at(30)).len(), 40);
+}
+
+#[test]
+fn a_denied_server_is_held_until_there_may_be_room() {
+    let mut table = SignalTable::default();
+    table.note_answer(server(), limit(1.0), observed(0, 10));
+    assert!(table.hold(server(), at(20)).is_none());
+    table.note_denied(server(), 2, Duration::from_secs(3), at(20));
+    let asked_again = Duration::from_millis(500);
+    let room = Duration::from_secs(3);
+    assert_eq!(table.hold(server(), at(20)), Some(Hold::OverLimit { asked_again, room }));
+    assert!(table.hold(server(), at(520)).is_none());
+    table.note_denied(server(), 2, Duration::from_secs(3), at(600));
+    table.note_answer(server(), AnswerSignals::default(), observed(610, 620));
+    assert!(table.hold(server(), at(630)).is_none(), "the limit has ended");
+}
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -6,6 +6,7 @@
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
+use cometmoor_core::gateway::signals::{IncarnationHash, SignalReport};
 use cometmoor_core::gateway::staleness::NextCall;
 use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{info, warn};
@@ -154,6 +155,7 @@
         let now = self.now();
         let (node, phase) = (heartbeat.node.clone(), heartbeat.phase);
         self.context.quarantine.merge(&heartbeat.suspects, &node);
+        self.merge_signals(&heartbeat.signals, &node);
         self.demand.receive(&heartbeat, now);
         let leads = heartbeat.placement.is_some();
         let waits = !heartbeat.waited_for.is_empty();
@@ -168,11 +170,21 @@
         self.ask_for_plan(waits);
         if change != PeerChange::None {
             self.context.quarantine.report_again();
+            self.context.signals.report_again();
             info!("[peers] a node is {phase:?}", kv: { node });
             self.publish();
         }
     }
 
+    /// Takes what another node reports of servers.
+    fn merge_signals(&self, reports: &[SignalReport], peer: &str) {
+        for (server, change) in self.context.signals.merge(reports) {
+            let mut known = self.servers.keys();
+            let name = known.find(|name| IncarnationHash::of(name) == server);
+            self.context.signals.log_change(change, name.map_or("-", |name| name), "peer", peer);
+        }
+    }
+
     fn take_digest(
         &mut self,
         digest: Digest,
@@ -186,6 +198,7 @@
         };
         self.catch_up(&copies, context);
         self.context.quarantine.merge(&digest.suspects, &digest.hub.to_string());
+        self.merge_signals(&digest.signals, &digest.hub.to_string());
         let leads = digest.placement.is_some();
         let now = self.now();
         take(&mut self.peers, digest, now);
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -291,6 +291,7 @@
             demand: if tells_loads { self.recent_demand() } else { Vec::new() },
             waited_for: self.context.loads.waited_for(clock::now()),
             suspects: self.context.quarantine.next_reports(),
+            signals: self.context.signals.next_reports(),
             placement: self.placement.clone(),
             members: self.peers.count(),
             known: self.peers.known(self.sequence),
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -150,7 +150,10 @@
         table.update(&fleet);
         let able =
             self.able_servers(table.of_service(&service), &placement, now).filter(|server| {
-                !server.is_paused(now) && server.record().incarnation != source.record().incarnation
+                !server.is_paused(now)
+                    && self.traffic.signals.limit(server.hash()).is_none()
+                    && self.traffic.signals.hold(server.hash(), now).is_none()
+                    && server.record().incarnation != source.record().incarnation
             });
         let with_slot: Vec<_> = able
             .map(|server| (server, self.candidate(server, now)))
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod blame;
 mod encode;
 mod exchange;
+mod gate;
 mod migration;
 mod outcome;
 mod pick;
@@ -51,6 +52,8 @@
 const COME_BACK_SOON: Duration = Duration::from_millis(500);
 /// Servers that are tried one after another when they cannot be reached.
 const MAX_UNREACHABLE: usize = 4;
+/// Servers that are asked one after another whose limits turn out to be used up.
+const MAX_HELD: usize = 8;
 
 /// A client's request on its way.
 pub struct Forward<'a> {
@@ -175,6 +178,7 @@
         self.traffic.with_budget(service, |budget| budget.record_request(now));
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut unreachable = 0;
+        let mut held = 0;
         let mut stream = StreamState::default();
         let mut kept_error = None;
         let mut moved: Option<Continuation> = None;
@@ -197,6 +201,10 @@
                     let after = come_back_after_queue(expected, self.route.objective);
                     return self.no_server(kept_error, &stream, Refusal::TooBusy, after).await;
                 }
+                Found::Held { come_back, .. } => {
+                    let refusal = Refusal::ServersHeld;
+                    return self.no_server(kept_error, &stream, refusal, come_back).await;
+                }
                 Found::Nobody(refusal) => {
                     return self.no_server(kept_error, &stream, refusal, COME_BACK).await;
                 }
@@ -204,6 +212,16 @@
             let record = server.record();
             tried.push(record.incarnation.clone());
             match self.send(&server, &mut stream, None).await {
+                // It may be asked again once it takes requests.
+                Sent::Held(hold) if held < MAX_HELD => {
+                    held += 1;
+                    tried.pop();
+                    self.log_held(&record.incarnation, hold);
+                }
+                Sent::Held(hold) => {
+                    let refusal = Refusal::ServersHeld;
+                    return self.no_server(kept_error, &stream, refusal, hold.come_back()).await;
+                }
                 Sent::Finished(finish) => return finish,
                 Sent::Moved(continuation) => moved = Some(continuation),
                 Sent::Unreachable => {
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// Every server would answer too late.
     TooBusy,
+    /// Every server that could run it is at its limit.
+    ServersHeld,
     /// A server said that it did not run it, and no other may be tried.
     ServerRefused,
     /// Its time was over before a server was found.
@@ -60,6 +62,7 @@
             Refusal::NoAdapter => "no server holds the adapter",
             Refusal::NoServer => "no server takes work",
             Refusal::TooBusy => "every server would answer too late",
+            Refusal::ServersHeld => "every server is at its limit",
             Refusal::ServerRefused => "the server refused it",
             Refusal::OutOfTime => "the time was over",
             Refusal::Quarantined => "servers have crashed under it",
--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -35,6 +35,8 @@
     pub(super) backlog_millis: f64,
     /// Servers that could have answered.
     pub(super) servers: usize,
+    /// Servers that were held back by what they report of themselves.
+    pub(super) held: usize,
 }
 
 /// What was found for a request.
@@ -48,6 +50,13 @@
     },
     /// Every server would answer too late; the best one after this time.
     TooBusy(Duration),
+    /// All servers that could answer are held back.
+    Held {
+        /// When the first of them is considered again.
+        lasts: Duration,
+        /// When a caller should come back.
+        come_back: Duration,
+    },
     /// No server can answer.
     Nobody(Refusal),
 }
@@ -71,11 +80,15 @@
             let found = self.pick(service, tried, stream);
             // Where a server has failed already, there is no use in waiting.
             let pointless = !tried.is_empty() && !stream.head_sent;
-            let done = matches!(found, Found::Server { disturbs: false, .. }) || pointless;
+            let done = match found {
+                Found::Server { disturbs, .. } => !disturbs,
+                Found::Held { lasts, .. } => clock::now() + lasts > until,
+                Found::TooBusy(_) | Found::Nobody(_) => false,
+            };
             if let Found::Nobody(Refusal::NoAdapter) = found {
                 self.note_wait();
             }
-            if done || clock::now() >= until {
+            if done || pointless || clock::now() >= until {
                 self.traffic.metrics.observe(&self.traffic.metrics.queue, clock::elapsed(asked));
                 return found;
             }
@@ -97,10 +110,23 @@
         table.update(&fleet);
         let now = clock::now();
         let placement = self.traffic.board.placement.load();
-        let able: Vec<&Rc<Server>> = self
+        let mut able: Vec<&Rc<Server>> = self
             .able_servers(table.of_service(service), &placement, now)
             .filter(|server| !tried.contains(&server.record().incarnation))
             .collect();
+        let mut holds = Vec::new();
+        able.retain(|server| {
+            let hold = self.traffic.signals.hold(server.hash(), now);
+            holds.extend(hold);
+            hold.is_none()
+        });
+        if able.is_empty()
+            && let Some(lasts) = holds.iter().map(|hold| hold.lasts()).min()
+            && let Some(come_back) = holds.iter().map(|hold| hold.come_back()).min()
+        {
+            self.estimate.set(Estimate { held: holds.len(), ..Estimate::default() });
+            return Found::Held { lasts, come_back };
+        }
         let reachable: Vec<&Rc<Server>> =
             able.iter().copied().filter(|server| !server.is_paused(now)).collect();
         let servers = if reachable.is_empty() { able } else { reachable };
@@ -120,6 +146,7 @@
             in_flight: chosen.in_flight,
             backlog_millis: chosen.backlog_millis.round(),
             servers: candidates.len(),
+            held: holds.len(),
         });
         let begun = stream.head_sent || !self.traffic.settings.mechanisms.early_refusal;
         if begun || is_worth_sending(expected, self.route.objective, self.time_left()) {
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use cometmoor_core::gateway::attempts::Attempts;
+use cometmoor_core::gateway::signals::Hold;
 
 use super::exchange::{Received, SendError};
 use super::migration::Continuation;
@@ -20,6 +21,8 @@
     Finished(Finish),
     /// Nothing left for the server.
     Unreachable,
+    /// Nothing left for the server, which takes nothing from this node now.
+    Held(Hold),
     /// Nothing left for the server, since the caller's key does not hold any more.
     KeyLapsed(Refusal),
     /// The server did not run the request.
@@ -65,7 +68,17 @@
                 return Sent::Unreachable;
             }
         };
-        // Both may have changed while a connection was awaited.
+        let permit = match copy {
+            Some(_) => None,
+            None => match self.send_permit(server).await {
+                Ok(permit) => Some(permit),
+                Err(hold) => {
+                    server.pool.keep(lent.stream);
+                    return Sent::Held(hold);
+                }
+            },
+        };
+        // Both may have changed while a connection or the permit was awaited.
         let is_quarantined = self.traffic.quarantine.is_quarantined(self.content);
         if !server.takes_work() || is_quarantined {
             return Sent::Unreachable;
@@ -92,19 +105,23 @@
         note(Attempts::begin_send);
         self.server.replace(Some(record.incarnation.clone()));
         self.log_sent(&record.incarnation, lent.reused);
-        let received =
-            match self.exchange(server, &record, lent, stream.last_event.as_deref(), copy).await {
-                Ok(received) => received,
-                Err(SendError::NotSent(_)) => {
-                    note(Attempts::note_not_sent);
-                    return Sent::Unreachable;
-                }
-                Err(error) => {
-                    server.note_failure(clock::now());
-                    self.note_broken(server, error.source());
-                    return Sent::Failed(error);
-                }
-            };
+        let exchange = self.exchange(server, &record, lent, stream.last_event.as_deref(), copy);
+        let is_sent = |is_sent| permit.iter().for_each(|permit| permit.set_sent(is_sent));
+        is_sent(true);
+        let exchanged = exchange.await;
+        let received = match exchanged {
+            Ok(received) => received,
+            Err(SendError::NotSent(_)) => {
+                note(Attempts::note_not_sent);
+                is_sent(false);
+                return Sent::Unreachable;
+            }
+            Err(error) => {
+                server.note_failure(clock::now());
+                self.note_broken(server, error.source());
+                return Sent::Failed(error);
+            }
+        };
         self.traffic
             .metrics
             .observe(&self.traffic.metrics.first_byte, clock::elapsed(self.received));
--- a/crates/cometmoor-gateway/src/forward/story.rs
+++ b/crates/cometmoor-gateway/src/forward/story.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cometmoor_core::gateway::signals::Hold;
 use spdlog::{info, warn};
 
 use super::Forward;
@@ -31,12 +32,28 @@
             in_flight = estimate.in_flight,
             backlog_millis = estimate.backlog_millis,
             candidates = estimate.servers as u64,
+            held = estimate.held as u64,
             servers_age_millis = self.traffic.board.fleet.load().servers_age_millis(),
             time_left_millis = self.time_left().as_millis() as u64,
             age_millis = clock::elapsed(self.received).as_millis() as u64,
         });
     }
 
+    /// A server that was picked and then turned out to take nothing from this node now.
+    pub(super) fn log_held(&self, server: &str, hold: Hold) {
+        if !crate::log::may_tell_good() {
+            return;
+        }
+        info!("[forward] held back", kv: {
+            request = &*self.facts.id,
+            route = &*self.route.name,
+            server,
+            reason = hold.name(),
+            lasts_millis = hold.lasts().as_millis() as u64,
+            age_millis = clock::elapsed(self.received).as_millis() as u64,
+        });
+    }
+
     pub(super) fn log_answered(&self, server: &str, status: u16) {
         if !self.note_answered() {
             return;
@@ -120,6 +137,7 @@
             in_flight = estimate.in_flight,
             backlog_millis = estimate.backlog_millis,
             candidates = estimate.servers as u64,
+            held = estimate.held as u64,
             come_back_millis = come_back.as_millis() as u64,
             configuration = version,
             servers = fleet.servers.len() as u64,
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -28,6 +28,7 @@
             loads: None,
             placement: self.told_placement(own, now),
             suspects: own.suspects.clone(),
+            signals: own.signals.clone(),
         }
     }
 
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddrV4;
 
 use cometmoor_core::gateway::quarantine::SuspectReport;
+use cometmoor_core::gateway::signals::SignalReport;
 use serde::{Deserialize, Serialize};
 
 use super::packed::PackedZone;
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the messages' format.
-const FORMAT: u8 = 17;
+const FORMAT: u8 = 18;
 
 /// What a node says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,6 +118,8 @@
     pub waited_for: Vec<ModelKey>,
     /// Contents that were present at crashes of servers, where that has changed lately.
     pub suspects: Vec<SuspectReport>,
+    /// What servers report of themselves, where that has changed lately.
+    pub signals: Vec<SignalReport>,
     /// What it tells of the servers' models while it orders them.
     pub placement: Option<Placement>,
     /// How many other nodes it knows.
@@ -206,6 +209,8 @@
     pub placement: Option<ToldPlacement>,
     /// Contents that were present at crashes of servers, where that has changed lately.
     pub suspects: Vec<SuspectReport>,
+    /// What servers report of themselves, where that has changed lately.
+    pub signals: Vec<SignalReport>,
 }
 
 /// Asks a node since when it knows that its configuration is the store's newest.
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -99,6 +99,8 @@
     pub quota: Histogram,
     /// Tenants for which this node lends.
     pub lends: Gauge,
+    /// Servers for whose limits this node lends.
+    pub lends_for_servers: Gauge,
     /// Age of the proof that the configuration is the newest, in seconds.
     pub proof_age: Amount,
     /// Sends to servers beyond the first of a request.
@@ -108,6 +110,8 @@
     /// Contents that were present at crashes, by state: quarantined or suspect.
     pub quarantine: Family<StateLabels, Gauge>,
     signal_changes: Family<SignalLabels, Counter>,
+    /// Sends that were held back, by what the server reports of itself.
+    pub held_back: Family<StateLabels, Counter>,
     /// Servers by what they report of themselves: limited, leaving or resting.
     pub signaling: Family<StateLabels, Gauge>,
     /// Runs that were stopped to go on at another server, by what came of it.
@@ -155,11 +159,13 @@
             tenants: TenantRequests::default(),
             quota: histogram(),
             lends: Gauge::default(),
+            lends_for_servers: Gauge::default(),
             proof_age: Amount::default(),
             repeats: Counter::default(),
             server_crashes: Counter::default(),
             quarantine: Family::default(),
             signal_changes: Family::default(),
+            held_back: Family::default(),
             signaling: Family::default(),
             run_moves: Family::default(),
             queue: histogram(),
@@ -197,6 +203,8 @@
         registry.register("quarantine", "Contents that were present at crashes", quarantine);
         let changes = self.signal_changes.clone();
         registry.register("signal_changes", "Changes of what servers report", changes);
+        let held_back = self.held_back.clone();
+        registry.register("held_back", "Sends held back by what servers report", held_back);
         let signaling = self.signaling.clone();
         registry.register("signaling_servers", "Servers by what they report", signaling);
         let times = [
@@ -218,6 +226,11 @@
             ("in_progress", "Requests in progress", &self.in_progress),
             ("configuration_version", "Version in force", &self.configuration_version),
             ("lends", "Tenants for which this node lends", &self.lends),
+            (
+                "lends_for_servers",
+                "Servers for whose limits this node lends",
+                &self.lends_for_servers,
+            ),
             ("leads", "Whether this node orders the servers", &self.leads),
             ("nodes", "Nodes that take requests", &self.nodes),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -187,7 +187,7 @@
                 return;
             }
         };
-        let quota = match QuotaDesk::start(&settings, board.clone(), metrics.clone()) {
+        let quota = match QuotaDesk::start(&settings, board.clone(), signals.clone(), metrics.clone()) {
             Ok(quota) => quota,
             Err(source) => {
                 let address = settings.quota_address.to_string();
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -9,6 +9,7 @@
 
 use cometmoor_core::gateway::quarantine::Fingerprint;
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::time::BootInstant;
 
 use tokio::sync::Notify;
@@ -77,6 +78,7 @@
 /// One incarnation of a server.
 pub struct Server {
     record: RefCell<Arc<ServerRecord>>,
+    hash: IncarnationHash,
     /// Connections to it.
     pub pool: Pool,
     /// Calls beside the requests.
@@ -99,6 +101,7 @@
         let pool = Pool::new(record.address);
         let calls = CallClient::new(record.address);
         Server {
+            hash: IncarnationHash::of(&record.incarnation),
             record: RefCell::new(record),
             pool,
             calls,
@@ -114,6 +117,11 @@
         }
     }
 
+    /// Identifies the incarnation in messages between nodes.
+    pub fn hash(&self) -> IncarnationHash {
+        self.hash
+    }
+
     /// What the registry tells.
     pub fn record(&self) -> Arc<ServerRecord> {
         self.record.borrow().clone()
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -1,9 +1,12 @@
 //! What servers report of themselves in their answers, shared by the node's threads.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
+use cometmoor_core::gateway::quota::VersionedLimit;
 use cometmoor_core::gateway::signals::{
-    AnswerSignals, IncarnationHash, Observed, SignalChange, SignalCounts, SignalTable,
+    AnswerSignals, Hold, IncarnationHash, Observed, SignalChange, SignalCounts, SignalReport,
+    SignalTable,
 };
 use cometmoor_core::time::BootInstant;
 use spdlog::info;
@@ -43,25 +46,66 @@
             table.note_answer(server, signals, Observed { sent, received })
         });
         for change in changes {
-            self.tell(change, incarnation, "answer", request);
+            self.log_change(change, incarnation, "answer", request);
         }
     }
 
-    fn tell(&self, change: SignalChange, server: &str, source: &str, request: &str) {
+    /// Takes what another node reports; returns what that changes.
+    pub fn merge(&self, reports: &[SignalReport]) -> Vec<(IncarnationHash, SignalChange)> {
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        self.with(|table, now| table.merge(reports, now))
+    }
+
+    /// What the next message to other nodes carries.
+    pub fn next_reports(&self) -> Vec<SignalReport> {
+        self.with(SignalTable::next_reports)
+    }
+
+    /// What this node knows of one server.
+    pub fn report(&self, server: IncarnationHash) -> Option<SignalReport> {
+        self.with(|table, now| table.report(server, now))
+    }
+
+    /// Reports again what a node lacks that has come.
+    pub fn report_again(&self) {
+        self.with(|table, _| table.report_again());
+    }
+
+    /// Why a server gets no request from this node now.
+    pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
+        self.with(|table, _| table.hold(server, now))
+    }
+
+    /// The limit that a server names.
+    pub fn limit(&self, server: IncarnationHash) -> Option<VersionedLimit> {
+        self.with(|table, _| table.limit(server))
+    }
+
+    /// Notes that a part of a server's limit was refused to one of so many nodes; there is
+    /// one for a caller who comes back after `room`.
+    pub fn note_denied(&self, server: IncarnationHash, nodes: usize, room: Duration) {
+        self.with(|table, now| table.note_denied(server, nodes, room, now));
+    }
+
+    /// Writes a line on a change. `source` is where it was heard, `from` the request or the
+    /// node by which.
+    pub fn log_change(&self, change: SignalChange, server: &str, source: &str, from: &str) {
         self.metrics.signal_changed(change.signal(), change.event());
         match change {
             SignalChange::LimitSet(per_second) | SignalChange::LimitChanged(per_second) => {
-                info!("[signals] a server names a limit", kv: { server, per_second, source, request });
+                info!("[signals] a server names a limit", kv: { server, per_second, source, from });
             }
             SignalChange::LimitLifted => {
-                info!("[signals] a server names no limit any more", kv: { server, source, request });
+                info!("[signals] a server names no limit any more", kv: { server, source, from });
             }
             SignalChange::Leaving => {
-                info!("[signals] a server says that it leaves", kv: { server, source, request });
+                info!("[signals] a server says that it leaves", kv: { server, source, from });
             }
             SignalChange::RestAsked(rest) => {
                 let rest_millis = rest.as_millis() as u64;
-                info!("[signals] a server asks for a rest", kv: { server, rest_millis, source, request });
+                info!("[signals] a server asks for a rest", kv: { server, rest_millis, source, from });
             }
             SignalChange::RestEnded => {}
         }
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -173,6 +173,7 @@
             demand: Vec::new(),
             waited_for: Vec::new(),
             suspects: node.quarantine.next_reports(now),
+            signals: Vec::new(),
             placement: leads.then(|| Placement {
                 token: 5,
                 sequence: self.placement,
