That a server leaves is taken from its answers, for its life, by all nodes

Callers saw: their requests went to a server that had said in its answers that it was leaving, up to 3.1 s after the node had passed such an answer on (2 s allowed), and for 12.8 s in all; a stream there may be cut when it ends.

Cause: that a server leaves was taken from its entry only, and the store was slow to take the entry's change. Class: as with the limit, a fact that reaches the node in an answer and is dropped; an older entry spoke instead. Evidence: the server got nothing from the moment when its entry changed, and no node's line spoke of it before.

Change: a server that says so takes no new work at this node from then on, whatever its entry says, is written anew with or does not say; other nodes hear of it at once by heartbeats and digests, the published record tells it as draining, so that streams move off and the planner takes its places as going. It is kept by incarnation outside the table of servers, so an entry that lapses and comes back does not take it back. Answers to orders and reports count as well.

--- a/crates/cometmoor-core/src/gateway/signals.rs
+++ b/crates/cometmoor-core/src/gateway/signals.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Whether other nodes hear of it: a rest is between the server and this node.
+    pub fn is_reported(&self) -> bool {
+        !matches!(self, SignalChange::RestAsked(_) | SignalChange::RestEnded)
+    }
+
     /// Name of what happened to it.
     pub fn event(&self) -> &'static str {
         match self {
@@ -142,6 +147,8 @@
 /// Why a server gets no request from this node now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hold {
+    /// It is leaving.
+    Leaving,
     /// Its limit is used up.
     OverLimit {
         /// When this node asks for a part of it again.
@@ -155,6 +162,7 @@
     /// Name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Hold::Leaving => "leaving",
             Hold::OverLimit { .. } => "limit",
         }
     }
@@ -162,6 +170,7 @@
     /// When the server is considered again.
     pub fn lasts(self) -> Duration {
         match self {
+            Hold::Leaving => LEAVING_REMEMBERED_FOR,
             Hold::OverLimit { asked_again, .. } => asked_again,
         }
     }
@@ -169,6 +178,7 @@
     /// When a caller should come back whom no other server can serve.
     pub fn come_back(self) -> Duration {
         match self {
+            Hold::Leaving => LEAVING_REMEMBERED_FOR,
             Hold::OverLimit { room, .. } => room,
         }
     }
@@ -229,6 +239,8 @@
     pub server: IncarnationHash,
     /// The last word on its limit.
     pub limit: Option<LimitReport>,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
 }
 
 impl KnownLimit {
@@ -300,15 +312,21 @@
     }
 
     fn hold(&self, now: BootInstant) -> Option<Hold> {
+        if self.leaving.is_some() {
+            return Some(Hold::Leaving);
+        }
         let denied = self.denied.filter(|denied| now < denied.asked_again)?;
         let (asked_again, room) = (denied.asked_again.since(now), denied.room.since(now));
         Some(Hold::OverLimit { asked_again, room })
     }
 
     fn take_leaving(&mut self, now: BootInstant) -> Option<SignalChange> {
-        let is_new = self.leaving.is_none();
-        self.leaving.get_or_insert(now);
-        is_new.then_some(SignalChange::Leaving)
+        if self.leaving.is_some() {
+            return None;
+        }
+        self.leaving = Some(now);
+        self.reports_left = REPORTS;
+        Some(SignalChange::Leaving)
     }
 
     /// Takes a rest; a longer one that was asked before goes on.
@@ -323,7 +341,7 @@
 
     fn report(&self, server: IncarnationHash, now: BootInstant) -> SignalReport {
         let limit = self.limit.as_ref().map(|limit| LimitReport::of(limit, now));
-        SignalReport { server, limit }
+        SignalReport { server, limit, is_leaving: self.leaving.is_some() }
     }
 
     fn is_resting(&self, now: BootInstant) -> bool {
@@ -387,7 +405,8 @@
             let known = self.entry(report.server, now);
             let limit = report.limit.and_then(|limit| limit.read(now));
             let limit = limit.and_then(|word| known.take_limit(word, revision));
-            changes.extend(limit.map(|change| (report.server, change)));
+            let leaving = report.is_leaving.then(|| known.take_leaving(now)).flatten();
+            changes.extend(limit.into_iter().chain(leaving).map(|change| (report.server, change)));
         }
         changes
     }
@@ -415,6 +434,18 @@
         self.servers.values_mut().for_each(|known| known.reports_left = REPORTS);
     }
 
+    /// Takes that a server is leaving, by an answer to something else than a request; returns
+    /// whether that is new.
+    pub fn note_leaving(&mut self, server: IncarnationHash, now: BootInstant) -> bool {
+        self.entry(server, now).take_leaving(now).is_some()
+    }
+
+    /// Whether a server is leaving by its own word. That holds for its life, whatever its
+    /// entry says: the store may be slow or silent.
+    pub fn is_leaving(&self, server: IncarnationHash) -> bool {
+        self.servers.get(&server).is_some_and(|known| known.leaving.is_some())
+    }
+
     /// Why a server gets no request from this node now.
     pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
         self.servers.get(&server)?.hold(now)
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -117,12 +117,13 @@
     let report = |per_second| SignalReport {
         server: server(),
         limit: Some(LimitReport { per_second: Some(per_second), sent_age: 0, received_age: 0 }),
+        is_leaving: false,
     };
     for figure in [f64::NAN, f64::INFINITY, -1.0] {
         assert_eq!(table.merge(&[report(figure)], at(0)), []);
     }
     let old = LimitReport { per_second: Some(1.0), sent_age: u32::MAX, received_age: u32::MAX };
-    let before_boot = SignalReport { server: server(), limit: Some(old) };
+    let before_boot = SignalReport { server: server(), limit: Some(old), is_leaving: false };
     assert_eq!(table.merge(&[before_boot], at(0)), []);
 }
 
@@ -150,12 +151,26 @@
     let mut table = SignalTable::default();
     table.note_answer(server(), limit(1.0), observed(0, 10));
     assert!(table.hold(server(), at(20)).is_none());
-    table.note_denied(server(), 2, Duration::from_secs(3), at(20));
+    table.note_denied(server(), 4, Duration::from_secs(3), at(20));
     let asked_again = Duration::from_millis(500);
     let room = Duration::from_secs(3);
     assert_eq!(table.hold(server(), at(20)), Some(Hold::OverLimit { asked_again, room }));
     assert!(table.hold(server(), at(520)).is_none());
-    table.note_denied(server(), 2, Duration::from_secs(3), at(600));
+    table.note_denied(server(), 4, Duration::from_secs(3), at(600));
     table.note_answer(server(), AnswerSignals::default(), observed(610, 620));
     assert!(table.hold(server(), at(630)).is_none(), "the limit has ended");
 }
+
+#[test]
+fn that_a_server_leaves_is_heard_from_other_nodes_and_stays() {
+    let (mut first, mut second) = (SignalTable::default(), SignalTable::default());
+    let leaving = AnswerSignals { is_leaving: true, ..AnswerSignals::default() };
+    first.note_answer(server(), leaving, observed(0, 10));
+    let reports = first.next_reports(at(20));
+    assert_eq!(second.merge(&reports, at(30)), [(server(), SignalChange::Leaving)]);
+    second.note_answer(server(), AnswerSignals::default(), observed(40, 50));
+    assert_eq!(second.hold(server(), at(60)), Some(Hold::Leaving));
+    assert!(second.is_leaving(server()));
+    let next_life = IncarnationHash::of("i-1@8");
+    assert!(!second.is_leaving(next_life));
+}
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -15,6 +15,8 @@
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ConfigurationInForce;
 use cometmoor_core::gateway::proof::{ProofLimits, ProofRequests};
+use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
 use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{error, info};
@@ -202,7 +204,7 @@
             proof_limits: self.proof_limits,
             is_known_behind: copy.is_known_behind(),
             ignored_entries: self.entries.ignored(),
-            servers: self.servers.values().map(|known| known.record.clone()).collect(),
+            servers: self.servers.values().map(|known| self.as_it_says(known)).collect(),
             nodes: self.client_nodes(),
             confirmed: copy.confirmed,
             servers_confirmed: self.copies[&Subject::Servers].confirmed,
@@ -217,6 +219,16 @@
         self.context.board.fleet.store(Arc::new(published));
     }
 
+    /// A server's entry, as leaving where the server says so itself: the store may tell that
+    /// many seconds later.
+    fn as_it_says(&self, known: &KnownServer) -> Arc<ServerRecord> {
+        let record = &known.record;
+        if !self.context.signals.is_leaving(IncarnationHash::of(&record.incarnation)) {
+            return record.clone();
+        }
+        Arc::new(ServerRecord { state: ServerState::Draining, ..ServerRecord::clone(record) })
+    }
+
     fn client_nodes(&self) -> Vec<ClientNode> {
         let ready = self.peers.members().iter().filter(|member| member.is_ready());
         let mut nodes: Vec<ClientNode> = ready
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -12,7 +12,7 @@
 use super::{Leader, ORDER_TIMEOUT};
 use crate::clock;
 use crate::dialect::{EngineReport, ModelName, Order, OrderAnswer, OrderKind};
-use crate::http::client::{CallClient, CallError};
+use crate::http::client::{Answer, CallClient, CallError};
 
 /// Time that a server takes to bring in an adapter.
 const ADAPTER_TAKES: Duration = Duration::from_millis(25);
@@ -32,6 +32,7 @@
             let asked = leader.now();
             let call = leader.context.dialect.report(&server);
             let result = client.call(&call, ORDER_TIMEOUT).await;
+            leader.note_leaving(&id, result.as_ref().ok());
             let report = result.map_err(|error| error.to_string()).and_then(|answer| {
                 leader.context.dialect.parse_report(&answer).map_err(|error| error.to_string())
             });
@@ -51,6 +52,15 @@
         Some((engine.client.clone(), engine.record.id.clone()))
     }
 
+    /// Takes that a server is leaving from its answer to a call. Whether it has a limit is told
+    /// by answers to requests only.
+    fn note_leaving(&self, incarnation: &str, answer: Option<&Answer>) {
+        let facts = answer.map(|answer| self.context.dialect.answer_facts(&answer.head));
+        if facts.and_then(|facts| facts.signals).is_some_and(|signals| signals.is_leaving) {
+            self.context.signals.note_leaving(incarnation, &self.context.settings.node);
+        }
+    }
+
     fn take_report(&self, id: &Arc<str>, report: Result<EngineReport, String>, asked: Timestamp) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -105,7 +115,8 @@
         let Some((client, server)) = self.begin_call(&id) else { return };
         let leader = self.clone();
         actix_rt::spawn(async move {
-            let result = leader.send_order(&client, &server, &order, expected_count, token).await;
+            let result =
+                leader.send_order(&client, &id, &server, &order, expected_count, token).await;
             let accepted = matches!(result, Ok(OrderAnswer::Accepted));
             leader.take_order_answer(&id, &order, result, token);
             if accepted && order.loads_adapter() {
@@ -120,6 +131,7 @@
     async fn send_order(
         &self,
         client: &CallClient,
+        incarnation: &str,
         id: &str,
         order: &ServerOrder,
         expected_count: u64,
@@ -144,6 +156,7 @@
         // all on a machine that was slow or frozen meanwhile.
         let may_order = || self.leadership.borrow().token(self.now()) == Some(token);
         let answer = client.call_if(&call, ORDER_TIMEOUT, may_order).await?;
+        self.note_leaving(incarnation, Some(&answer));
         Ok(self.context.dialect.parse_order(&answer))
     }
 
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -158,8 +158,10 @@
 
     fn note_signals(&self, record: &ServerRecord, received: &Received, sent: BootInstant) {
         let facts = self.traffic.dialect.answer_facts(&received.head);
-        if let Some(signals) = facts.signals {
-            self.traffic.signals.note_answer(&record.incarnation, &self.facts.id, signals, sent);
+        let Some(signals) = facts.signals else { return };
+        let board = &self.traffic.signals;
+        if board.note_answer(&record.incarnation, &self.facts.id, signals, sent) {
+            self.traffic.board.heartbeat_wanted.notify_one();
         }
     }
 
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -20,6 +20,7 @@
 use crate::load::{ModelKey, ServerKey, model_key, server_key};
 use crate::pool::Pool;
 use crate::published::{PlacementView, Published};
+use crate::signals::SignalBoard;
 
 /// First pause after a server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -79,6 +80,7 @@
 pub struct Server {
     record: RefCell<Arc<ServerRecord>>,
     hash: IncarnationHash,
+    signals: SignalBoard,
     /// Connections to it.
     pub pool: Pool,
     /// Calls beside the requests.
@@ -97,12 +99,13 @@
 }
 
 impl Server {
-    fn new(record: Arc<ServerRecord>) -> Server {
+    fn new(record: Arc<ServerRecord>, signals: SignalBoard) -> Server {
         let pool = Pool::new(record.address);
         let calls = CallClient::new(record.address);
         Server {
             hash: IncarnationHash::of(&record.incarnation),
             record: RefCell::new(record),
+            signals,
             pool,
             calls,
             gone: Cell::new(false),
@@ -127,9 +130,10 @@
         self.record.borrow().clone()
     }
 
-    /// Whether it may get new work, as far as the registry tells.
+    /// Whether it may get new work, by the registry and by its own answers.
     pub fn takes_work(&self) -> bool {
-        !self.gone.get() && self.record.borrow().state == ServerState::Ready
+        let is_ready = self.record.borrow().state == ServerState::Ready;
+        !self.gone.get() && is_ready && !self.signals.is_leaving(self.hash)
     }
 
     /// Whether it was reachable when it was last tried.
@@ -257,14 +261,20 @@
 }
 
 /// All servers in the registry.
-#[derive(Default)]
 pub struct ServerTable {
+    signals: SignalBoard,
     generation: u64,
     by_incarnation: HashMap<Arc<str>, Rc<Server>>,
     by_service: HashMap<String, Vec<Rc<Server>>>,
 }
 
 impl ServerTable {
+    /// A table without servers.
+    pub fn new(signals: SignalBoard) -> ServerTable {
+        let (by_incarnation, by_service) = (HashMap::new(), HashMap::new());
+        ServerTable { signals, generation: 0, by_incarnation, by_service }
+    }
+
     /// Takes a newer publication in.
     pub fn update(&mut self, fleet: &Published) {
         if fleet.generation == self.generation {
@@ -279,7 +289,7 @@
                     server.take_record(record);
                     server
                 }
-                None => Rc::new(Server::new(record.clone())),
+                None => Rc::new(Server::new(record.clone(), self.signals.clone())),
             };
             by_service.entry(record.service.clone()).or_default().push(server.clone());
             by_incarnation.insert(record.incarnation.clone(), server);
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -33,21 +33,24 @@
         act(&mut table, clock::now())
     }
 
-    /// Takes what an answer says of its server. `sent` is when its request was.
+    /// Takes what an answer says of its server, and whether other nodes are to hear of it.
+    /// `sent` is when its request was.
     pub fn note_answer(
         &self,
         incarnation: &str,
         request: &str,
         signals: AnswerSignals,
         sent: BootInstant,
-    ) {
+    ) -> bool {
         let server = IncarnationHash::of(incarnation);
         let changes = self.with(|table, received| {
             table.note_answer(server, signals, Observed { sent, received })
         });
+        let is_reported = changes.iter().any(SignalChange::is_reported);
         for change in changes {
             self.log_change(change, incarnation, "answer", request);
         }
+        is_reported
     }
 
     /// Takes what another node reports; returns what that changes.
@@ -73,6 +76,18 @@
         self.with(|table, _| table.report_again());
     }
 
+    /// Takes that a server is leaving, by an answer to something else than a request.
+    pub fn note_leaving(&self, incarnation: &str, from: &str) {
+        if self.with(|table, now| table.note_leaving(IncarnationHash::of(incarnation), now)) {
+            self.log_change(SignalChange::Leaving, incarnation, "call", from);
+        }
+    }
+
+    /// Whether a server is leaving by its own word.
+    pub fn is_leaving(&self, server: IncarnationHash) -> bool {
+        self.with(|table, _| table.is_leaving(server))
+    }
+
     /// Why a server gets no request from this node now.
     pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
         self.with(|table, _| table.hold(server, now))
--- a/crates/cometmoor-gateway/tests/servers.rs
+++ b/crates/cometmoor-gateway/tests/servers.rs
@@ -8,6 +8,7 @@
 use cometmoor_gateway::dialect::ModelName;
 use cometmoor_gateway::published::{PlacementView, Published};
 use cometmoor_gateway::servers::ServerTable;
+use cometmoor_gateway::signals::SignalBoard;
 
 fn record(models: &[&str]) -> ServerRecord {
     let held = |name: &&str| HeldModel { name: (*name).to_owned(), adapters: Vec::new() };
@@ -38,7 +39,7 @@
 /// tells of other models.
 #[test]
 fn a_model_that_a_server_denies_again_and_again_is_tried_ever_more_rarely() {
-    let mut table = ServerTable::default();
+    let mut table = ServerTable::new(SignalBoard::new(Arc::default()));
     publish(&mut table, 1, &["m", "n"]);
     let server = table.of_service("app")[0].clone();
     let model = ModelName { model: "m".to_owned(), adapter: None };
