explain shows what a server last reported of itself; peers' signals are logged by name

From a request's identifier on, the lines name the limit, the leaving or the rest that the node believed of the server, with its age, beside the server's entry. A signal that came with a question for a part of a limit was logged without the server's name.

--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -6,7 +6,7 @@
 
 use actix::{Context, Handler, Message, MessageResult};
 use bytes::Bytes;
-use cometmoor_core::gateway::signals::{IncarnationHash, SignalReport};
+use cometmoor_core::gateway::signals::SignalReport;
 use cometmoor_core::gateway::staleness::NextCall;
 use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{info, warn};
@@ -179,9 +179,9 @@
     /// Takes what another node reports of servers.
     fn merge_signals(&self, reports: &[SignalReport], peer: &str) {
         for (server, change) in self.context.signals.merge(reports) {
-            let mut known = self.servers.keys();
-            let name = known.find(|name| IncarnationHash::of(name) == server);
-            self.context.signals.log_change(change, name.map_or("-", |name| name), "peer", peer);
+            let name = self.context.board.fleet.load().incarnation(server);
+            let name = name.as_deref().unwrap_or("-");
+            self.context.signals.log_change(change, name, "peer", peer);
         }
     }
 
--- a/crates/cometmoor-gateway/src/explain.rs
+++ b/crates/cometmoor-gateway/src/explain.rs
@@ -27,7 +27,8 @@
 type Beliefs = HashMap<String, Belief>;
 
 /// The lines that tell of the request, in order, with the beliefs in force at
-/// each: the configuration, and what was last told of the server concerned.
+/// each: the configuration, what was last told of the server concerned, and what that
+/// last reported of itself.
 /// Lines of other formats are passed over; what stands before a line's first
 /// brace is left out.
 pub fn explain(id: &str, text: &str) -> Vec<String> {
@@ -58,13 +59,23 @@
     if line.kv.contains_key("request") {
         return None;
     }
+    let part = line.payload.split(']').next()?.trim_start_matches('[');
     if let Some(server) = line.kv.get("server").and_then(Value::as_str) {
-        return Some(format!("server {server}"));
+        return Some(if part == "signals" { signals_of(server) } else { server_of(server) });
     }
-    let part = line.payload.split(']').next()?.trim_start_matches('[');
     matches!(part, "configuration" | "store" | "leader" | "node").then(|| part.to_owned())
 }
 
+/// The subject of lines on what a server reports of itself.
+fn signals_of(server: &str) -> String {
+    format!("signals {server}")
+}
+
+/// The subject of all other lines on a server.
+fn server_of(server: &str) -> String {
+    format!("server {server}")
+}
+
 fn told(line: &Line) -> String {
     let fields: Vec<String> =
         line.kv.iter().map(|(name, value)| format!("{name}={}", plain(value))).collect();
@@ -78,7 +89,8 @@
 fn beliefs_of(line: &Line, known: &Beliefs) -> Vec<String> {
     let server = line.kv.get("server").and_then(Value::as_str);
     let mut subjects = vec!["configuration".to_owned(), "store".to_owned()];
-    subjects.extend(server.map(|server| format!("server {server}")));
+    subjects.extend(server.map(server_of));
+    subjects.extend(server.map(signals_of));
     subjects
         .into_iter()
         .filter_map(|subject| {
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -9,6 +9,7 @@
 use cometmoor_core::gateway::configuration::GatewayConfiguration;
 use cometmoor_core::gateway::proof::ProofLimits;
 use cometmoor_core::gateway::registry::ServerRecord;
+use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::keys::KeyKnowledge;
 use cometmoor_core::time::BootInstant;
 use tokio::sync::Notify;
@@ -108,6 +109,13 @@
         KeyKnowledge { denies: knowledge.denies && !self.is_known_behind, ..knowledge }
     }
 
+    /// Name of a server's incarnation, where it is in the registry.
+    pub fn incarnation(&self, hash: IncarnationHash) -> Option<Arc<str>> {
+        let mut servers = self.servers.iter();
+        let server = servers.find(|server| IncarnationHash::of(&server.incarnation) == hash);
+        server.map(|server| server.incarnation.clone())
+    }
+
     /// Milliseconds since the servers' entries were last confirmed; -1 where
     /// they never were.
     pub fn servers_age_millis(&self) -> i64 {
--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota.rs
@@ -213,11 +213,18 @@
 
     /// Puts the limit that this node knows of a server in place of the one that is asked by:
     /// versions of different nodes cannot be compared.
-    fn with_known_limit(&self, mut ask: Ask, signal: Option<SignalReport>) -> Ask {
+    fn with_known_limit(
+        &self,
+        from: SocketAddrV4,
+        mut ask: Ask,
+        signal: Option<SignalReport>,
+    ) -> Ask {
         let server = ask.key.into();
         let reports = signal.filter(|report| report.server == server);
         for (_, change) in self.signals.merge(reports.as_slice()) {
-            self.signals.log_change(change, "-", "question", "-");
+            let name = self.board.fleet.load().incarnation(server);
+            let name = name.as_deref().unwrap_or("-");
+            self.signals.log_change(change, name, "peer", &from.to_string());
         }
         match self.signals.limit(server) {
             Some(limit) => ask.limit = limit.into(),
@@ -240,7 +247,7 @@
             self.take_nodes();
             let message = match (holder, message) {
                 (Holder::Servers, LentMessage::Ask(ask)) => {
-                    LentMessage::Ask(self.with_known_limit(ask, signal))
+                    LentMessage::Ask(self.with_known_limit(from, ask, signal))
                 }
                 (_, message) => message,
             };
