--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -4,14 +4,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 
 use cometmoor_core::gateway::quarantine::Quarantine;
-use cometmoor_core::time::Timestamp;
+use cometmoor_core::gateway::signals::SignalTable;
+use cometmoor_core::time::{BootInstant, Timestamp};
 use cometmoor_gateway::load::{PendingWork, ServerLoad};
 use cometmoor_gateway::membership::{
     CopyVersions, Heartbeat, Member, Membership, Message, PeerChange, PeerPhase, Placement,
 };
 
+/// Time for which machines run when the world begins.
+const BOOTED_BEFORE: Duration = Duration::from_secs(1000);
 /// Time between two turns of the world, in milliseconds.
 pub const TURN: u64 = 50;
 /// Turns between two heartbeats of a node; in the largest fleets, whose pauses are long.
@@ -33,6 +37,8 @@
     pub membership: Membership,
     /// What it knows of requests that end servers.
     pub quarantine: Quarantine,
+    /// What it knows of servers by what they report of themselves.
+    pub signals: SignalTable,
     sequence: u64,
     incarnation: u64,
     load: u32,
@@ -49,6 +55,7 @@
     fn note_change(&mut self, change: PeerChange) {
         if change != PeerChange::None {
             self.quarantine.report_again();
+            self.signals.report_again();
         }
     }
 }
@@ -94,6 +101,11 @@
     SocketAddrV4::new(Ipv4Addr::new(10, (index % zones) as u8, high, low), 7000)
 }
 
+/// A point of the world's time on the machines' clock.
+pub fn since_boot(now: Timestamp) -> BootInstant {
+    BootInstant::after_boot(BOOTED_BEFORE + Duration::from_millis(now.0))
+}
+
 /// Zone of a node.
 pub fn zone_of(address: SocketAddrV4) -> usize {
     usize::from(address.ip().octets()[1])
@@ -129,6 +141,7 @@
             let node = Node {
                 membership,
                 quarantine: Quarantine::default(),
+                signals: SignalTable::default(),
                 sequence: 0,
                 incarnation: self.now + 1,
                 load: 1,
@@ -173,7 +186,7 @@
             demand: Vec::new(),
             waited_for: Vec::new(),
             suspects: node.quarantine.next_reports(now),
-            signals: Vec::new(),
+            signals: node.signals.next_reports(since_boot(now)),
             placement: leads.then(|| Placement {
                 token: 5,
                 sequence: self.placement,
@@ -248,20 +261,24 @@
         match Message::decode(bytes).unwrap() {
             Message::Heartbeat(heartbeat) => {
                 node.quarantine.merge(&heartbeat.suspects, now);
+                node.signals.merge(&heartbeat.signals, since_boot(now));
                 let change = node.membership.receive(heartbeat, now);
                 node.note_change(change);
             }
             Message::HeartbeatToHub(heartbeat, question) => {
                 node.quarantine.merge(&heartbeat.suspects, now);
+                node.signals.merge(&heartbeat.signals, since_boot(now));
                 let change = node.membership.receive_question(heartbeat, question, now);
                 node.note_change(change);
             }
             Message::ZoneDigest(digest) => {
                 node.quarantine.merge(&digest.suspects, now);
+                node.signals.merge(&digest.signals, since_boot(now));
                 node.membership.receive_zone(digest, now);
             }
             Message::FleetDigest(digest) => {
                 node.quarantine.merge(&digest.suspects, now);
+                node.signals.merge(&digest.signals, since_boot(now));
                 node.membership.receive_fleet(digest, now);
             }
             // Proofs are no part of membership.
