A limit is lifted only by what is later than every answer that named one

Callers would have seen: more than a limit allows at a server that had raised it. Cause: the time of the answer that counts was taken for the time of the last answer that named any limit. Change: both are kept; raising a limit goes by the first, lifting it by the second.

--- a/crates/cometmoor-core/src/gateway/signals.rs
+++ b/crates/cometmoor-core/src/gateway/signals.rs
@@ -206,7 +206,10 @@
 struct KnownLimit {
     /// Requests a second; none where it has no limit any more.
     per_second: Option<f64>,
+    /// When the word was true that counts.
     observed: Observed,
+    /// When the last answer was read that named any limit.
+    limited_until: Option<BootInstant>,
 }
 
 /// What a node reports of a server's limit. Ages are in milliseconds.
@@ -224,6 +227,8 @@
     fn of(limit: &KnownLimit, now: BootInstant) -> LimitReport {
         let age = |at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let Observed { sent, received } = limit.observed;
+        let limited_until = limit.limited_until.filter(|_| limit.per_second.is_some());
+        let received = limited_until.map_or(received, |until| received.max(until));
         LimitReport {
             per_second: limit.per_second,
             sent_age: age(sent),
@@ -238,7 +243,7 @@
         let sent = before(self.sent_age)?.checked_sub(MOST_TRANSIT)?;
         let observed = Observed { sent, received: before(self.received_age)? };
         let is_figure = self.per_second.is_none_or(|limit| limit.is_finite() && limit >= 0.0);
-        is_figure.then_some(KnownLimit { per_second: self.per_second, observed })
+        is_figure.then(|| KnownLimit::new(self.per_second, observed))
     }
 }
 
@@ -254,11 +259,22 @@
 }
 
 impl KnownLimit {
-    /// Takes another word; the later one counts, or the stricter where that is not known.
+    fn new(per_second: Option<f64>, observed: Observed) -> KnownLimit {
+        let limited_until = per_second.map(|_| observed.received);
+        KnownLimit { per_second, observed, limited_until }
+    }
+
+    /// Takes another word; the later one counts, or the stricter where that is not known. A
+    /// word of no limit has to be later than all that named one: of two that overlap, the
+    /// one that did not count may have been the last.
     fn take(&mut self, word: KnownLimit) {
         let (known, new) = (self.observed, word.observed);
+        let limited_until = self.limited_until.max(word.limited_until);
         let is_older = new.received <= known.sent;
-        let is_newer = new.sent >= known.received;
+        let is_newer = match word.per_second {
+            Some(_) => new.sent >= known.received,
+            None => new.sent >= known.received && Some(new.sent) >= self.limited_until,
+        };
         if is_newer || (!is_older && is_stricter(word.per_second, self.per_second)) {
             self.per_second = word.per_second;
         }
@@ -266,6 +282,7 @@
             let sent = known.sent.max(new.sent);
             self.observed = Observed { sent, received: known.received.max(new.received) };
         }
+        self.limited_until = limited_until;
     }
 }
 
@@ -405,8 +422,9 @@
             LimitSignal::PerSecond(limit) => Some(Some(limit)),
             LimitSignal::Unreadable => None,
         };
-        let limit = per_second
-            .and_then(|per_second| known.take_limit(KnownLimit { per_second, observed }, revision));
+        let limit = per_second.and_then(|per_second| {
+            known.take_limit(KnownLimit::new(per_second, observed), revision)
+        });
         let leaving = signals.is_leaving.then(|| known.take_leaving(now)).flatten();
         let rest = signals.rest.and_then(|rest| known.take_rest(rest, now));
         [limit, leaving, rest].into_iter().flatten().collect()
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -1,13 +1,18 @@
 //! What a node knows of servers by what they report of themselves.
 
+mod schedules;
+
 use std::time::Duration;
 
+use bolero::TypeGenerator;
 use cometmoor_core::gateway::signals::{
     AnswerSignals, Hold, IncarnationHash, LimitReport, LimitSignal, Observed, SignalChange,
     SignalReport, SignalTable,
 };
 use cometmoor_core::time::BootInstant;
 
+use schedules::for_each_schedule;
+
 fn at(millis: u64) -> BootInstant {
     BootInstant::after_boot(Duration::from_millis(1_000_000 + millis))
 }
@@ -193,3 +198,139 @@
     table.note_answer(server(), AnswerSignals::default(), observed(5020, 5030));
     assert!(table.eased_share(server(), at(5030)) < 0.1);
 }
+
+const NODES: usize = 3;
+const CASES: u64 = 4_000;
+/// Longest time that a report takes from node to node, in tenths of a second: what nodes
+/// allow for without knowing it.
+const MOST_TRANSIT: u8 = 4;
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    Pass {
+        tenths: u8,
+    },
+    /// The server names another limit from now on; 0 is none.
+    Change {
+        limit: u8,
+    },
+    /// A node reads an answer whose request was sent so long ago; it was written on the way.
+    Answer {
+        node: u8,
+        sent_ago: u8,
+        written_ago: u8,
+    },
+    /// A node reports what it knows; the report comes after a while, or is lost.
+    Report {
+        from: u8,
+        to: u8,
+        transit: u8,
+        is_lost: bool,
+    },
+}
+
+/// The server, and the reports that are on their way.
+struct Fleet {
+    now: u64,
+    /// Limits that it has named, and since when.
+    truth: Vec<(u64, Option<f64>)>,
+    nodes: Vec<SignalTable>,
+    /// Latest answer with a limit that each node has read itself.
+    read_limit: Vec<Option<u64>>,
+    on_their_way: Vec<(u64, usize, Vec<SignalReport>)>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        Fleet {
+            now: 10_000,
+            truth: vec![(0, None)],
+            nodes: vec![SignalTable::default(); NODES],
+            read_limit: vec![None; NODES],
+            on_their_way: Vec::new(),
+        }
+    }
+
+    fn limit_at(&self, time: u64) -> Option<f64> {
+        self.truth.iter().rev().find(|(since, _)| *since <= time).and_then(|(_, limit)| *limit)
+    }
+
+    /// Whether the server had no limit at some moment since a time. In the millisecond of a
+    /// change it has both, one after the other.
+    fn had_none_since(&self, time: u64) -> bool {
+        let later = self.truth.iter().any(|(since, limit)| *since >= time && limit.is_none());
+        later || self.limit_at(time - 1).is_none()
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += millis;
+        let now = self.now;
+        let (due, rest) = self.on_their_way.drain(..).partition(|(when, _, _)| *when <= now);
+        self.on_their_way = rest;
+        let due: Vec<(u64, usize, Vec<SignalReport>)> = due;
+        for (when, to, reports) in due {
+            self.nodes[to].merge(&reports, at(when));
+        }
+    }
+
+    fn answer(&mut self, node: usize, sent_ago: u64, written_ago: u64) {
+        let said = self.limit_at(self.now - written_ago);
+        let signals = said.map_or(AnswerSignals::default(), limit);
+        let span = observed(self.now - sent_ago, self.now);
+        self.nodes[node].note_answer(server(), signals, span);
+        if said.is_some() {
+            self.read_limit[node] = Some(self.now);
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Pass { tenths } => self.pass(u64::from(tenths % 20) * 100),
+            Step::Change { limit } => {
+                let limit = Some(f64::from(limit % 4)).filter(|limit| *limit > 0.0);
+                self.truth.push((self.now, limit));
+            }
+            Step::Answer { node, sent_ago, written_ago } => {
+                let sent_ago = u64::from(sent_ago % 30) * 100;
+                let written_ago = (u64::from(written_ago % 30) * 100).min(sent_ago);
+                self.answer(usize::from(node) % NODES, sent_ago, written_ago);
+            }
+            Step::Report { from, to, transit, is_lost } => {
+                let reports = self.nodes[usize::from(from) % NODES].next_reports(at(self.now));
+                if !is_lost {
+                    let when = self.now + u64::from(transit % (MOST_TRANSIT + 1)) * 100;
+                    self.on_their_way.push((when, usize::from(to) % NODES, reports));
+                }
+            }
+        }
+    }
+
+    /// Nothing that is older than an answer with a limit has lifted that limit.
+    fn check_lifts(&self) {
+        for (node, read) in self.nodes.iter().zip(&self.read_limit) {
+            let Some(read) = read else { continue };
+            let is_lifted = node.limit(server()).is_none();
+            assert!(!is_lifted || self.had_none_since(*read), "lifted by what is older");
+        }
+    }
+}
+
+/// Answers and reports overtake one another. A limit that a node has read is lifted only
+/// where the server had none after that; and once the server says the same for a while, a
+/// node that reads an answer believes it.
+#[test]
+fn limits_follow_the_server_whatever_overtakes_what() {
+    for_each_schedule(CASES, |steps: &[Step]| {
+        let mut fleet = Fleet::new();
+        for step in steps {
+            fleet.take(*step);
+            fleet.check_lifts();
+        }
+        fleet.pass(5_000);
+        for node in 0..NODES {
+            fleet.answer(node, 100, 50);
+            let believed = fleet.nodes[node].limit(server()).map(|limit| limit.limit.per_second);
+            assert_eq!(believed, fleet.limit_at(fleet.now));
+        }
+    });
+}
