Soak: keys that are taken away, tenants and their limits, with a check for each promise

Clients of four tenants: one whose key is replaced, one within its limit, one that floods, one that probes. Checked: the server is told the key's tenant, nothing runs without a key or with one taken away (after the bound, on any node), a key that holds is let in, limits hold over all nodes, nobody within one is refused, no key reaches a server or a log.

--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use cometmoor_platform_stand_in::fleet::{once_route, safe_route, services, stream_route};
+use cometmoor_platform_stand_in::fleet::{
+    once_route, public_route, safe_route, services, stream_route,
+};
 use cometmoor_platform_stand_in::store::Door;
 use cometmoor_platform_stand_in::worker::Worker;
 use nix::sys::signal::Signal;
@@ -12,6 +14,7 @@
 use super::proxy::Way;
 use super::schedule::{Fault, WayFault};
 use super::system::{RESTART_AFTER, START, ServerPlace, SoakSystem, Stopping};
+use super::tenants::DESK;
 
 /// The service that all routes lead to, and another one.
 pub(super) const SERVICE: &str = "app";
@@ -44,6 +47,9 @@
             Fault::Leave(place) => self.replace_server(place, true).await,
             Fault::Vanish(place) => self.replace_server(place, false).await,
             Fault::Configure => self.configure(),
+            Fault::ReplaceKey => self.replace_key(),
+            Fault::Limit(hundredths) => self.set_limit(hundredths),
+            Fault::Flood(lasts) => self.flood(lasts),
         }
     }
 
@@ -189,9 +195,28 @@
         let version = self.inner.version.get() + 1;
         let own = (1..=version).map(|version| safe_route(&format!("v{version}")));
         let lasting = [once_route("once"), safe_route("safe"), stream_route("stream")];
-        let routes: Vec<Value> = own.chain(lasting).collect();
-        self.inner.fleet.configure(version, &json!(routes), &services());
+        let open = public_route(once_route("open"));
+        let routes: Vec<Value> = own.chain(lasting).chain([open]).collect();
+        let tenants = self.inner.tenants.borrow().configuration();
+        self.inner.fleet.configure_tenants(version, &json!(routes), &services(), &tenants);
         self.inner.version.set(version);
         self.inner.history.borrow_mut().configurations.push((version, self.elapsed()));
     }
+
+    /// The store takes a configuration in which a key has another one's place.
+    fn replace_key(&self) {
+        let now = self.elapsed();
+        self.inner.tenants.borrow_mut().replace_key(DESK, now);
+        self.configure();
+    }
+
+    fn set_limit(&self, hundredths: u32) {
+        let now = self.elapsed();
+        self.inner.tenants.borrow_mut().set_limit(hundredths, now);
+        self.configure();
+    }
+
+    fn flood(&self, lasts: Duration) {
+        self.inner.flood_until.set(self.elapsed() + lasts);
+    }
 }
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -4,6 +4,8 @@
 
 pub use cometmoor_platform_stand_in::caller::Ended;
 
+use super::tenants::{Credential, KeyRecord, LimitRecord};
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -24,6 +26,8 @@
     pub id: String,
     /// Kind.
     pub kind: Kind,
+    /// Who sent it.
+    pub credential: Credential,
     /// Node that it was sent to.
     pub node: usize,
     /// When it was sent.
@@ -43,6 +47,10 @@
     pub server: usize,
     /// When.
     pub at: Duration,
+    /// The tenant that the server was told.
+    pub tenant: Option<String>,
+    /// Whether the server saw a client's key.
+    pub shows_key: bool,
 }
 
 /// A span in which a node is not held to bounds of time, or a server may break
@@ -96,4 +104,10 @@
     pub of_other_service: Vec<usize>,
     /// Nodes whose processes ended by themselves, and when.
     pub own_ends: Vec<(usize, Duration)>,
+    /// All keys that configurations held.
+    pub keys: Vec<KeyRecord>,
+    /// All limits that configurations set.
+    pub limits: Vec<LimitRecord>,
+    /// Lines of the nodes' logs that hold a client's key.
+    pub logged_keys: Vec<String>,
 }
--- a/crates/cometmoor-lab/src/soak/mod.rs
+++ b/crates/cometmoor-lab/src/soak/mod.rs
@@ -12,6 +12,8 @@
 pub mod proxy;
 pub mod schedule;
 pub mod system;
+mod tenant_checks;
+pub mod tenants;
 
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -8,7 +8,7 @@
 
 use cometmoor_platform_stand_in::fleet::Fleet;
 use cometmoor_platform_stand_in::store::DoorHandle;
-use cometmoor_platform_stand_in::worker::Worker;
+use cometmoor_platform_stand_in::worker::{KEY_PREFIX, Worker};
 use nix::sys::signal::Signal;
 
 use super::SoakRun;
@@ -17,6 +17,7 @@
 use super::processes::NodeProcess;
 use super::proxy::Way;
 use super::schedule::Planned;
+use super::tenants::{LIMIT_EXCESS, LIMIT_WINDOW, REVOCATION_BOUND, SoakTenants};
 
 /// Servers that take work at any time.
 pub const SERVERS: usize = 4;
@@ -67,6 +68,9 @@
     /// All servers that ever were.
     pub(super) workers: RefCell<Vec<Worker>>,
     pub(super) version: Cell<u64>,
+    pub(super) tenants: RefCell<SoakTenants>,
+    /// Until when a tenant sends many times its limit.
+    pub(super) flood_until: Cell<Duration>,
     pub(super) history: RefCell<History>,
 }
 
@@ -87,7 +91,10 @@
             let number = FIRST_NODE + place as u8;
             let way = Way::open(fleet.host(FIRST_WAY + place as u8), door.address).await;
             let way = way.map_err(|error| format!("way to the store: {error}"))?;
-            let settings = fleet.settings(number, way.address, &[FIRST_NODE, FIRST_NODE + 1]);
+            let mut settings = fleet.settings(number, way.address, &[FIRST_NODE, FIRST_NODE + 1]);
+            settings.bounds.revoke_millis = Some(REVOCATION_BOUND.as_millis() as u64);
+            settings.bounds.quota_window_seconds = LIMIT_WINDOW.as_secs_f64();
+            settings.bounds.quota_excess = LIMIT_EXCESS;
             let process = NodeProcess::new(run.program.clone(), run.folder.clone(), settings);
             let node =
                 NodePlace { process, way, stopping: None, is_frozen: false, restart_at: None };
@@ -101,6 +108,8 @@
             places: RefCell::default(),
             workers: RefCell::default(),
             version: Cell::new(0),
+            tenants: RefCell::new(SoakTenants::new()),
+            flood_until: Cell::default(),
             history: RefCell::default(),
         };
         let system = SoakSystem { inner: Rc::new(inner) };
@@ -177,12 +186,38 @@
         let mut history = self.inner.history.borrow().clone();
         for (server, worker) in self.inner.workers.borrow().iter().enumerate() {
             let at = |run: Instant| run.saturating_duration_since(self.inner.started);
-            let runs = worker.runs().into_iter();
-            history.runs.extend(runs.map(|run| RunRecord { id: run.id, server, at: at(run.at) }));
+            history.runs.extend(worker.runs().into_iter().map(|run| RunRecord {
+                id: run.id,
+                server,
+                at: at(run.at),
+                tenant: run.tenant,
+                shows_key: run.shows_key,
+            }));
         }
+        let tenants = self.inner.tenants.borrow();
+        history.keys.clone_from(&tenants.keys);
+        history.limits.clone_from(&tenants.limits);
+        history.logged_keys = self.logged_keys();
         history
     }
 
+    /// Lines of the nodes' logs that hold a client's key.
+    fn logged_keys(&self) -> Vec<String> {
+        let nodes = self.inner.nodes.borrow();
+        let lines = nodes.iter().flat_map(|node| node.process.log_lines_with(KEY_PREFIX));
+        lines.collect()
+    }
+
+    /// The keys of the run.
+    pub fn tenants(&self) -> std::cell::Ref<'_, SoakTenants> {
+        self.inner.tenants.borrow()
+    }
+
+    /// Whether a tenant sends many times its limit now.
+    pub fn is_flooded(&self) -> bool {
+        self.elapsed() < self.inner.flood_until.get()
+    }
+
     /// Notes that something is not held to bounds of time from now on for a while.
     pub(super) fn disturb(&self, whom: Whom, lasts: Duration) {
         let from = self.elapsed();
