--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -6,14 +6,14 @@
 use serde::Serialize;
 
 use super::history::{Ended, History, Kind, RequestRecord, Whom};
-use super::tenant_checks;
 use super::tenants::{Credential, LAUNDRY};
+use super::{signal_checks, tenant_checks};
 
 /// Operators' bound on leaving servers and on configurations, in the settings of
 /// every node of a run.
 pub const BOUND: Duration = Duration::from_secs(2);
 /// What a busy machine may add.
-const SLACK: Duration = Duration::from_millis(1500);
+pub(super) const SLACK: Duration = Duration::from_millis(1500);
 /// Time without a disturbance before a node is held to the bounds.
 pub(super) const CALM: Duration = Duration::from_secs(3);
 
@@ -31,7 +31,8 @@
     let checks = [at_most_once, not_run_is_true, whole_and_own, leaving_gets_nothing];
     let checks = checks.into_iter().chain([in_force_in_time, never_back, stops_cut_nothing]);
     let checks = checks.chain([own_service_only, no_own_ends, is_alive, tenant_checks::check]);
-    checks.flat_map(|check| check(history)).collect()
+    let broken = checks.flat_map(|check| check(history));
+    broken.chain(signal_checks::check(history)).collect()
 }
 
 pub(super) fn violation(promise: &'static str, what: String) -> Violation {
@@ -60,7 +61,7 @@
     }
 
     /// Whether nothing disturbed it from [`CALM`] before one time until another.
-    fn is_calm(&self, whom: Whom, from: Duration, until: Duration) -> bool {
+    pub(super) fn is_calm(&self, whom: Whom, from: Duration, until: Duration) -> bool {
         let from = from.saturating_sub(CALM);
         let struck = self.disturbances.iter().filter(|disturbance| disturbance.whom == whom);
         !struck.clone().any(|disturbance| disturbance.from <= until && disturbance.until >= from)
--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -6,7 +6,7 @@
     once_route, public_route, safe_route, services, stream_route,
 };
 use cometmoor_platform_stand_in::store::Door;
-use cometmoor_platform_stand_in::worker::Worker;
+use cometmoor_platform_stand_in::worker::{Says, Worker};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
@@ -50,6 +50,15 @@
             Fault::ReplaceKey => self.replace_key(),
             Fault::Limit(hundredths) => self.set_limit(hundredths),
             Fault::Flood(lasts) => self.flood(lasts),
+            Fault::NameLimit(place, tenths, lasts) => {
+                let limit = Some(f64::from(tenths) / 10.0);
+                self.say(place, Says { limit, ..Says::default() }, lasts);
+            }
+            Fault::AskRest(place, millis, lasts) => {
+                let rest = Some(Duration::from_millis(millis));
+                self.say(place, Says { rest, ..Says::default() }, lasts);
+            }
+            Fault::SayLeaving(place, lasts) => self.say_leaving(place, lasts).await,
         }
     }
 
@@ -190,6 +199,33 @@
         self.note_leaving(&old);
     }
 
+    /// A server says something of itself for a while, unless it says something else by then.
+    fn say(&self, place: usize, says: Says, lasts: Duration) {
+        let number = self.inner.places.borrow()[place].number;
+        let worker = self.inner.workers.borrow()[number].clone();
+        worker.say(says);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            if worker.says() == says {
+                worker.say(Says::default());
+            }
+        });
+    }
+
+    /// A server says in its answers that it leaves, and a new one comes; its entry follows.
+    async fn say_leaving(&self, place: usize, entry_after: Duration) {
+        let Ok(new) = self.new_server(SERVICE).await else { return };
+        let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
+        let worker = self.inner.workers.borrow()[old.number].clone();
+        worker.say(Says { leaves: true, ..Says::default() });
+        let system = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(entry_after).await;
+            system.inner.fleet.register_at(&old.id, SERVICE, old.way.address, "draining");
+            system.note_leaving(&old);
+        });
+    }
+
     /// The store takes a configuration with a route of its own.
     pub(super) fn configure(&self) {
         let version = self.inner.version.get() + 1;
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 pub use cometmoor_platform_stand_in::caller::Ended;
+pub use cometmoor_platform_stand_in::worker::Says;
 
 use super::tenants::{Credential, KeyRecord, LimitRecord};
 
@@ -53,6 +54,19 @@
     pub shows_key: bool,
 }
 
+/// A request that reached a server, whether it ran or was turned away.
+#[derive(Clone, Debug)]
+pub struct ArrivalRecord {
+    /// Identifier of the attempt.
+    pub id: String,
+    /// The server.
+    pub server: usize,
+    /// When.
+    pub at: Duration,
+    /// What the server said of itself in its answer.
+    pub says: Says,
+}
+
 /// A span in which a node is not held to bounds of time, or a server may break
 /// its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +106,8 @@
     pub requests: Vec<RequestRecord>,
     /// Runs.
     pub runs: Vec<RunRecord>,
+    /// Requests that reached servers, by server and then in order.
+    pub arrivals: Vec<ArrivalRecord>,
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
     /// When the store took that a server leaves, or that its entry is gone.
--- a/crates/cometmoor-lab/src/soak/mod.rs
+++ b/crates/cometmoor-lab/src/soak/mod.rs
@@ -11,6 +11,7 @@
 pub mod processes;
 pub mod proxy;
 pub mod schedule;
+mod signal_checks;
 pub mod system;
 mod tenant_checks;
 pub mod tenants;
@@ -56,11 +57,22 @@
     pub violations: Vec<Violation>,
 }
 
+/// Ends the nodes' processes with the run.
+struct ProcessesEnd(SoakSystem);
+
+impl Drop for ProcessesEnd {
+    fn drop(&mut self) {
+        self.0.end_processes();
+    }
+}
+
 /// Makes a run; an error means that it could not be made at all.
 pub async fn run(run: &SoakRun) -> Result<SoakReport, String> {
     let planned = schedule::draw(run.seed, run.span, run.nodes, system::SERVERS);
     let faults = planned.iter().map(ToString::to_string).collect();
     let system = SoakSystem::start(run).await?;
+    // Clients and faults hold the system, too, where the run is broken off.
+    let _ends_with_run = ProcessesEnd(system.clone());
     let clients = clients::start(&system, run.seed);
     system.play(&planned).await;
     system.settle().await;
--- a/crates/cometmoor-lab/src/soak/schedule.rs
+++ b/crates/cometmoor-lab/src/soak/schedule.rs
@@ -20,6 +20,17 @@
 /// Keeps the changes of tenants apart from the other faults of a seed.
 const TENANT_DRAWS: u64 = 0x7e7a_0000;
 
+/// Shortest and longest time between two things that servers say of themselves.
+const SIGNAL_PAUSES: (u64, u64) = (1500, 5000);
+/// Shortest and longest time for which one says the same.
+const SIGNAL_LASTS: (u64, u64) = (4000, 9000);
+/// Limits that servers name, in tenths of a request a second.
+const SERVER_LIMITS: [u32; 4] = [5, 10, 50, 200];
+/// Shortest and longest rest that is asked for, in milliseconds.
+const RESTS: (u64, u64) = (800, 4000);
+/// Keeps what servers say of themselves apart from the other faults of a seed.
+const SIGNAL_DRAWS: u64 = 0x51_9a15_0000;
+
 /// What happens to a way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WayFault {
@@ -72,6 +83,13 @@
     Limit(u32),
     /// A tenant sends many times its limit.
     Flood(Duration),
+    /// A server names a limit in its answers, in tenths of a request a second.
+    NameLimit(usize, u32, Duration),
+    /// A server turns requests away and asks for a rest of so many milliseconds.
+    AskRest(usize, u64, Duration),
+    /// A server says in its answers that it leaves, a while before its entry does; a new one
+    /// takes its place.
+    SayLeaving(usize, Duration),
 }
 
 /// A fault and its time.
@@ -95,7 +113,9 @@
     let faults = draw_each(random, span, PAUSES, |random| draw_fault(random, nodes, servers));
     let random = ChaCha8Rng::seed_from_u64(seed ^ TENANT_DRAWS);
     let tenants = draw_each(random, span, TENANT_PAUSES, draw_tenant_fault);
-    let mut planned: Vec<Planned> = faults.into_iter().chain(tenants).collect();
+    let random = ChaCha8Rng::seed_from_u64(seed ^ SIGNAL_DRAWS);
+    let signals = draw_each(random, span, SIGNAL_PAUSES, |random| draw_signal(random, servers));
+    let mut planned: Vec<Planned> = faults.into_iter().chain(tenants).chain(signals).collect();
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -124,6 +144,19 @@
     }
 }
 
+fn draw_signal(random: &mut ChaCha8Rng, servers: usize) -> Fault {
+    let server = random.random_range(0..servers);
+    let lasts = Duration::from_millis(random.random_range(SIGNAL_LASTS.0..SIGNAL_LASTS.1));
+    match random.random_range(0..5) {
+        0 | 1 => {
+            let limit = SERVER_LIMITS[random.random_range(0..SERVER_LIMITS.len())];
+            Fault::NameLimit(server, limit, lasts)
+        }
+        2 | 3 => Fault::AskRest(server, random.random_range(RESTS.0..RESTS.1), lasts),
+        _ => Fault::SayLeaving(server, lasts),
+    }
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, servers: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let server = random.random_range(0..servers);
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -13,7 +13,9 @@
 
 use super::SoakRun;
 use super::faults::SERVICE;
-use super::history::{Disturbance, History, PlannedStop, RequestRecord, RunRecord, Whom};
+use super::history::{
+    ArrivalRecord, Disturbance, History, PlannedStop, RequestRecord, RunRecord, Whom,
+};
 use super::processes::NodeProcess;
 use super::proxy::Way;
 use super::schedule::Planned;
@@ -176,6 +178,11 @@
         }
     }
 
+    /// Ends all nodes' processes at once.
+    pub(super) fn end_processes(&self) {
+        self.inner.nodes.borrow_mut().iter_mut().for_each(|node| node.process.kill());
+    }
+
     /// Waits until everything that was begun is over.
     pub async fn settle(&self) {
         self.watch_processes_until(self.elapsed() + SETTLE).await;
@@ -193,6 +200,12 @@
                 tenant: run.tenant,
                 shows_key: run.shows_key,
             }));
+            history.arrivals.extend(worker.arrivals().into_iter().map(|arrival| ArrivalRecord {
+                id: arrival.id,
+                server,
+                at: at(arrival.at),
+                says: arrival.says,
+            }));
         }
         let tenants = self.inner.tenants.borrow();
         history.keys.clone_from(&tenants.keys);
--- a/crates/cometmoor-lab/tests/soak_checks.rs
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -6,7 +6,8 @@
 use cometmoor_lab::soak::check::check;
 use cometmoor_lab::soak::command::parse_seeds;
 use cometmoor_lab::soak::history::{
-    Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Whom,
+    ArrivalRecord, Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Says,
+    Whom,
 };
 use cometmoor_lab::soak::schedule::draw;
 use cometmoor_lab::soak::tenants::{Credential, KeyRecord, LAUNDRY, LIBRARY, LimitRecord};
@@ -198,6 +199,66 @@
     assert_eq!(promises(&history), ["a key reaches no log"]);
 }
 
+fn arrival(id: &str, at: u64, says: Says) -> ArrivalRecord {
+    ArrivalRecord { id: id.to_owned(), server: 0, at: seconds(at), says }
+}
+
+/// A history in which requests reach a server each tenth of a second.
+fn with_arrivals(tenths: std::ops::Range<u64>, says: Says) -> History {
+    let mut history = calm();
+    for tenth in tenths {
+        let id = format!("s{tenth}");
+        history.requests.push(request(&id, Kind::Safe, tenth, Ended::Whole));
+        history.arrivals.push(arrival(&id, tenth, says));
+    }
+    history
+}
+
+#[test]
+fn requests_beyond_a_limit_that_a_server_names_are_reported() {
+    let says = Says { limit: Some(1.0), ..Says::default() };
+    let history = with_arrivals(100..131, says);
+    assert_eq!(promises(&history), Vec::<&str>::new(), "three seconds are not counted");
+    let history = with_arrivals(100..141, says);
+    assert_eq!(promises(&history), Vec::<&str>::new(), "11 in 4 s are allowed");
+    let history = with_arrivals(100..142, says);
+    assert_eq!(promises(&history), ["a server's limit holds over all nodes"]);
+    let higher = Says { limit: Some(2.0), ..Says::default() };
+    assert_eq!(promises(&with_arrivals(100..142, higher)), Vec::<&str>::new());
+}
+
+#[test]
+fn requests_to_a_server_that_says_it_leaves_are_reported_after_the_bound() {
+    let says = Says { leaves: true, ..Says::default() };
+    let mut history = with_arrivals(100..101, says);
+    history.requests.push(request("late", Kind::Safe, 140, Ended::Whole));
+    history.arrivals.push(arrival("late", 140, says));
+    assert_eq!(promises(&history), Vec::<&str>::new(), "within the bound");
+    history.requests.push(request("later", Kind::Safe, 141, Ended::Whole));
+    history.arrivals.push(arrival("later", 141, says));
+    assert_eq!(promises(&history), ["a server that says it leaves gets no new work"]);
+    let (from, until) = (seconds(120), seconds(121));
+    history.disturbances = vec![Disturbance { whom: Whom::Node(0), from, until }];
+    assert_eq!(promises(&history), Vec::<&str>::new(), "the node was started again");
+}
+
+#[test]
+fn requests_within_a_rest_are_reported_beyond_two() {
+    let rest = Some(Duration::from_secs(3));
+    let mut history = with_arrivals(100..101, Says { rest, ..Says::default() });
+    for tenth in [104, 110, 120] {
+        let id = format!("r{tenth}");
+        history.requests.push(request(&id, Kind::Safe, tenth, Ended::NotRun(503)));
+        history.arrivals.push(arrival(&id, tenth, Says::default()));
+    }
+    assert_eq!(promises(&history), Vec::<&str>::new(), "one of three came at once, two may");
+    history.requests.push(request("x", Kind::Safe, 125, Ended::NotRun(503)));
+    history.arrivals.push(arrival("x", 125, Says::default()));
+    assert_eq!(promises(&history), ["a server gets the rest it asks for"]);
+    history.requests.last_mut().unwrap().node = 1;
+    assert_eq!(promises(&history), Vec::<&str>::new(), "another node was not asked");
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let span = Duration::from_secs(30);
