What was said before a machine's start holds there, too

Callers would have seen: a node on a machine that had just started sent to a server beyond its limit until it read the limit itself. Found when the change was read again: a report whose age went back before the machine's start was dropped. It counts from the start now.

--- a/crates/cometmoor-core/src/gateway/signals.rs
+++ b/crates/cometmoor-core/src/gateway/signals.rs
@@ -236,12 +236,15 @@
         }
     }
 
-    /// What it says, as it was observed at the latest; none where that was before the start
-    /// of this machine, or the figure is none.
+    /// What it says, as it was observed at the latest; none where the figure is none. What is
+    /// older than this machine's start counts from there.
     fn read(&self, now: BootInstant) -> Option<KnownLimit> {
-        let before = |age| now.checked_sub(Duration::from_millis(u64::from(age)));
-        let sent = before(self.sent_age)?.checked_sub(MOST_TRANSIT)?;
-        let observed = Observed { sent, received: before(self.received_age)? };
+        let before = |time| now.checked_sub(time).unwrap_or_default();
+        let age = |millis| Duration::from_millis(u64::from(millis));
+        let observed = Observed {
+            sent: before(age(self.sent_age) + MOST_TRANSIT),
+            received: before(age(self.received_age)),
+        };
         let is_figure = self.per_second.is_none_or(|limit| limit.is_finite() && limit >= 0.0);
         is_figure.then(|| KnownLimit::new(self.per_second, observed))
     }
