Lent limits: what is lent of one limit has a file of its own; roles named in the field's terms

A node's mandate is its role, the stopgap a fallback. Tests of quota and of servers' limits pass unchanged (12).

--- /dev/null
+++ b/crates/cometmoor-core/src/gateway/quota/lent/book.rs
@@ -0,0 +1,194 @@
+//! What is lent of one limit.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::askers::Askers;
+use super::lender::Standing;
+use super::message::{Ask, AskedLimit, Outcome};
+use crate::gateway::quota::QuotaBounds;
+use crate::gateway::quota::bucket::TokenBucket;
+use crate::gateway::quota::ranks::FleetRanks;
+use crate::gateway::tenants::{QuotaUnit, TenantLimit};
+use crate::time::BootInstant;
+
+/// Time by which a request may come earlier at the lender than at its node, or another one
+/// later: what lacks no more than comes in this time is lent from the leeway.
+const JITTER: Duration = Duration::from_millis(60);
+/// Part of the headroom that the leeway holds.
+const LEEWAY_PART: f64 = 0.15;
+/// Part of the rate at which the leeway comes back.
+const LEEWAY_RATE: f64 = 0.02;
+/// Part of it with which a book begins whose predecessor is not known.
+const START_PART: f64 = 0.2;
+/// Part of the rate, for the nodes that ask it, at which a node lends that may not be the
+/// only one.
+const UNCERTAIN_RATE: f64 = 0.7;
+/// Part of the rate at which a seed lends while the fleet starts: nodes that cannot reach it
+/// ask another one.
+const START_RATE: f64 = 0.6;
+/// Longest time that is promised to those who are told to come back one after the other.
+const LONGEST_PROMISE: Duration = Duration::from_secs(4);
+
+/// A node that has asked.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asker {
+    /// Its last question that was answered.
+    pub(super) answered: Option<(u64, Outcome)>,
+    /// Number of its last return.
+    pub(super) returned: u64,
+}
+
+/// By what a node lends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Role {
+    /// It comes first, as it sees the fleet.
+    First,
+    /// The first one does not answer; it may lend to others, too.
+    Fallback,
+    /// It is a seed, and the fleet starts.
+    Start,
+}
+
+/// What is lent to a limit.
+#[derive(Clone, Debug)]
+pub(super) struct Book {
+    pub(super) number: u32,
+    pub(super) standing: Standing,
+    pub(super) limit: AskedLimit,
+    /// The limit itself.
+    pub(super) bucket: TokenBucket,
+    /// What may be lent beyond it, to requests that would have been in time by the order of
+    /// their callers.
+    pub(super) leeway: TokenBucket,
+    /// Part of the start allowance that an uncertain lender has put in.
+    pub(super) started_with: f64,
+    pub(super) nodes: HashMap<SocketAddrV4, Asker>,
+    pub(super) askers: Askers,
+    /// Questions that wait until the book lends.
+    pub(super) held: Vec<(SocketAddrV4, Ask)>,
+    pub(super) asked: BootInstant,
+    /// Until when tokens that come are promised to those who were told to come back.
+    pub(super) promised: BootInstant,
+}
+
+fn limit_of(limit: &AskedLimit) -> TenantLimit {
+    let AskedLimit { per_second, burst, .. } = *limit;
+    TenantLimit { per_second, burst, unit: QuotaUnit::Requests }
+}
+
+/// Most that the leeway of a lender to the whole fleet holds.
+pub(super) fn most_leeway(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
+    LEEWAY_PART * bounds.headroom(&limit_of(limit))
+}
+
+/// What a book begins with whose predecessor is not known, at a lender to the whole fleet.
+pub(super) fn start(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
+    START_PART * bounds.headroom(&limit_of(limit))
+}
+
+impl Book {
+    /// Sets the rate by how many nodes this one lends to.
+    pub(super) fn set_rate(
+        &mut self,
+        role: Role,
+        bounds: &QuotaBounds,
+        ranks: &FleetRanks,
+        now: BootInstant,
+    ) {
+        let rate = self.limit.per_second;
+        let sharing = ranks.sharing(now);
+        let estimate = self.askers.estimate(sharing, now);
+        if role == Role::Start {
+            // How many nodes there are is not known yet.
+            self.bucket.set(self.limit.burst, rate * START_RATE, now);
+            return self.put_in(start(bounds, &self.limit));
+        }
+        if role == Role::First {
+            let share = ranks.share(now);
+            let share = if estimate.is_apart { share.min(estimate.part) } else { share };
+            self.bucket.set(self.limit.burst * share, rate * share, now);
+            let leeway = most_leeway(bounds, &self.limit) * share;
+            self.leeway.set(leeway, rate * LEEWAY_RATE * share, now);
+            return;
+        }
+        let start = start(bounds, &self.limit) * estimate.part;
+        self.bucket.set(start, rate * UNCERTAIN_RATE * estimate.part, now);
+        self.put_in(start);
+    }
+
+    /// Puts a start allowance in, less what was put in before.
+    fn put_in(&mut self, start: f64) {
+        if start > self.started_with {
+            self.bucket.give_back(start - self.started_with);
+            self.started_with = start;
+        }
+    }
+
+    /// Begins as the lender of all nodes that are there.
+    pub(super) fn begin_anew(&mut self, bounds: &QuotaBounds, share: f64) {
+        let start = start(bounds, &self.limit) * share;
+        self.bucket.set_most(self.limit.burst * share);
+        self.put_in(start);
+    }
+
+    /// Lends what is asked for, or tells when it may be asked for again.
+    pub(super) fn lend(&mut self, ask: &Ask, now: BootInstant) -> Outcome {
+        let level = self.bucket.level(now);
+        let whole = ask.all + ask.ahead;
+        // What is lent ahead may not be used, so that is done from plenty only; parts of
+        // requests would be used late, in another window.
+        let tokens = if level - whole >= self.bucket.most() / 2.0 {
+            whole
+        } else if level >= ask.all {
+            ask.all
+        } else if self.bucket.covers(ask.first, now) {
+            ask.first
+        } else if self.covers_nearly(ask.first, now) {
+            // The limit itself is not charged: the request that comes next by its order is
+            // not to be refused for this one.
+            self.leeway.spend(ask.first);
+            return Outcome::Lent { tokens: ask.first, book: self.number };
+        } else if self.covers_with_leeway(ask.first, now) {
+            let most = self.bucket.most();
+            self.leeway.spend(ask.first - most);
+            self.bucket.spend(most);
+            return Outcome::Lent { tokens: ask.first, book: self.number };
+        } else {
+            return self.deny(ask.first, now);
+        };
+        self.bucket.spend(tokens);
+        Outcome::Lent { tokens, book: self.number }
+    }
+
+    /// Whether a request that costs more than the burst finds the bucket full, and the rest
+    /// in the leeway: otherwise it could never run.
+    fn covers_with_leeway(&mut self, cost: f64, now: BootInstant) -> bool {
+        let most = self.bucket.most();
+        cost > most && self.bucket.covers(most, now) && self.leeway.covers(cost - most, now)
+    }
+
+    /// Whether a request lacks only what comes within the jitter, and the leeway covers it.
+    fn covers_nearly(&mut self, cost: f64, now: BootInstant) -> bool {
+        let fits = cost <= self.bucket.most();
+        fits && self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
+    }
+
+    /// Refuses a request. It finds tokens after those that were told to come back before it,
+    /// so that not all come at once.
+    fn deny(&mut self, cost: f64, now: BootInstant) -> Outcome {
+        let empty = self.bucket.time_until(cost, now);
+        let at = (now + empty).max(self.promised);
+        let after = at.since(now);
+        if after < LONGEST_PROMISE && self.limit.per_second > 0.0 {
+            let takes = Duration::try_from_secs_f64(cost / self.limit.per_second);
+            self.promised = at + takes.unwrap_or_default().min(LONGEST_PROMISE);
+        }
+        let certain = empty.saturating_sub(JITTER);
+        Outcome::Denied {
+            empty_micros: u32::try_from(certain.as_micros()).unwrap_or(u32::MAX),
+            after_millis: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -5,28 +5,13 @@
 use std::time::Duration;
 
 use super::askers::Askers;
-use super::message::{Ask, AskedLimit, LentMessage, Outcome};
+use super::book::{Asker, Book, Role, most_leeway, start};
+use super::message::{Ask, LentMessage, Outcome};
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::ranks::FleetRanks;
 use crate::gateway::quota::{QuotaBounds, QuotaKey};
-use crate::gateway::tenants::{QuotaUnit, TenantLimit};
 use crate::time::BootInstant;
 
-/// Time by which a request may come earlier at the lender than at its node, or another one
-/// later: what lacks no more than comes in this time is lent from the leeway.
-const JITTER: Duration = Duration::from_millis(60);
-/// Part of the headroom that the leeway holds.
-const LEEWAY_PART: f64 = 0.15;
-/// Part of the rate at which the leeway comes back.
-const LEEWAY_RATE: f64 = 0.02;
-/// Part of it with which a book begins whose predecessor is not known.
-const START_PART: f64 = 0.2;
-/// Part of the rate, for the nodes that ask it, at which a node lends that may not be the
-/// only one.
-const UNCERTAIN_RATE: f64 = 0.7;
-/// Part of the rate at which a seed lends while the fleet starts: nodes that cannot reach it
-/// ask another one.
-const START_RATE: f64 = 0.6;
 /// Time for which a node that has not answered a probe is passed over.
 const SILENT_FOR: Duration = Duration::from_secs(2);
 /// Longest wait for what is left in the book of another node, or for its answer to a probe.
@@ -39,9 +24,6 @@
 const IDLE_FOR: Duration = Duration::from_secs(30);
 /// Time for which a node that has handed a book over says so.
 const HANDED_FOR: Duration = Duration::from_secs(4);
-/// Longest time that is promised to those who are told to come back one after the other.
-const LONGEST_PROMISE: Duration = Duration::from_secs(4);
-
 /// An answer to a node's question.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answer {
@@ -58,38 +40,18 @@
     pub(super) messages: Vec<(SocketAddrV4, LentMessage)>,
 }
 
-/// A node that has asked.
-#[derive(Clone, Copy, Debug)]
-struct Asker {
-    /// Its last question that was answered.
-    answered: Option<(u64, Outcome)>,
-    /// Number of its last return.
-    returned: u64,
-}
-
-/// By what a node lends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Mandate {
-    /// It comes first, as it sees the fleet.
-    First,
-    /// The first one does not answer; it may lend to others, too.
-    Stopgap,
-    /// It is a seed, and the fleet starts.
-    Start,
-}
-
 /// How a book stands.
 #[derive(Clone, Debug, PartialEq)]
-enum Standing {
+pub(super) enum Standing {
     /// Tokens are lent.
-    Lends(Mandate),
+    Lends(Role),
     /// Other nodes' answers are awaited.
     Awaits(Awaited),
 }
 
 /// Answers that a book waits for.
 #[derive(Clone, Debug, PartialEq)]
-struct Awaited {
+pub(super) struct Awaited {
     what: Question,
     /// Nodes that have not answered.
     from: Vec<SocketAddrV4>,
@@ -99,7 +61,7 @@
 
 /// What other nodes are asked before a book lends.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Question {
+pub(super) enum Question {
     /// What is left in their books; the least that was answered.
     Left(Option<f64>),
     /// Whether the first one answers.
@@ -125,28 +87,6 @@
     pub(super) is_settled: bool,
 }
 
-/// What is lent to a limit.
-#[derive(Clone, Debug)]
-struct Book {
-    number: u32,
-    standing: Standing,
-    limit: AskedLimit,
-    /// The limit itself.
-    bucket: TokenBucket,
-    /// What may be lent beyond it, to requests that would have been in time by the order of
-    /// their callers.
-    leeway: TokenBucket,
-    /// Part of the start allowance that an uncertain lender has put in.
-    started_with: f64,
-    nodes: HashMap<SocketAddrV4, Asker>,
-    askers: Askers,
-    /// Questions that wait until the book lends.
-    held: Vec<(SocketAddrV4, Ask)>,
-    asked: BootInstant,
-    /// Until when tokens that come are promised to those who were told to come back.
-    promised: BootInstant,
-}
-
 /// The limits for which a node lends.
 #[derive(Clone, Debug)]
 pub(super) struct Lender {
@@ -158,11 +98,6 @@
     next_book: u32,
 }
 
-fn limit_of(limit: &AskedLimit) -> TenantLimit {
-    let AskedLimit { per_second, burst, .. } = *limit;
-    TenantLimit { per_second, burst, unit: QuotaUnit::Requests }
-}
-
 /// Asks nodes something; the book waits for their answers.
 fn awaits(
     what: Question,
@@ -176,16 +111,6 @@
     Standing::Awaits(Awaited { what, from, began: now, is_asked_again: false })
 }
 
-/// Most that the leeway of a lender to the whole fleet holds.
-fn most_leeway(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
-    LEEWAY_PART * bounds.headroom(&limit_of(limit))
-}
-
-/// What a book begins with whose predecessor is not known, at a lender to the whole fleet.
-fn start(bounds: &QuotaBounds, limit: &AskedLimit) -> f64 {
-    START_PART * bounds.headroom(&limit_of(limit))
-}
-
 impl Lender {
     /// A node that lends nothing yet. Books are numbered from a number that is drawn for
     /// each process, so that tokens are not given back to the book of another one.
@@ -269,7 +194,7 @@
         }
         let seeds: Vec<SocketAddrV4> = ranks.other_seeds().collect();
         let standing = match seeds.is_empty() {
-            true => Standing::Lends(Mandate::Start),
+            true => Standing::Lends(Role::Start),
             false => awaits(Question::SeedKnows, seeds, key, now, effects),
         };
         self.open(ask, standing, ranks, now);
@@ -287,7 +212,7 @@
     ) -> Standing {
         let gone = ranks.gone_ahead(key, now);
         if gone.is_none() && ranks.age(now) >= self.bounds.window {
-            return Standing::Lends(Mandate::First);
+            return Standing::Lends(Role::First);
         }
         let second = ranks.lenders(key).get(1).copied();
         let is_young = ranks.age(now) < self.bounds.window;
@@ -300,7 +225,7 @@
 
     /// Opens a book. It is full only where nobody can have lent in the last window.
     fn open(&mut self, ask: Ask, standing: Standing, ranks: &FleetRanks, now: BootInstant) {
-        let is_full = standing == Standing::Lends(Mandate::First);
+        let is_full = standing == Standing::Lends(Role::First);
         let share = ranks.share(now);
         let most = ask.limit.burst * share;
         let level = if is_full { most } else { 0.0 };
@@ -342,7 +267,7 @@
             return;
         }
         book.askers.note(from, now);
-        let Standing::Lends(mandate) = book.standing else {
+        let Standing::Lends(role) = book.standing else {
             book.held.retain(|(holder, _)| *holder != from);
             book.held.push((from, ask));
             return;
@@ -352,16 +277,16 @@
         }
         let first = ranks.first(ask.key).filter(|_| ranks.is_settled(now));
         let is_first = first == Some(ranks.own());
-        if is_first && mandate == Mandate::Stopgap {
+        if is_first && role == Role::Fallback {
             book.begin_anew(&bounds, ranks.share(now));
         }
-        let mandate = if is_first { Mandate::First } else { mandate };
-        book.standing = Standing::Lends(mandate);
+        let role = if is_first { Role::First } else { role };
+        book.standing = Standing::Lends(role);
         let outcome = match first {
             // The fleet has started; the first one asks for what is left here.
-            Some(first) if mandate == Mandate::Start => Outcome::Elsewhere(first),
+            Some(first) if role == Role::Start => Outcome::Elsewhere(first),
             _ => {
-                book.set_rate(mandate, &bounds, ranks, now);
+                book.set_rate(role, &bounds, ranks, now);
                 book.lend(&ask, now)
             }
         };
@@ -404,7 +329,7 @@
         self.handed.insert(key, (to, now));
         let level = book.bucket.level(now);
         // What others have lent beside this one is not in its book.
-        let is_first = book.standing == Standing::Lends(Mandate::First);
+        let is_first = book.standing == Standing::Lends(Role::First);
         Some(if is_first { level } else { level.min(start(&self.bounds, &book.limit)) })
     }
 
@@ -501,12 +426,12 @@
         let Some(book) = self.books.get_mut(&key) else { return };
         let start = start(&bounds, &book.limit) * ranks.share(now);
         let Standing::Awaits(awaited) = &book.standing else { return };
-        let (mandate, level) = match awaited.what {
-            Question::Left(least) => (Mandate::First, least.unwrap_or(start)),
-            Question::FirstAnswers => (Mandate::Stopgap, 0.0),
-            Question::SeedKnows => (Mandate::Start, 0.0),
+        let (role, level) = match awaited.what {
+            Question::Left(least) => (Role::First, least.unwrap_or(start)),
+            Question::FirstAnswers => (Role::Fallback, 0.0),
+            Question::SeedKnows => (Role::Start, 0.0),
         };
-        book.standing = Standing::Lends(mandate);
+        book.standing = Standing::Lends(role);
         let (most, rate) = (book.bucket.most(), book.limit.per_second);
         book.bucket = TokenBucket::new(level, most, rate, now);
         for (from, ask) in std::mem::take(&mut book.held) {
@@ -553,108 +478,3 @@
         self.books.len()
     }
 }
-
-impl Book {
-    /// Sets the rate by how many nodes this one lends to.
-    fn set_rate(
-        &mut self,
-        mandate: Mandate,
-        bounds: &QuotaBounds,
-        ranks: &FleetRanks,
-        now: BootInstant,
-    ) {
-        let rate = self.limit.per_second;
-        let sharing = ranks.sharing(now);
-        let estimate = self.askers.estimate(sharing, now);
-        if mandate == Mandate::Start {
-            // How many nodes there are is not known yet.
-            self.bucket.set(self.limit.burst, rate * START_RATE, now);
-            return self.put_in(start(bounds, &self.limit));
-        }
-        if mandate == Mandate::First {
-            let share = ranks.share(now);
-            let share = if estimate.is_apart { share.min(estimate.part) } else { share };
-            self.bucket.set(self.limit.burst * share, rate * share, now);
-            let leeway = most_leeway(bounds, &self.limit) * share;
-            self.leeway.set(leeway, rate * LEEWAY_RATE * share, now);
-            return;
-        }
-        let start = start(bounds, &self.limit) * estimate.part;
-        self.bucket.set(start, rate * UNCERTAIN_RATE * estimate.part, now);
-        self.put_in(start);
-    }
-
-    /// Puts a start allowance in, less what was put in before.
-    fn put_in(&mut self, start: f64) {
-        if start > self.started_with {
-            self.bucket.give_back(start - self.started_with);
-            self.started_with = start;
-        }
-    }
-
-    /// Begins as the lender of all nodes that are there.
-    fn begin_anew(&mut self, bounds: &QuotaBounds, share: f64) {
-        let start = start(bounds, &self.limit) * share;
-        self.bucket.set_most(self.limit.burst * share);
-        self.put_in(start);
-    }
-
-    /// Lends what is asked for, or tells when it may be asked for again.
-    fn lend(&mut self, ask: &Ask, now: BootInstant) -> Outcome {
-        let level = self.bucket.level(now);
-        let whole = ask.all + ask.ahead;
-        // What is lent ahead may not be used, so that is done from plenty only; parts of
-        // requests would be used late, in another window.
-        let tokens = if level - whole >= self.bucket.most() / 2.0 {
-            whole
-        } else if level >= ask.all {
-            ask.all
-        } else if self.bucket.covers(ask.first, now) {
-            ask.first
-        } else if self.covers_nearly(ask.first, now) {
-            // The limit itself is not charged: the request that comes next by its order is
-            // not to be refused for this one.
-            self.leeway.spend(ask.first);
-            return Outcome::Lent { tokens: ask.first, book: self.number };
-        } else if self.covers_with_leeway(ask.first, now) {
-            let most = self.bucket.most();
-            self.leeway.spend(ask.first - most);
-            self.bucket.spend(most);
-            return Outcome::Lent { tokens: ask.first, book: self.number };
-        } else {
-            return self.deny(ask.first, now);
-        };
-        self.bucket.spend(tokens);
-        Outcome::Lent { tokens, book: self.number }
-    }
-
-    /// Whether a request that costs more than the burst finds the bucket full, and the rest
-    /// in the leeway: otherwise it could never run.
-    fn covers_with_leeway(&mut self, cost: f64, now: BootInstant) -> bool {
-        let most = self.bucket.most();
-        cost > most && self.bucket.covers(most, now) && self.leeway.covers(cost - most, now)
-    }
-
-    /// Whether a request lacks only what comes within the jitter, and the leeway covers it.
-    fn covers_nearly(&mut self, cost: f64, now: BootInstant) -> bool {
-        let fits = cost <= self.bucket.most();
-        fits && self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
-    }
-
-    /// Refuses a request. It finds tokens after those that were told to come back before it,
-    /// so that not all come at once.
-    fn deny(&mut self, cost: f64, now: BootInstant) -> Outcome {
-        let empty = self.bucket.time_until(cost, now);
-        let at = (now + empty).max(self.promised);
-        let after = at.since(now);
-        if after < LONGEST_PROMISE && self.limit.per_second > 0.0 {
-            let takes = Duration::try_from_secs_f64(cost / self.limit.per_second);
-            self.promised = at + takes.unwrap_or_default().min(LONGEST_PROMISE);
-        }
-        let certain = empty.saturating_sub(JITTER);
-        Outcome::Denied {
-            empty_micros: u32::try_from(certain.as_micros()).unwrap_or(u32::MAX),
-            after_millis: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
-        }
-    }
-}
--- a/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
@@ -6,6 +6,7 @@
 //! callers send. What happens while two do, or none is known, is in [`lender`].
 
 mod askers;
+mod book;
 mod borrower;
 mod lender;
 mod message;
