Plain requests of a large fleet spread over the servers of their service

Callers saw: in fleets of more than some dozen nodes a plain service turned away a part of its requests while other servers of it stood idle. Found by the table of limits with real nodes: with 30 nodes a server that had named a limit got no request at all, also 15 s after the limit had ended.

Cause: in a large fleet servers whose costs differ by less than 60 ms are alike, as others may have sent them work unseen, and the one with the highest affinity is taken. For a plain request affinity was a hash of the server alone, the same at every node and for every request: all rushed to one server until it was 60 ms worse, which with six places is when it is full. It was meant for prompts, whose leading parts a server keeps. Ruled out: limits (the same without any). Change: ties among servers of a plain service go to one drawn for each request, as they already did without prompt affinity. Small fleets break exact ties only.

--- a/crates/cometmoor-gateway/src/forward/pick.rs
+++ b/crates/cometmoor-gateway/src/forward/pick.rs
@@ -273,15 +273,16 @@
     fn affinity(&self, server: &str) -> u64 {
         let mut hash = Xxh3::new();
         hash.update(server.as_bytes());
-        if !self.traffic.settings.mechanisms.prompt_affinity {
-            // Ties go to a server drawn for each request alone.
+        let model = self.facts.model.as_ref();
+        let has_affinity = self.traffic.settings.mechanisms.prompt_affinity;
+        let Some(model) = model.filter(|_| has_affinity) else {
+            // Ties go to a server drawn for each request alone: a plain service keeps nothing
+            // of requests, and one favourite of all nodes would be full before the others.
             hash.update(self.facts.id.as_bytes());
             return hash.digest();
-        }
-        if let Some(model) = &self.facts.model {
-            hash.update(model.model.as_bytes());
-            hash.update(model.adapter.as_deref().unwrap_or_default().as_bytes());
-        }
+        };
+        hash.update(model.model.as_bytes());
+        hash.update(model.adapter.as_deref().unwrap_or_default().as_bytes());
         for part in self.shared_parts() {
             hash.update(&part.id.to_le_bytes());
         }
