Tests of limits share the cuts that they play

The same two functions stood in the tests of tenants' and of servers' limits. Moved as they were; plays, bounds and assertions are unchanged.

--- a/crates/cometmoor-gateway/tests/quota.rs
+++ b/crates/cometmoor-gateway/tests/quota.rs
@@ -9,6 +9,7 @@
 
 use cometmoor_core::gateway::quota::QuotaBounds;
 use cometmoor_core::gateway::quota::lent::LentQuota;
+use quota_world::cuts::{cut_a_third, isolate_a_third};
 use quota_world::summed::SummedQuota;
 use quota_world::{BOUNDS, Outcome, QuotaWorld, SimulatedPolicy, SimulatedTenant};
 
@@ -140,14 +141,6 @@
     Shown::of(&world, nodes, WARM, WARM + seconds)
 }
 
-fn cut_a_third<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
-    match second {
-        2 => world.world.cut = Some(1),
-        10 => world.world.cut = None,
-        _ => {}
-    }
-}
-
 fn kill_all<Policy: SimulatedPolicy>(nodes: usize) -> impl Fn(&mut QuotaWorld<Policy>, u64) {
     move |world, second| match second {
         2 => world.addresses().into_iter().for_each(|node| world.kill(node)),
@@ -156,15 +149,6 @@
     }
 }
 
-/// Cuts a third of the nodes off, each for itself.
-fn isolate_a_third<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
-    match second {
-        2 => world.isolated = world.addresses().into_iter().step_by(3).collect(),
-        10 => world.isolated.clear(),
-        _ => {}
-    }
-}
-
 fn freeze_lenders<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
     if second % 6 == 2 {
         for tenant in (3..world.tenants.len()).step_by(2) {
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses its part of the world")]
 
 use std::cmp::Reverse;
+pub mod cuts;
 pub mod equal;
 pub mod summed;
 
--- a/crates/cometmoor-gateway/tests/server_limits.rs
+++ b/crates/cometmoor-gateway/tests/server_limits.rs
@@ -13,6 +13,7 @@
 use cometmoor_core::gateway::quota::QuotaKey;
 use cometmoor_core::gateway::quota::lent::LentQuota;
 use cometmoor_core::gateway::quota::server_limit::{SERVER_LIMIT_BOUNDS, server_limit};
+use quota_world::cuts::{cut_a_third, isolate_a_third};
 use quota_world::equal::EqualShares;
 use quota_world::{Outcome, QuotaWorld, SimulatedPolicy, SimulatedTenant};
 
@@ -101,22 +102,6 @@
     }
 }
 
-fn cut_a_third<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
-    match second {
-        2 => world.world.cut = Some(1),
-        10 => world.world.cut = None,
-        _ => {}
-    }
-}
-
-fn isolate_a_third<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
-    match second {
-        2 => world.isolated = world.addresses().into_iter().step_by(3).collect(),
-        10 => world.isolated.clear(),
-        _ => {}
-    }
-}
-
 fn freeze_lenders<Policy: SimulatedPolicy>(world: &mut QuotaWorld<Policy>, second: u64) {
     if second % 6 == 2 {
         for server in 0..world.tenants.len() {
