Test world of limits: a node has one tick at a time; refusals by fleet size over many seeds

Cause: in the world of these tests every request that had to wait started a chain of ticks of its own, which never ended. A node in the world looked at its timers far more often than a real one, which ticks every 250 ms while nothing waits. What depends on a late tick was hidden.

Change: a node has one scheduled tick. A play can be traced (COMETMOOR_QUOTA_TRACE=NODES,SEED), and a table prints the requests of a tenant within a small limit that are refused while its lender stands still, by fleet size.

--- a/crates/cometmoor-gateway/tests/quota.rs
+++ b/crates/cometmoor-gateway/tests/quota.rs
@@ -11,6 +11,7 @@
 use cometmoor_core::gateway::quota::lent::LentQuota;
 use quota_world::cuts::{cut_a_third, isolate_a_third};
 use quota_world::policy::SimulatedPolicy;
+use quota_world::stalled_lender::refused_while_the_lender_stands_still;
 use quota_world::summed::SummedQuota;
 use quota_world::tenants::{Outcome, SimulatedTenant};
 use quota_world::{BOUNDS, QuotaWorld};
@@ -337,14 +338,6 @@
     }
 }
 
-/// Requests within limits, and those of them that were refused.
-fn conforming_and_refused(world: &QuotaWorld<LentQuota>) -> (usize, usize) {
-    let outcomes = world.outcomes.iter();
-    outcomes.fold((0, 0), |(conforming, refused), outcome| {
-        (conforming + outcome.conforming, refused + outcome.conforming_refused)
-    })
-}
-
 /// Small limits, where the excess is worth a few requests only: one that is pressed, beside one
 /// that is used in part.
 fn play_small_limits(
@@ -402,28 +395,6 @@
     }
 }
 
-/// Requests that a tenant sends within a small limit while its first lender stands still, and
-/// those of them that are refused.
-fn refused_while_the_lender_stands_still(nodes: usize, seed: u64) -> (usize, usize) {
-    let bounds = QuotaBounds { slack: 0.0, ..BOUNDS };
-    let tenants = vec![SimulatedTenant::new(0, 200.0, 0.25)];
-    let mut world = QuotaWorld::<LentQuota>::with_bounds(nodes, tenants, seed, bounds, vec![10.0]);
-    world.run_until(WARM);
-    world.open_to_callers();
-    world.run_until(WARM + 2);
-    let lender = world.lender(0);
-    world.freeze(lender, 4000);
-    world.run_until(WARM + 3);
-    let (conforming, refused) = conforming_and_refused(&world);
-    world.run_until(WARM + 6);
-    let (conforming_later, refused_later) = conforming_and_refused(&world);
-    for (tenant, outcome) in world.tenants.iter().zip(&world.outcomes) {
-        let (most, limit) = (outcome.most_in(bounds.window), &tenant.limit.limit);
-        assert!(most <= bounds.most(limit), "{most} in a window");
-    }
-    (conforming_later - conforming, refused_later - refused)
-}
-
 /// A fallback lender that holds less than one request costs refuses callers within the limit.
 #[test]
 fn nobody_within_a_small_limit_is_refused_while_its_lender_stands_still() {
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/quota_stalled_lender.rs
@@ -0,0 +1,51 @@
+//! A tenant within a small limit whose lender stands still: how many of its requests are
+//! refused over many seeds.
+//!
+//! `COMETMOOR_QUOTA_SEEDS` plays more seeds, `COMETMOOR_QUOTA_TABLE=1` prints the rates by
+//! fleet size (`COMETMOOR_QUOTA_NODES` those of one), `COMETMOOR_QUOTA_TRACE=NODES,SEED` prints what nodes say in one play
+//! (`cargo test --release -p cometmoor-gateway --test quota_stalled_lender -- --nocapture`).
+
+mod quota_world;
+mod world;
+
+use quota_world::stalled_lender::{self, refused_while_the_lender_stands_still};
+
+/// Share of the requests within a limit that may be refused for it.
+const REFUSED_WITHIN: f64 = 0.005;
+/// Fleets, by their number of nodes.
+const SIZES: [usize; 5] = [4, 6, 12, 30, 90];
+
+fn seeds(default: u64) -> u64 {
+    let text = std::env::var("COMETMOOR_QUOTA_SEEDS").ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn table_of_refusals_by_fleet_size() {
+    if std::env::var("COMETMOOR_QUOTA_TABLE").is_err() {
+        return;
+    }
+    let only = std::env::var("COMETMOOR_QUOTA_NODES").ok();
+    let only: Option<usize> = only.and_then(|text| text.parse().ok());
+    for nodes in SIZES.into_iter().filter(|nodes| only.is_none_or(|only| only == *nodes)) {
+        let (mut sent_in_all, mut refused_in_all, mut broken) = (0, 0, Vec::new());
+        for seed in 1..=seeds(100) {
+            let (sent, refused) = refused_while_the_lender_stands_still(nodes, seed);
+            sent_in_all += sent;
+            refused_in_all += refused;
+            if refused as f64 >= REFUSED_WITHIN * sent as f64 {
+                broken.push(format!("{seed}: {refused} of {sent}"));
+            }
+        }
+        eprintln!("{nodes} nodes: {refused_in_all} of {sent_in_all} refused; {broken:?}");
+    }
+}
+
+#[test]
+fn trace_of_one_play() {
+    let Ok(text) = std::env::var("COMETMOOR_QUOTA_TRACE") else { return };
+    let (nodes, seed) = text.split_once(',').expect("NODES,SEED");
+    let (nodes, seed) = (nodes.parse().unwrap(), seed.parse().unwrap());
+    let (sent, refused) = stalled_lender::play(nodes, seed, true);
+    eprintln!("{refused} of {sent} refused");
+}
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -6,6 +6,7 @@
 pub mod cuts;
 pub mod equal;
 pub mod policy;
+pub mod stalled_lender;
 pub mod summed;
 pub mod tenants;
 
@@ -78,6 +79,8 @@
     /// Tells this process from an earlier one.
     life: u64,
     waiting: HashMap<Ticket, Waiting>,
+    /// When its next tick is due; others that were scheduled do not count.
+    ticks_at: u64,
     /// Until when it stands still, and what has come meanwhile.
     frozen_until: u64,
 }
@@ -105,6 +108,8 @@
     events: BinaryHeap<Reverse<(u64, u64)>>,
     queue: HashMap<u64, Event<Policy::Message>>,
     next_event: u64,
+    /// Whether messages and decisions are printed.
+    pub is_traced: bool,
     since: HashMap<(SocketAddrV4, Ticket), u64>,
     random: u64,
 }
@@ -144,6 +149,7 @@
             events: BinaryHeap::new(),
             queue: HashMap::new(),
             next_event: 0,
+            is_traced: false,
             since: HashMap::new(),
             random: seed ^ 0x5851_f42d_4c95_7f2d,
         };
@@ -174,11 +180,12 @@
                 heard: HashMap::new(),
                 life,
                 waiting: HashMap::new(),
+                ticks_at: u64::MAX,
                 frozen_until: 0,
             };
             self.nodes.insert(node, new);
             let (tick, look, hear) = (self.draw(IDLE_TICK), self.draw(LOOK), self.draw(HEAR));
-            self.push(tick, Event::Tick { node, life });
+            self.schedule_tick(node, tick);
             self.push(look, Event::Look { node, life });
             self.push(hear, Event::Hear { node, life });
         }
@@ -320,8 +327,7 @@
             Decision::Pending(ticket) => {
                 node.waiting.insert(ticket, waiting);
                 self.since.insert((address, ticket), self.now);
-                let life = node.life;
-                self.push(BUSY_TICK, Event::Tick { node: address, life });
+                self.schedule_tick(address, BUSY_TICK);
             }
             decision => {
                 self.waits.push(0);
@@ -344,6 +350,9 @@
 
     fn note(&mut self, waiting: &Waiting, decision: Decision) {
         let now = self.now;
+        if self.is_traced {
+            eprintln!("{now} decided conforms={} {decision:?}", waiting.conforms);
+        }
         let outcome = &mut self.outcomes[waiting.tenant];
         outcome.conforming += usize::from(waiting.conforms);
         match decision {
@@ -384,6 +393,9 @@
         if !self.reaches(from, to) {
             return;
         }
+        if self.is_traced {
+            eprintln!("{} {from} to {to} {message:?}", self.now);
+        }
         if let Some(left) = self.is_frozen(to) {
             return self.push(left, Event::Datagram { from, to, message });
         }
@@ -395,16 +407,30 @@
     }
 
     fn tick(&mut self, own: SocketAddrV4, life: u64) {
+        let is_due = |node: &&mut QuotaNode<Policy>| node.life == life && node.ticks_at == self.now;
+        let Some(node) = self.nodes.get_mut(&own).filter(is_due) else { return };
+        node.ticks_at = u64::MAX;
         if let Some(left) = self.is_frozen(own) {
-            return self.push(left, Event::Tick { node: own, life });
+            return self.schedule_tick(own, left);
         }
         let mut effects = Effects::default();
         let now = at(self.now);
-        let Some(node) = self.nodes.get_mut(&own).filter(|node| node.life == life) else { return };
+        let Some(node) = self.nodes.get_mut(&own) else { return };
         node.policy.tick(now, &mut effects);
         let after = if node.policy.has_waiting() { BUSY_TICK } else { IDLE_TICK };
         self.follow(own, effects);
-        self.push(after, Event::Tick { node: own, life });
+        self.schedule_tick(own, after);
+    }
+
+    /// Schedules a node's next tick, unless one is due before.
+    fn schedule_tick(&mut self, own: SocketAddrV4, after: u64) {
+        let ticks_at = self.now + after;
+        let Some(node) = self.nodes.get_mut(&own) else { return };
+        if ticks_at < node.ticks_at {
+            node.ticks_at = ticks_at;
+            let life = node.life;
+            self.push(after, Event::Tick { node: own, life });
+        }
     }
 
     fn look(&mut self, own: SocketAddrV4, life: u64) {
--- a/crates/cometmoor-gateway/tests/quota_world/policy.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/policy.rs
@@ -1,5 +1,6 @@
 //! The ways to hold limits, as the world runs them.
 
+use std::fmt::Debug;
 use std::net::SocketAddrV4;
 
 use cometmoor_core::gateway::quota::lent::LentQuota;
@@ -10,7 +11,7 @@
 use super::summed::{HeardUse, SummedQuota, Used};
 
 /// A way to hold limits, as the world runs it.
-pub trait SimulatedPolicy: QuotaPolicy + Sized {
+pub trait SimulatedPolicy: QuotaPolicy<Message: Debug> + Sized {
     /// A node that has just started.
     fn start(
         own: SocketAddrV4,
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/quota_world/stalled_lender.rs
@@ -0,0 +1,46 @@
+//! A tenant within a small limit, while the node that lends for it stands still.
+
+use cometmoor_core::gateway::quota::QuotaBounds;
+use cometmoor_core::gateway::quota::lent::LentQuota;
+
+use super::tenants::SimulatedTenant;
+use super::{BOUNDS, QuotaWorld};
+
+/// Seconds until the nodes know one another and have watched for a window.
+const WARM: u64 = 12;
+
+/// Requests within limits, and those of them that were refused.
+fn conforming_and_refused(world: &QuotaWorld<LentQuota>) -> (usize, usize) {
+    let outcomes = world.outcomes.iter();
+    outcomes.fold((0, 0), |(conforming, refused), outcome| {
+        (conforming + outcome.conforming, refused + outcome.conforming_refused)
+    })
+}
+
+/// Requests that a tenant sends within a small limit while its first lender stands still, and
+/// those of them that are refused.
+pub fn refused_while_the_lender_stands_still(nodes: usize, seed: u64) -> (usize, usize) {
+    play(nodes, seed, false)
+}
+
+/// The same; prints what nodes say to one another if it is traced.
+pub fn play(nodes: usize, seed: u64, is_traced: bool) -> (usize, usize) {
+    let bounds = QuotaBounds { slack: 0.0, ..BOUNDS };
+    let tenants = vec![SimulatedTenant::new(0, 200.0, 0.25)];
+    let mut world = QuotaWorld::<LentQuota>::with_bounds(nodes, tenants, seed, bounds, vec![10.0]);
+    world.run_until(WARM);
+    world.open_to_callers();
+    world.run_until(WARM + 2);
+    let lender = world.lender(0);
+    world.is_traced = is_traced;
+    world.freeze(lender, 4000);
+    world.run_until(WARM + 3);
+    let (conforming, refused) = conforming_and_refused(&world);
+    world.run_until(WARM + 6);
+    let (conforming_later, refused_later) = conforming_and_refused(&world);
+    for (tenant, outcome) in world.tenants.iter().zip(&world.outcomes) {
+        let (most, limit) = (outcome.most_in(bounds.window), &tenant.limit.limit);
+        assert!(most <= bounds.most(limit), "{most} in a window");
+    }
+    (conforming_later - conforming, refused_later - refused)
+}
