Limits: a node that begins to lend in another one's place answers in time

Callers saw: requests within a small limit refused while the node that lends for it stands still.

Cause: a node whose first question arrives while it is idle looked at its timers only at the next idle tick, up to 250 ms later. A fallback lender waits 90 ms for the first one's sign of life before it answers; it answered after up to 250 ms, when the node that asked had given it up after 120 ms and had turned to the next one, which did the same. After 400 ms the request was refused as undecided.

Change: whatever makes a limit wait at a node, a request or a message, wakes its ticks.

--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -403,6 +403,9 @@
         let now = at(self.now);
         let Some(node) = self.nodes.get_mut(&to) else { return };
         node.policy.receive(from, message, now, &mut effects);
+        if node.policy.has_waiting() {
+            self.schedule_tick(to, BUSY_TICK);
+        }
         self.follow(to, effects);
     }
 
