Limits: of several nodes that could lend in another one's place, one does

Cause: a node that is asked because those before it do not answer looked only for the first one. If an answer of the second was lost, its callers turned to the third, which opened a bucket of its own beside the second's, with a start and a rate of its own.

Change: it looks for all that are asked before it, and sends its callers to the one that lends.

--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -131,9 +131,11 @@
                 self.ask_book(from, ask, ranks, now, effects);
                 self.conclude_if_alone(key, ranks, now, effects);
             }
-            Some(first) if ask.passed_over => {
-                let standing = awaits(Question::FirstAnswers, vec![first], key, now, effects);
-                self.probe_others(key, &[first], ranks, now, effects);
+            Some(_) if ask.passed_over => {
+                let ahead = ranks.ahead_of_own(key);
+                let standing =
+                    awaits(Question::OneAheadLends, ahead.clone(), key, now, effects);
+                self.probe_others(key, &ahead, ranks, now, effects);
                 self.open(ask, standing, ranks, now);
                 self.ask_book(from, ask, ranks, now, effects);
             }
@@ -363,7 +365,7 @@
         let Some(book) = self.books.get_mut(&key) else { return };
         let Standing::Awaits(awaited) = &mut book.standing else { return };
         let knows_more = match awaited.what {
-            Question::FirstAnswers => peer.lends && awaited.from.contains(&node),
+            Question::OneAheadLends => peer.lends && awaited.from.contains(&node),
             Question::SeedKnows => peer.is_settled,
             Question::Left(_) => return,
         };
@@ -420,7 +422,7 @@
         let Standing::Awaits(awaited) = &book.standing else { return };
         let (role, level) = match awaited.what {
             Question::Left(least) => (Role::First, least.unwrap_or(start)),
-            Question::FirstAnswers => (Role::Fallback, 0.0),
+            Question::OneAheadLends => (Role::Fallback, 0.0),
             Question::SeedKnows => (Role::Start, 0.0),
         };
         book.standing = Standing::Lends(role);
@@ -458,7 +460,7 @@
             }
         }
         for (key, what, silent) in overdue {
-            if what == Question::FirstAnswers {
+            if what == Question::OneAheadLends {
                 silent.iter().for_each(|node| ranks.pass_over(*node, SILENT_FOR, now));
             }
             self.conclude(key, ranks, now, effects);
--- a/crates/cometmoor-core/src/gateway/quota/lent/standing.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/standing.rs
@@ -41,8 +41,8 @@
 pub(super) enum Question {
     /// What is left in their books; the least that was answered.
     Left(Option<f64>),
-    /// Whether the first one answers.
-    FirstAnswers,
+    /// Whether one that is asked before this node lends.
+    OneAheadLends,
     /// Whether another seed knows more than this one.
     SeedKnows,
 }
@@ -51,7 +51,7 @@
     pub(super) fn message(self, key: QuotaKey) -> LentMessage {
         match self {
             Question::Left(_) => LentMessage::TakeOver { key },
-            Question::FirstAnswers | Question::SeedKnows => LentMessage::Probe { key },
+            Question::OneAheadLends | Question::SeedKnows => LentMessage::Probe { key },
         }
     }
 }
--- a/crates/cometmoor-core/src/gateway/quota/ranks.rs
+++ b/crates/cometmoor-core/src/gateway/quota/ranks.rs
@@ -157,6 +157,12 @@
         self.lenders(key).first().copied()
     }
 
+    /// The nodes that are asked before this one for a limit.
+    pub fn ahead_of_own(&mut self, key: QuotaKey) -> Vec<SocketAddrV4> {
+        let own = self.own;
+        self.lenders(key).iter().copied().take_while(|node| *node != own).collect()
+    }
+
     /// Whether a node comes before another one for a limit.
     pub fn is_ahead(&self, key: QuotaKey, node: SocketAddrV4, other: SocketAddrV4) -> bool {
         score(key, node) > score(key, other)
