Limits: a lost probe is not a node out of reach

Callers saw: requests within a small limit refused while the node that lends for it stands still.

Cause: a fallback lender takes its rate and the size of its bucket from how many of a sample of nodes answer a probe. Each way loses one datagram in twenty, so one probe in ten has no answer. Of the two nodes that a fleet of four has left, one lost probe meant half of the fleet: the bucket was cut to less than two requests, and what it held was given up.

Change: whoever has not answered is probed again after 30 and 60 ms; a sample counts after 90 ms, or when all have answered.

A fallback lender that sees the whole fleet lends more.

--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -133,8 +133,7 @@
             }
             Some(_) if ask.passed_over => {
                 let ahead = ranks.ahead_of_own(key);
-                let standing =
-                    awaits(Question::OneAheadLends, ahead.clone(), key, now, effects);
+                let standing = awaits(Question::OneAheadLends, ahead.clone(), key, now, effects);
                 self.probe_others(key, &ahead, ranks, now, effects);
                 self.open(ask, standing, ranks, now);
                 self.ask_book(from, ask, ranks, now, effects);
@@ -163,6 +162,13 @@
         effects.messages.extend(probed.into_iter().map(|node| (node, LentMessage::Probe { key })));
     }
 
+    /// Probes again whom this node has not heard of the last sample.
+    fn probe_again(&mut self, now: BootInstant, effects: &mut LenderEffects) {
+        let Some(key) = self.books.keys().next().copied() else { return };
+        let silent = self.reach.probe_again(now);
+        effects.messages.extend(silent.into_iter().map(|node| (node, LentMessage::Probe { key })));
+    }
+
     /// Opens a book at a seed that knows too little of the others, unless another seed knows
     /// more: then only this one starts, and not the fleet.
     fn start_as_seed(
@@ -447,6 +453,7 @@
         if let Some(key) = fallback.map(|(key, _)| *key) {
             self.probe_others(key, &[], ranks, now, effects);
         }
+        self.probe_again(now, effects);
         let mut overdue = Vec::new();
         for (key, book) in &mut self.books {
             let Standing::Awaits(awaited) = &mut book.standing else { continue };
@@ -467,9 +474,9 @@
         }
     }
 
-    /// Whether questions are held.
-    pub(super) fn holds_any(&self) -> bool {
-        self.books.values().any(|book| !book.held.is_empty())
+    /// Whether questions are held, or answers of other nodes awaited.
+    pub(super) fn waits(&self, now: BootInstant) -> bool {
+        self.reach.awaits_answers(now) || self.books.values().any(|book| !book.held.is_empty())
     }
 
     /// Number of limits for which this node lends.
--- a/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
@@ -66,7 +66,7 @@
 
     /// Whether anything waits, so that time has to pass in small steps.
     pub fn has_waiting(&self) -> bool {
-        self.borrower.has_waiting() || self.lender.holds_any()
+        self.borrower.has_waiting() || self.lender.waits(self.ticked)
     }
 
     /// The node that this one asks first for a limit.
--- a/crates/cometmoor-core/src/gateway/quota/lent/reach.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/reach.rs
@@ -12,7 +12,10 @@
 /// Nodes that are probed at once.
 const SAMPLE: usize = 8;
 /// Time for their answers.
-const ANSWERS_WITHIN: Duration = Duration::from_millis(60);
+const ANSWERS_WITHIN: Duration = Duration::from_millis(90);
+/// Time after which those that have not answered are probed again, as long as the sample is
+/// not complete: a lost datagram is not a node out of reach.
+const PROBED_AGAIN_EACH: Duration = Duration::from_millis(30);
 /// Time after which others are probed, while it matters.
 const PROBED_EACH: Duration = Duration::from_millis(150);
 /// Time for which a sample counts.
@@ -26,6 +29,8 @@
     /// Nodes that the sample is of.
     of: usize,
     began: BootInstant,
+    /// When nodes of it were last probed.
+    probed_at: BootInstant,
 }
 
 impl Sample {
@@ -66,12 +71,33 @@
         probed.sort_unstable();
         probed.dedup();
         self.next = self.next.wrapping_add(1) % others.len();
-        let sample =
-            Sample { probed: probed.clone(), answered: Vec::new(), of: others.len(), began: now };
+        let sample = Sample {
+            probed: probed.clone(),
+            answered: Vec::new(),
+            of: others.len(),
+            began: now,
+            probed_at: now,
+        };
         self.before = self.newest.replace(sample);
         probed
     }
 
+    /// Whether nodes of the last sample may yet answer.
+    pub(super) fn awaits_answers(&self, now: BootInstant) -> bool {
+        self.newest.as_ref().is_some_and(|sample| !sample.is_complete(now))
+    }
+
+    /// The nodes of the last sample to probe again now.
+    pub(super) fn probe_again(&mut self, now: BootInstant) -> Vec<SocketAddrV4> {
+        let Some(sample) = &mut self.newest else { return Vec::new() };
+        if sample.is_complete(now) || now.since(sample.probed_at) < PROBED_AGAIN_EACH {
+            return Vec::new();
+        }
+        sample.probed_at = now;
+        let answered = &sample.answered;
+        sample.probed.iter().copied().filter(|node| !answered.contains(node)).collect()
+    }
+
     /// Notes that a node has answered.
     pub(super) fn note_answer(&mut self, node: SocketAddrV4) {
         if let Some(sample) = &mut self.newest
