Limits: requests that wait for a fallback lender's tokens are served in their order

Callers saw: requests within a small limit refused while the node that lends for it stands still.

Cause: a request that finds no token at a fallback lender waits at its node and asks again when it was told to. Nothing kept the tokens for it: whoever asked first after they had come took them, and the one that had waited was told a later time, until its wait was over. Each second a node spends 120 ms of that wait on the silent first lender before it asks the fallback.

Change: a fallback lender gives those who wait a turn until a moment after they are to ask again (130 ms: a tick and two lost datagrams); tokens that are owed to turns before it are not lent to a node. Who would have to wait for longer than a request may gets none. The wait for tokens counts from the first time a lender had none, as its documentation says, and not from the request's arrival; it is 0.4 s, and 0.6 s with the time to find a lender. A time below a millisecond is told as one, so that a node does not ask itself without end.

--- a/crates/cometmoor-core/src/gateway/quota/lent/book.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/book.rs
@@ -7,6 +7,7 @@
 use super::askers::Askers;
 use super::message::{Ask, AskedLimit, Outcome};
 use super::standing::{Role, Standing};
+use super::turns::Turns;
 use crate::gateway::quota::QuotaBounds;
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::ranks::FleetRanks;
@@ -63,6 +64,8 @@
     pub(super) asked: BootInstant,
     /// Until when tokens that come are promised to those who were told to come back.
     pub(super) promised: BootInstant,
+    /// Who waits for tokens, while this node may not be the only one that lends.
+    pub(super) turns: Turns,
 }
 
 fn limit_of(limit: &AskedLimit) -> TenantLimit {
@@ -130,6 +133,36 @@
         let start = start(bounds, &self.limit) * share;
         self.bucket.set_most(self.limit.burst * share);
         self.put_in(start);
+        self.turns.clear();
+    }
+
+    /// Lends to one of the nodes that wait in turn, or tells when its turn comes. One that
+    /// would have to wait for longer than `longest` gets no turn.
+    pub(super) fn lend_in_turn(
+        &mut self,
+        to: SocketAddrV4,
+        ask: &Ask,
+        longest: Duration,
+        now: BootInstant,
+    ) -> Outcome {
+        let ahead = self.turns.ahead_of(to, now);
+        let level = self.bucket.level(now) - ahead;
+        let tokens = [ask.all + ask.ahead, ask.all, ask.first].into_iter();
+        let affordable = tokens.filter(|tokens| level >= *tokens).find(|tokens| {
+            let is_plenty = level - tokens >= self.bucket.most() / 2.0;
+            *tokens <= ask.all || is_plenty
+        });
+        if let Some(tokens) = affordable {
+            self.turns.end(to);
+            self.bucket.spend(tokens);
+            return Outcome::Lent { tokens, book: self.number };
+        }
+        let after = self.bucket.time_to_earn(ahead + ask.first, now);
+        match after <= longest {
+            true => self.turns.keep(to, ask.first, now + after),
+            false => self.turns.end(to),
+        }
+        denied_for_now(self.bucket.time_until(ask.first, now), after)
     }
 
     /// Lends what is asked for, or tells when it may be asked for again.
@@ -184,10 +217,22 @@
             let takes = Duration::try_from_secs_f64(cost / self.limit.per_second);
             self.promised = at + takes.unwrap_or_default().min(LONGEST_PROMISE);
         }
-        let certain = empty.saturating_sub(JITTER);
-        Outcome::Denied {
-            empty_micros: u32::try_from(certain.as_micros()).unwrap_or(u32::MAX),
-            after_millis: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
-        }
+        let (empty_micros, after_millis) = denial(empty, after);
+        Outcome::Denied { empty_micros, after_millis }
     }
 }
+
+/// Microseconds for which a bucket is certainly too empty for a request, and milliseconds
+/// after which to ask again.
+fn denial(empty: Duration, after: Duration) -> (u32, u32) {
+    let certain = empty.saturating_sub(JITTER);
+    let empty_micros = u32::try_from(certain.as_micros()).unwrap_or(u32::MAX);
+    (empty_micros, u32::try_from(after.as_millis()).unwrap_or(u32::MAX))
+}
+
+/// The same from a lender that may not be the only one: the tokens are there after a whole
+/// number of milliseconds, one at least.
+fn denied_for_now(empty: Duration, after: Duration) -> Outcome {
+    let (empty_micros, after_millis) = denial(empty, after + Duration::from_millis(1));
+    Outcome::DeniedForNow { empty_micros, after_millis }
+}
--- a/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/borrower.rs
@@ -22,8 +22,8 @@
 pub(super) const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
 /// Time after which it is passed over.
 pub(super) const GIVE_UP_AFTER: Duration = Duration::from_millis(120);
-/// Longest wait of a request.
-const LONGEST_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait of a request: for a lender, and for its tokens.
+const LONGEST_WAIT: Duration = Duration::from_millis(600);
 
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +31,8 @@
     ticket: Ticket,
     cost: f64,
     since: BootInstant,
+    /// Since when it waits for tokens of a fallback lender.
+    denied_since: Option<BootInstant>,
 }
 
 /// How a node came to be asked.
@@ -213,15 +215,16 @@
     }
 
     /// Lets the requests wait until a fallback lender has tokens, if the first one has not
-    /// waited for too long by then.
+    /// waited for too long by then. The time to find the lender does not count.
     pub(super) fn wait_for_tokens(
         &mut self,
         after: Duration,
         longest: Duration,
         now: BootInstant,
     ) -> bool {
-        let Some(first) = self.waiting.front() else { return false };
-        let waits = now.since(first.since) + after <= longest;
+        let Some(first) = self.waiting.front_mut() else { return false };
+        let denied_since = *first.denied_since.get_or_insert(now);
+        let waits = now.since(denied_since) + after <= longest;
         if waits {
             self.ask_from = now + after;
         }
@@ -306,7 +309,7 @@
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        account.waiting.push_back(Waiting { ticket, cost, since: now });
+        account.waiting.push_back(Waiting { ticket, cost, since: now, denied_since: None });
         Decision::Pending(ticket)
     }
 
--- a/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/lender.rs
@@ -9,6 +9,7 @@
 use super::message::{Ask, LentMessage, Outcome};
 use super::reach::Reach;
 use super::standing::{Awaited, Question, Role, Standing};
+use super::turns::Turns;
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::ranks::FleetRanks;
 use crate::gateway::quota::{QuotaBounds, QuotaKey};
@@ -237,6 +238,7 @@
             held: Vec::new(),
             asked: now,
             promised: now,
+            turns: Turns::default(),
         };
         self.books.insert(ask.key, book);
     }
@@ -286,7 +288,12 @@
             Some(first) if role == Role::Start => Outcome::Elsewhere(first),
             _ => {
                 book.set_rate(role, ask.first, self.reach.reached(now), &bounds, ranks, now);
-                book.lend(&ask, now).provisional_unless(role == Role::First)
+                match role {
+                    Role::First => book.lend(&ask, now),
+                    Role::Fallback | Role::Start => {
+                        book.lend_in_turn(from, &ask, bounds.fallback_wait, now)
+                    }
+                }
             }
         };
         if let Some(asker) = book.nodes.get_mut(&from) {
--- a/crates/cometmoor-core/src/gateway/quota/lent/message.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/message.rs
@@ -77,18 +77,6 @@
     },
 }
 
-impl Outcome {
-    /// What is answered by a node that may not be the only one that lends.
-    pub(super) fn provisional_unless(self, is_only_lender: bool) -> Outcome {
-        match self {
-            Outcome::Denied { empty_micros, after_millis } if !is_only_lender => {
-                Outcome::DeniedForNow { empty_micros, after_millis }
-            }
-            outcome => outcome,
-        }
-    }
-}
-
 /// A datagram between nodes that lend allowances.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LentMessage {
--- a/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod reach;
 mod standing;
+mod turns;
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/cometmoor-core/src/gateway/quota/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -34,7 +34,7 @@
 
 /// Longest time for which a tenant's request waits for tokens of a fallback lender: with the
 /// time to find one it stays below the longest wait of a request.
-pub const TENANT_FALLBACK_WAIT: Duration = Duration::from_millis(300);
+pub const TENANT_FALLBACK_WAIT: Duration = Duration::from_millis(400);
 
 /// What operators promise of limits, and how long a request may wait for them.
 #[derive(Clone, Copy, Debug, PartialEq)]
