Signals: a limit that comes and goes does not starve its server

Seen: a server that names 1000000 in one of eight answers, and nothing in the others, gets 36 of 427 requests in 5 s, its two equals 203 and 188 (three nodes, 90 requests a second). Callers are served, by two servers for three; a server in need names a limit just while it is in need, so that coming and going is the likely case.

Cause: each end of a limit began the easing in of the server anew, at a twentieth of the requests for the next two seconds, whether or not the limit had held anything back.

Evidence: the table of signals eases at every lift; with a lift each eighth answer the server never leaves the first tenth of the easing. Ruled out: refused parts of the limit (none at a million a second) and the wait for the lender (2 ms). A first try eased only after a refusal: it failed a_server_comes_back_into_use_by_and_by, where nobody had asked yet, and was changed.

Change: a limit under which a request of this node was granted, and none refused since, holds nothing back here, nor does a higher one; its end begins no easing.

--- a/crates/cometmoor-core/src/gateway/signals/mod.rs
+++ b/crates/cometmoor-core/src/gateway/signals/mod.rs
@@ -296,6 +296,13 @@
         self.servers.get(&server)?.quota()
     }
 
+    /// Notes that a part of a server's limit was granted to this node.
+    pub fn note_granted(&mut self, server: IncarnationHash) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.note_granted();
+        }
+    }
+
     /// Notes that a part of a server's limit was refused to one of so many nodes; there is
     /// one for a caller who comes back after `room`.
     pub fn note_denied(
--- a/crates/cometmoor-core/src/gateway/signals/server.rs
+++ b/crates/cometmoor-core/src/gateway/signals/server.rs
@@ -37,7 +37,10 @@
     rest_until: Option<BootInstant>,
     /// Set while its limit is used up, as far as this node was told.
     denied: Option<Denied>,
-    /// When a limit or a rest of it last ended.
+    /// Least limit under which a request of this node was granted, and none refused since:
+    /// such a limit holds nothing back here.
+    ample_from: Option<f64>,
+    /// When a limit or a rest of it last ended that may have held requests back.
     eased: Option<BootInstant>,
     /// Number of the last change of its limit.
     revision: u64,
@@ -59,7 +62,8 @@
             None => self.limit = Some(word),
         }
         let change = limit_change(before, self.per_second())?;
-        if change == SignalChange::LimitLifted {
+        let was_ample = before.is_some() && self.ample_from.is_some() && before >= self.ample_from;
+        if change == SignalChange::LimitLifted && !was_ample {
             self.eased = Some(self.learned);
         }
         self.revision = revision;
@@ -129,9 +133,16 @@
         self.per_second().map(|per_second| server_limit(per_second, self.revision))
     }
 
+    /// Notes that a part of its limit was granted to this node.
+    pub(super) fn note_granted(&mut self) {
+        let Some(limit) = self.per_second() else { return };
+        self.ample_from = Some(self.ample_from.map_or(limit, |known| known.min(limit)));
+    }
+
     /// Notes that a part of its limit was refused to one of so many nodes.
     pub(super) fn note_denied(&mut self, nodes: usize, room: Duration, now: BootInstant) {
         let Some(limit) = self.quota() else { return };
+        self.ample_from = None;
         let asked_again = now + denied_for(&limit, nodes, room);
         self.denied = Some(Denied { asked_again, room: now + room });
     }
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -207,6 +207,30 @@
     assert!(table.eased_share(server(), at(5030)) < 0.1);
 }
 
+/// Each end of a limit that came and went once began the easing anew.
+#[test]
+fn a_limit_that_has_held_nothing_back_ends_without_easing() {
+    let mut table = SignalTable::default();
+    let mut at_millis = 0;
+    let mut share_after = |per_second: f64, decide: &dyn Fn(&mut SignalTable)| {
+        at_millis += 5000;
+        table.note_answer(server(), limit(per_second), observed(at_millis, at_millis + 10));
+        decide(&mut table);
+        let lifted = observed(at_millis + 20, at_millis + 30);
+        table.note_answer(server(), AnswerSignals::default(), lifted);
+        table.eased_share(server(), at(at_millis + 30))
+    };
+    let granted = |table: &mut SignalTable| table.note_granted(server());
+    let denied = |table: &mut SignalTable| {
+        table.note_denied(server(), 3, Duration::from_millis(100), at(0));
+    };
+    assert!(share_after(100.0, &|_| ()) < 0.1, "whether it held anything back is not known");
+    assert_eq!(share_after(100.0, &granted), 1.0);
+    assert_eq!(share_after(200.0, &|_| ()), 1.0, "a higher one");
+    assert!(share_after(50.0, &|_| ()) < 0.1, "a lower one");
+    assert!(share_after(200.0, &denied) < 0.1);
+}
+
 const NODES: usize = 3;
 const CASES: u64 = 4_000;
 /// Longest time that a report takes from node to node, in tenths of a second: what nodes
--- a/crates/cometmoor-gateway/src/forward/gate.rs
+++ b/crates/cometmoor-gateway/src/forward/gate.rs
@@ -74,6 +74,7 @@
         let decision = self.traffic.quota.acquire_send(key, limit);
         let room = match clock::timeout(DECISION_TIMEOUT, decision).await {
             Ok(Decision::Granted) => {
+                signals.note_granted(key);
                 let permit = permit(Some(key));
                 // It may have been heard meanwhile that the server takes nothing.
                 return signals.hold(key, clock::now()).map_or(Ok(permit), Err);
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -103,6 +103,11 @@
         self.with(|table, _| table.limit(server))
     }
 
+    /// Notes that a part of a server's limit was granted to this node.
+    pub fn note_granted(&self, server: IncarnationHash) {
+        self.with(|table, _| table.note_granted(server));
+    }
+
     /// Notes that a part of a server's limit was refused to one of so many nodes; there is
     /// one for a caller who comes back after `room`.
     pub fn note_denied(&self, server: IncarnationHash, nodes: usize, room: Duration) {
