Routing: an open connection does not decide among equal plain servers

At light load one of three equals can get most of a node's requests. Callers are served, but a burst meets cold connections, and the crash of one server takes nearly all that runs.

Cause: a connection that is open lasts, and it made its server 3 ms cheaper for each request. At a node with nothing in flight that decided every choice, and the choice kept the connection open. The class: a small advantage that lasts decides among equals and feeds itself.

Ways weighed: the cost divided by the requests that a connection will carry leaves a difference that decides as before (by reading: any difference below that of one request in flight does, not run); the least recently used among equals needs a time for each server and opens the same connections; two drawn at random would also pick worse ones. Taken: costs that differ by no more than a connection do not tell plain servers apart, and the draw that large fleets have decides. Load (4 ms a request) and another zone (5 ms) decide as before; model engines are chosen by prompts that they keep and are not touched.

--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -70,6 +70,9 @@
     /// Added for each running stream and each millisecond of prompts beyond
     /// what its pauses bear.
     pub per_disturbed_stream: f64,
+    /// Costs that differ by no more do not tell servers apart. An open connection lasts, and
+    /// whoever has it by chance would get every request of a lightly loaded node.
+    pub indifference: f64,
 }
 
 /// Share of the longest pause that servers may spend on prompts; the rest is
@@ -86,6 +89,7 @@
         new_connection: 10.0,
         failing: 400.0,
         per_disturbed_stream: 0.05,
+        indifference: 0.0,
     };
     /// For plain services.
     pub const PLAIN: CostModel = CostModel {
@@ -95,6 +99,7 @@
         new_connection: 3.0,
         failing: 150.0,
         per_disturbed_stream: 0.0,
+        indifference: 3.0,
     };
 
     /// Milliseconds that are counted for the streams that run at a server and
@@ -138,7 +143,7 @@
 
 /// The candidate with the least cost, interference with others included. The one
 /// with the highest affinity counts the shared parts as kept. Of those whose costs do
-/// not differ by more than what is not seen, the one with the highest affinity wins: by
+/// not differ by more than what is not seen or does not matter, the one with the highest affinity wins: by
 /// it requests of many nodes spread, which would else all take the server that was
 /// told to be idle.
 pub fn select(candidates: &[Candidate], demand: &Demand, model: &CostModel) -> Option<Choice> {
@@ -154,6 +159,7 @@
     });
     let reckoned: Vec<(f64, Choice)> = reckoned.collect();
     let least = reckoned.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
-    let alike = reckoned.into_iter().filter(|(cost, _)| *cost <= least + demand.unseen_millis);
+    let indifference = model.indifference.max(demand.unseen_millis);
+    let alike = reckoned.into_iter().filter(|(cost, _)| *cost <= least + indifference);
     alike.map(|(_, choice)| choice).max_by_key(|choice| candidates[choice.index].affinity)
 }
--- a/crates/cometmoor-core/tests/gateway_limits.rs
+++ b/crates/cometmoor-core/tests/gateway_limits.rs
@@ -167,3 +167,22 @@
     assert_eq!(offered, [true, false, false, true, false]);
     assert_eq!(in_force.version(), 9);
 }
+
+/// A node kept to the plain server that it had a connection to, and never opened the others.
+#[test]
+fn an_open_connection_does_not_decide_among_equal_plain_servers() {
+    let connected = Candidate { slots: 6, same_zone: true, ..Candidate::default() };
+    let connected = Candidate { has_connection: true, ..connected };
+    let unconnected = Candidate { has_connection: false, ..connected };
+    let chosen = |affinity: [u64; 2], in_flight: [u32; 2]| {
+        let candidates = [
+            Candidate { affinity: affinity[0], in_flight: in_flight[0], ..connected },
+            Candidate { affinity: affinity[1], in_flight: in_flight[1], ..unconnected },
+        ];
+        select(&candidates, &Demand::default(), &CostModel::PLAIN).unwrap().index
+    };
+    assert_eq!(chosen([1, 2], [0, 0]), 1);
+    assert_eq!(chosen([2, 1], [0, 0]), 0);
+    assert_eq!(chosen([1, 2], [0, 1]), 0, "load still decides");
+    assert_eq!(chosen([2, 1], [2, 0]), 1, "load still decides");
+}
