Limits: a sample of the fleet counts until the next one is complete

Cause: a sample counted for 0.4 s. The next one is due after 0.15 s, begins with an idle tick up to 0.25 s later and takes 90 ms where a node does not answer. Between 0.40 and 0.49 s no sample counted, and the fallback lender took itself for nearly alone.

Change: a sample counts for 0.5 s.

--- a/crates/cometmoor-core/src/gateway/quota/lent/reach.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/reach.rs
@@ -18,8 +18,9 @@
 const PROBED_AGAIN_EACH: Duration = Duration::from_millis(30);
 /// Time after which others are probed, while it matters.
 const PROBED_EACH: Duration = Duration::from_millis(150);
-/// Time for which a sample counts.
-const COUNTS_FOR: Duration = Duration::from_millis(400);
+/// Time for which a sample counts: until the next one is complete, at the latest. That one
+/// begins an idle tick (250 ms) after it was due.
+const COUNTS_FOR: Duration = Duration::from_millis(500);
 
 /// A sample of the nodes.
 #[derive(Clone, Debug)]
--- a/crates/cometmoor-gateway/tests/quota_stalled_lender.rs
+++ b/crates/cometmoor-gateway/tests/quota_stalled_lender.rs
@@ -22,7 +22,7 @@
 
 /// Plays, by nodes and seed, in which requests within the limit were refused: lost probes
 /// taken for nodes out of reach, late ticks, lost turns.
-const ONCE_REFUSED: [(usize, u64); 12] = [
+const ONCE_REFUSED: [(usize, u64); 14] = [
     (4, 73),
     (4, 79),
     (4, 269),
@@ -35,6 +35,8 @@
     (30, 61),
     (30, 63),
     (30, 346),
+    (90, 113),
+    (90, 216),
 ];
 
 #[test]
@@ -57,6 +59,13 @@
     }
 }
 
+/// A fallback lender begins with an empty bucket, and a burst then wants more than it earns.
+#[test]
+fn nobody_within_a_small_limit_is_refused_as_a_burst_meets_a_fallback_lender_that_begins() {
+    let (sent, refused) = refused_while_the_lender_stands_still(30, 312);
+    assert_eq!(refused, 0, "of {sent} sent");
+}
+
 #[test]
 fn table_of_refusals_by_fleet_size() {
     if std::env::var("COMETMOOR_QUOTA_TABLE").is_err() {
