Limits: who is refused by a fallback lender comes back in order

The turns of those who wait had taken the place of the order in which refused callers are told to come back: two that a fallback lender refuses were told the same moment. Both hold now; who would have to wait for too long gets the time after those refused before it.

--- a/crates/cometmoor-core/src/gateway/quota/lent/book.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/book.rs
@@ -161,12 +161,14 @@
             self.bucket.spend(tokens);
             return Outcome::Lent { tokens, book: self.number };
         }
+        let empty = self.bucket.time_until(ask.first, now);
         let after = self.bucket.time_to_earn(ahead + ask.first, now);
-        match after <= longest {
-            true => self.turns.keep(to, ask.first, now + after),
-            false => self.turns.end(to),
+        if after <= longest {
+            self.turns.keep(to, ask.first, now + after);
+            return denied_for_now(empty, after);
         }
-        denied_for_now(self.bucket.time_until(ask.first, now), after)
+        self.turns.end(to);
+        denied_for_now(empty, self.promise(ask.first, after, now))
     }
 
     /// Lends what is asked for, or tells when it may be asked for again.
@@ -211,18 +213,24 @@
         fits && self.bucket.time_until(cost, now) <= JITTER && self.leeway.covers(cost, now)
     }
 
-    /// Refuses a request. It finds tokens after those that were told to come back before it,
-    /// so that not all come at once.
+    /// Refuses a request.
     fn deny(&mut self, cost: f64, now: BootInstant) -> Outcome {
         let empty = self.bucket.time_until(cost, now);
-        let at = (now + empty).max(self.promised);
+        let after = self.promise(cost, empty, now);
+        let (empty_micros, after_millis) = denial(empty, after);
+        Outcome::Denied { empty_micros, after_millis }
+    }
+
+    /// Time after which a request that is refused should come back: when there are tokens for
+    /// it, and after those that were told to come back before it, so that not all come at once.
+    fn promise(&mut self, cost: f64, earliest: Duration, now: BootInstant) -> Duration {
+        let at = (now + earliest).max(self.promised);
         let after = at.since(now);
         if after < LONGEST_PROMISE && self.limit.per_second > 0.0 {
             let takes = Duration::try_from_secs_f64(cost / self.limit.per_second);
             self.promised = at + takes.unwrap_or_default().min(LONGEST_PROMISE);
         }
-        let (empty_micros, after_millis) = denial(empty, after);
-        Outcome::Denied { empty_micros, after_millis }
+        after
     }
 }
 
--- a/crates/cometmoor-core/src/gateway/selection.rs
+++ b/crates/cometmoor-core/src/gateway/selection.rs
@@ -143,8 +143,8 @@
 
 /// The candidate with the least cost, interference with others included. The one
 /// with the highest affinity counts the shared parts as kept. Of those whose costs do
-/// not differ by more than what is not seen or does not matter, the one with the highest affinity wins: by
-/// it requests of many nodes spread, which would else all take the server that was
+/// not differ by more than what is not seen or does not matter, the one with the highest
+/// affinity wins: by it requests of many nodes spread, which would else all take the server that was
 /// told to be idle.
 pub fn select(candidates: &[Candidate], demand: &Demand, model: &CostModel) -> Option<Choice> {
     let favourite = (0..candidates.len()).max_by_key(|index| candidates[*index].affinity)?;
--- a/crates/cometmoor-core/src/gateway/signals/server.rs
+++ b/crates/cometmoor-core/src/gateway/signals/server.rs
@@ -62,7 +62,7 @@
             None => self.limit = Some(word),
         }
         let change = limit_change(before, self.per_second())?;
-        let was_ample = before.is_some() && self.ample_from.is_some() && before >= self.ample_from;
+        let was_ample = self.ample_from.is_some() && before >= self.ample_from;
         if change == SignalChange::LimitLifted && !was_ample {
             self.eased = Some(self.learned);
         }
