Signals: a limit on which nobody could decide is not taken to hold requests back

Cause: where the lender's answer took longer than 100 ms the node noted a refused part of the limit, and by that forgot that requests had been granted under it: the next end of the limit began two seconds of easing.

Change: an undecided question leaves the server alone for a moment, as before, and says nothing of the limit. The unit test has the case.

--- a/crates/cometmoor-core/src/gateway/signals/mod.rs
+++ b/crates/cometmoor-core/src/gateway/signals/mod.rs
@@ -317,6 +317,20 @@
         }
     }
 
+    /// Notes that nobody could tell one of so many nodes whether there is a part of a server's
+    /// limit; it asks again after `room`.
+    pub fn note_undecided(
+        &mut self,
+        server: IncarnationHash,
+        nodes: usize,
+        room: Duration,
+        now: BootInstant,
+    ) {
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.note_undecided(nodes, room, now);
+        }
+    }
+
     fn next_revision(&mut self) -> u64 {
         self.revision += 1;
         self.revision
--- a/crates/cometmoor-core/src/gateway/signals/server.rs
+++ b/crates/cometmoor-core/src/gateway/signals/server.rs
@@ -141,8 +141,14 @@
 
     /// Notes that a part of its limit was refused to one of so many nodes.
     pub(super) fn note_denied(&mut self, nodes: usize, room: Duration, now: BootInstant) {
-        let Some(limit) = self.quota() else { return };
         self.ample_from = None;
+        self.note_undecided(nodes, room, now);
+    }
+
+    /// Notes that nobody could tell whether there is a part of its limit: the server is left
+    /// alone for a moment, but the limit may hold nothing back.
+    pub(super) fn note_undecided(&mut self, nodes: usize, room: Duration, now: BootInstant) {
+        let Some(limit) = self.quota() else { return };
         let asked_again = now + denied_for(&limit, nodes, room);
         self.denied = Some(Denied { asked_again, room: now + room });
     }
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -224,10 +224,14 @@
     let denied = |table: &mut SignalTable| {
         table.note_denied(server(), 3, Duration::from_millis(100), at(0));
     };
+    let undecided = |table: &mut SignalTable| {
+        table.note_undecided(server(), 3, Duration::from_millis(100), at(0));
+    };
     assert!(share_after(100.0, &|_| ()) < 0.1, "whether it held anything back is not known");
     assert_eq!(share_after(100.0, &granted), 1.0);
     assert_eq!(share_after(200.0, &|_| ()), 1.0, "a higher one");
     assert!(share_after(50.0, &|_| ()) < 0.1, "a lower one");
+    assert_eq!(share_after(200.0, &undecided), 1.0, "nobody said that it holds anything back");
     assert!(share_after(200.0, &denied) < 0.1);
 }
 
--- a/crates/cometmoor-gateway/src/forward/gate.rs
+++ b/crates/cometmoor-gateway/src/forward/gate.rs
@@ -72,6 +72,7 @@
         }
         let Some(limit) = signals.limit(key) else { return Ok(permit(None)) };
         let decision = self.traffic.quota.acquire_send(key, limit);
+        let nodes = self.traffic.board.fleet.load().nodes_heard;
         let room = match clock::timeout(DECISION_TIMEOUT, decision).await {
             Ok(Decision::Granted) => {
                 signals.note_granted(key);
@@ -79,10 +80,15 @@
                 // It may have been heard meanwhile that the server takes nothing.
                 return signals.hold(key, clock::now()).map_or(Ok(permit), Err);
             }
-            Ok(Decision::Refused(room)) => room,
-            Ok(Decision::Undecided | Decision::Pending(_)) | Err(_) => UNDECIDED_FOR,
+            Ok(Decision::Refused(room)) => {
+                signals.note_denied(key, nodes, room);
+                room
+            }
+            Ok(Decision::Undecided | Decision::Pending(_)) | Err(_) => {
+                signals.note_undecided(key, nodes, UNDECIDED_FOR);
+                UNDECIDED_FOR
+            }
         };
-        signals.note_denied(key, self.traffic.board.fleet.load().nodes_heard, room);
         let denied = Hold::OverLimit { asked_again: room, room };
         Err(signals.hold(key, clock::now()).unwrap_or(denied))
     }
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -114,6 +114,12 @@
         self.with(|table, now| table.note_denied(server, nodes, room, now));
     }
 
+    /// Notes that nobody could tell one of so many nodes whether there is a part of a server's
+    /// limit; it asks again after `room`.
+    pub fn note_undecided(&self, server: IncarnationHash, nodes: usize, room: Duration) {
+        self.with(|table, now| table.note_undecided(server, nodes, room, now));
+    }
+
     /// Writes a line on a change. `source` is where it was heard, `from` the request or the
     /// node by which.
     pub fn log_change(&self, change: SignalChange, server: &str, source: &str, from: &str) {
