Limits: one rule for what a bucket affords, and one for when tokens come

Cause: lending in turn wrote again what lending has: whole with what is ahead from plenty, all, or the first request. The time to earn tokens wrote again the time until they are there.

Change: both ways of lending ask Book::affordable; the time until tokens are there is the time to earn no more than the bucket holds.

--- a/crates/cometmoor-core/src/gateway/quota/bucket.rs
+++ b/crates/cometmoor-core/src/gateway/quota/bucket.rs
@@ -66,16 +66,15 @@
 
     /// Time until so many tokens were there if none were spent and the bucket held any number.
     pub fn time_to_earn(&mut self, tokens: f64, now: BootInstant) -> Duration {
-        let lacks = (tokens - self.level(now)).max(0.0);
+        let lacks = tokens - self.level(now);
+        if lacks <= 0.0 {
+            return Duration::ZERO;
+        }
         Duration::try_from_secs_f64(lacks / self.per_second).unwrap_or(LONGEST).min(LONGEST)
     }
 
     /// Time until so many tokens are there, or the bucket is full.
     pub fn time_until(&mut self, tokens: f64, now: BootInstant) -> Duration {
-        let lacks = tokens.min(self.most) - self.level(now);
-        if lacks <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::try_from_secs_f64(lacks / self.per_second).unwrap_or(LONGEST).min(LONGEST)
+        self.time_to_earn(tokens.min(self.most), now)
     }
 }
--- a/crates/cometmoor-core/src/gateway/quota/lent/book.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lent/book.rs
@@ -151,12 +151,7 @@
     ) -> Outcome {
         let ahead = self.turns.ahead_of(to, now);
         let level = self.bucket.level(now) - ahead;
-        let tokens = [ask.all + ask.ahead, ask.all, ask.first].into_iter();
-        let affordable = tokens.filter(|tokens| level >= *tokens).find(|tokens| {
-            let is_plenty = level - tokens >= self.bucket.most() / 2.0;
-            *tokens <= ask.all || is_plenty
-        });
-        if let Some(tokens) = affordable {
+        if let Some(tokens) = self.affordable(ask, level) {
             self.turns.end(to);
             self.bucket.spend(tokens);
             return Outcome::Lent { tokens, book: self.number };
@@ -174,15 +169,8 @@
     /// Lends what is asked for, or tells when it may be asked for again.
     pub(super) fn lend(&mut self, ask: &Ask, now: BootInstant) -> Outcome {
         let level = self.bucket.level(now);
-        let whole = ask.all + ask.ahead;
-        // What is lent ahead may not be used, so that is done from plenty only; parts of
-        // requests would be used late, in another window.
-        let tokens = if level - whole >= self.bucket.most() / 2.0 {
-            whole
-        } else if level >= ask.all {
-            ask.all
-        } else if self.bucket.covers(ask.first, now) {
-            ask.first
+        let tokens = if let Some(tokens) = self.affordable(ask, level) {
+            tokens
         } else if self.covers_nearly(ask.first, now) {
             // The limit itself is not charged: the request that comes next by its order is
             // not to be refused for this one.
@@ -200,6 +188,17 @@
         Outcome::Lent { tokens, book: self.number }
     }
 
+    /// Most of what is asked for that such a level covers. What is lent ahead may not be used,
+    /// so that is done from plenty only; parts of requests would be used late, in another
+    /// window.
+    fn affordable(&self, ask: &Ask, level: f64) -> Option<f64> {
+        let whole = ask.all + ask.ahead;
+        if level - whole >= self.bucket.most() / 2.0 {
+            return Some(whole);
+        }
+        [ask.all, ask.first].into_iter().find(|tokens| level >= *tokens)
+    }
+
     /// Whether a request that costs more than the burst finds the bucket full, and the rest
     /// in the leeway: otherwise it could never run.
     fn covers_with_leeway(&mut self, cost: f64, now: BootInstant) -> bool {
