Limits: ticks are woken where something comes to wait, not at each use of a policy

Cause: every use of a policy, each request and each tick among them, looked twice through all accounts and books for whether anything waits. Only two things make something wait: a request whose decision is pending, and a message.

Change: those two wake the ticks; a granted request looks at nothing. What wakes is the same, as in the world of the tests. Not measured as processor time.

--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota.rs
@@ -167,6 +167,7 @@
         let Decision::Pending(ticket) = decided else { return decided };
         let (sender, receiver) = oneshot::channel();
         self.ledger(holder).waiting.borrow_mut().insert(ticket, Waiting { key, cost, sender });
+        self.changed.notify_one();
         // The desk outlives the request, and each ticket is settled.
         receiver.await.unwrap_or(Decision::Undecided)
     }
@@ -184,11 +185,7 @@
     ) -> Output {
         let ledger = self.ledger(holder);
         let mut effects = Effects::default();
-        let has_waited = ledger.policy.borrow().has_waiting();
         let output = act(&mut ledger.policy.borrow_mut(), &mut effects);
-        if !has_waited && ledger.policy.borrow().has_waiting() {
-            self.changed.notify_one();
-        }
         for Settled { ticket, decision } in effects.settled {
             let Some(waiting) = ledger.waiting.borrow_mut().remove(&ticket) else { continue };
             // Whoever has left needs no tokens; others wait for them.
@@ -257,6 +254,9 @@
             self.with_policy(holder, |policy, effects| {
                 policy.receive(from, message, clock::now(), effects);
             });
+            if self.ledger(holder).policy.borrow().has_waiting() {
+                self.changed.notify_one();
+            }
         }
     }
 
