Signals: one way to note a denial, with its reason

Cause: an undecided question had got a twin of note_denied through three layers.

Change: note_denied takes a Denial, used up or undecided, from one place in the gate, as before the twin. Call sites in tests name the reason; their assertions are unchanged.

--- a/crates/cometmoor-core/src/gateway/signals/mod.rs
+++ b/crates/cometmoor-core/src/gateway/signals/mod.rs
@@ -182,6 +182,25 @@
     }
 }
 
+/// Why a part of a server's limit was denied to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// The limit is used up; there is a part for a caller who comes back after this time.
+    UsedUp(Duration),
+    /// Nobody could tell, which says nothing of the limit; it is asked for again after this
+    /// time.
+    Undecided(Duration),
+}
+
+impl Denial {
+    /// When a caller should come back.
+    pub fn room(self) -> Duration {
+        match self {
+            Denial::UsedUp(room) | Denial::Undecided(room) => room,
+        }
+    }
+}
+
 /// What a node reports of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SignalReport {
@@ -303,31 +322,16 @@
         }
     }
 
-    /// Notes that a part of a server's limit was refused to one of so many nodes; there is
-    /// one for a caller who comes back after `room`.
+    /// Notes that a part of a server's limit was denied to one of so many nodes.
     pub fn note_denied(
         &mut self,
         server: IncarnationHash,
         nodes: usize,
-        room: Duration,
-        now: BootInstant,
-    ) {
-        if let Some(known) = self.servers.get_mut(&server) {
-            known.note_denied(nodes, room, now);
-        }
-    }
-
-    /// Notes that nobody could tell one of so many nodes whether there is a part of a server's
-    /// limit; it asks again after `room`.
-    pub fn note_undecided(
-        &mut self,
-        server: IncarnationHash,
-        nodes: usize,
-        room: Duration,
+        denial: Denial,
         now: BootInstant,
     ) {
         if let Some(known) = self.servers.get_mut(&server) {
-            known.note_undecided(nodes, room, now);
+            known.note_denied(nodes, denial, now);
         }
     }
 
--- a/crates/cometmoor-core/src/gateway/signals/server.rs
+++ b/crates/cometmoor-core/src/gateway/signals/server.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::limit::{KnownLimit, LimitReport, limit_change};
-use super::{Hold, IncarnationHash, SignalChange, SignalReport};
+use super::{Denial, Hold, IncarnationHash, SignalChange, SignalReport};
 use crate::gateway::quota::VersionedLimit;
 use crate::gateway::quota::server_limit::{denied_for, server_limit};
 use crate::time::BootInstant;
@@ -139,16 +139,13 @@
         self.ample_from = Some(self.ample_from.map_or(limit, |known| known.min(limit)));
     }
 
-    /// Notes that a part of its limit was refused to one of so many nodes.
-    pub(super) fn note_denied(&mut self, nodes: usize, room: Duration, now: BootInstant) {
-        self.ample_from = None;
-        self.note_undecided(nodes, room, now);
-    }
-
-    /// Notes that nobody could tell whether there is a part of its limit: the server is left
-    /// alone for a moment, but the limit may hold nothing back.
-    pub(super) fn note_undecided(&mut self, nodes: usize, room: Duration, now: BootInstant) {
+    /// Notes that a part of its limit was denied to one of so many nodes.
+    pub(super) fn note_denied(&mut self, nodes: usize, denial: Denial, now: BootInstant) {
+        if matches!(denial, Denial::UsedUp(_)) {
+            self.ample_from = None;
+        }
         let Some(limit) = self.quota() else { return };
+        let room = denial.room();
         let asked_again = now + denied_for(&limit, nodes, room);
         self.denied = Some(Denied { asked_again, room: now + room });
     }
--- a/crates/cometmoor-core/tests/gateway_signals.rs
+++ b/crates/cometmoor-core/tests/gateway_signals.rs
@@ -6,7 +6,7 @@
 
 use bolero::TypeGenerator;
 use cometmoor_core::gateway::signals::{
-    AnswerSignals, Hold, IncarnationHash, LimitReport, LimitSignal, Observed, SignalChange,
+    AnswerSignals, Denial, Hold, IncarnationHash, LimitReport, LimitSignal, Observed, SignalChange,
     SignalReport, SignalTable,
 };
 use cometmoor_core::time::BootInstant;
@@ -166,12 +166,12 @@
     let mut table = SignalTable::default();
     table.note_answer(server(), limit(1.0), observed(0, 10));
     assert!(table.hold(server(), at(20)).is_none());
-    table.note_denied(server(), 4, Duration::from_secs(3), at(20));
+    table.note_denied(server(), 4, Denial::UsedUp(Duration::from_secs(3)), at(20));
     let asked_again = Duration::from_millis(500);
     let room = Duration::from_secs(3);
     assert_eq!(table.hold(server(), at(20)), Some(Hold::OverLimit { asked_again, room }));
     assert!(table.hold(server(), at(520)).is_none());
-    table.note_denied(server(), 4, Duration::from_secs(3), at(600));
+    table.note_denied(server(), 4, Denial::UsedUp(Duration::from_secs(3)), at(600));
     table.note_answer(server(), AnswerSignals::default(), observed(610, 620));
     assert!(table.hold(server(), at(630)).is_none(), "the limit has ended");
 }
@@ -222,10 +222,10 @@
     };
     let granted = |table: &mut SignalTable| table.note_granted(server());
     let denied = |table: &mut SignalTable| {
-        table.note_denied(server(), 3, Duration::from_millis(100), at(0));
+        table.note_denied(server(), 3, Denial::UsedUp(Duration::from_millis(100)), at(0));
     };
     let undecided = |table: &mut SignalTable| {
-        table.note_undecided(server(), 3, Duration::from_millis(100), at(0));
+        table.note_denied(server(), 3, Denial::Undecided(Duration::from_millis(100)), at(0));
     };
     assert!(share_after(100.0, &|_| ()) < 0.1, "whether it held anything back is not known");
     assert_eq!(share_after(100.0, &granted), 1.0);
--- a/crates/cometmoor-gateway/src/forward/gate.rs
+++ b/crates/cometmoor-gateway/src/forward/gate.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::quota::Decision;
-use cometmoor_core::gateway::signals::{Hold, IncarnationHash};
+use cometmoor_core::gateway::signals::{Denial, Hold, IncarnationHash};
 
 use super::Forward;
 use crate::clock;
@@ -72,23 +72,20 @@
         }
         let Some(limit) = signals.limit(key) else { return Ok(permit(None)) };
         let decision = self.traffic.quota.acquire_send(key, limit);
-        let nodes = self.traffic.board.fleet.load().nodes_heard;
-        let room = match clock::timeout(DECISION_TIMEOUT, decision).await {
+        let denial = match clock::timeout(DECISION_TIMEOUT, decision).await {
             Ok(Decision::Granted) => {
                 signals.note_granted(key);
                 let permit = permit(Some(key));
                 // It may have been heard meanwhile that the server takes nothing.
                 return signals.hold(key, clock::now()).map_or(Ok(permit), Err);
             }
-            Ok(Decision::Refused(room)) => {
-                signals.note_denied(key, nodes, room);
-                room
-            }
+            Ok(Decision::Refused(room)) => Denial::UsedUp(room),
             Ok(Decision::Undecided | Decision::Pending(_)) | Err(_) => {
-                signals.note_undecided(key, nodes, UNDECIDED_FOR);
-                UNDECIDED_FOR
+                Denial::Undecided(UNDECIDED_FOR)
             }
         };
+        signals.note_denied(key, self.traffic.board.fleet.load().nodes_heard, denial);
+        let room = denial.room();
         let denied = Hold::OverLimit { asked_again: room, room };
         Err(signals.hold(key, clock::now()).unwrap_or(denied))
     }
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -1,12 +1,11 @@
 //! What servers report of themselves in their answers, shared by the node's threads.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use cometmoor_core::gateway::quota::VersionedLimit;
 use cometmoor_core::gateway::signals::{
-    AnswerSignals, Hold, IncarnationHash, Observed, SignalChange, SignalCounts, SignalReport,
-    SignalTable,
+    AnswerSignals, Denial, Hold, IncarnationHash, Observed, SignalChange, SignalCounts,
+    SignalReport, SignalTable,
 };
 use cometmoor_core::time::BootInstant;
 use spdlog::info;
@@ -108,16 +107,9 @@
         self.with(|table, _| table.note_granted(server));
     }
 
-    /// Notes that a part of a server's limit was refused to one of so many nodes; there is
-    /// one for a caller who comes back after `room`.
-    pub fn note_denied(&self, server: IncarnationHash, nodes: usize, room: Duration) {
-        self.with(|table, now| table.note_denied(server, nodes, room, now));
-    }
-
-    /// Notes that nobody could tell one of so many nodes whether there is a part of a server's
-    /// limit; it asks again after `room`.
-    pub fn note_undecided(&self, server: IncarnationHash, nodes: usize, room: Duration) {
-        self.with(|table, now| table.note_undecided(server, nodes, room, now));
+    /// Notes that a part of a server's limit was denied to one of so many nodes.
+    pub fn note_denied(&self, server: IncarnationHash, nodes: usize, denial: Denial) {
+        self.with(|table, now| table.note_denied(server, nodes, denial, now));
     }
 
     /// Writes a line on a change. `source` is where it was heard, `from` the request or the
