--- a/crates/cometmoor-gateway/tests/quota.rs
+++ b/crates/cometmoor-gateway/tests/quota.rs
@@ -14,10 +14,8 @@
 use quota_world::stalled_lender::refused_while_the_lender_stands_still;
 use quota_world::summed::SummedQuota;
 use quota_world::tenants::{Outcome, SimulatedTenant};
-use quota_world::{BOUNDS, QuotaWorld};
+use quota_world::{BOUNDS, QuotaWorld, WARM, seeds};
 
-/// Seconds until the nodes know one another and have watched for a window.
-const WARM: u64 = 12;
 /// Amount a second of the largest tenant.
 const LARGEST: f64 = 250_000.0;
 /// The same of the smallest: a second of it covers the largest request.
@@ -37,10 +35,6 @@
     (0..count).map(of).collect()
 }
 
-fn seeds() -> u64 {
-    std::env::var("COMETMOOR_QUOTA_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
-}
-
 /// What tenants that send such a part of their limits met.
 #[derive(Clone, Copy, Debug, Default)]
 struct Met {
@@ -187,7 +181,7 @@
 
 #[test]
 fn nobody_within_a_limit_is_refused_and_a_limit_is_used_under_pressure() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         // Of a hundred tenants the small ones send a request each few seconds: two questions
         // of one node were once taken for a fleet that had fallen apart.
         for (nodes, count) in [(6, 10), (6, 100), (30, 10), (30, 100)] {
@@ -207,14 +201,14 @@
 
 #[test]
 fn limits_hold_while_a_third_of_the_nodes_is_cut_off_together() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         assert_bound(&play::<LentQuota>(30, 10, 14, seed, cut_a_third), "cut off together");
     }
 }
 
 #[test]
 fn limits_hold_while_a_third_of_the_nodes_is_cut_off_one_by_one() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         // A lender that is alone counts few questions, of its own callers only: in a fleet
         // of six it once lent its whole limit for a further three seconds, 1.11 of the bound.
         for (nodes, count) in [(3, 16), (6, 16), (30, 10)] {
@@ -228,7 +222,7 @@
 /// a moment after the nodes are back.
 #[test]
 fn limits_hold_when_all_nodes_are_killed_and_requests_within_them_are_served_soon() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [6, 30] {
             let shown = play::<LentQuota>(nodes, 10, 12, seed, kill_all(nodes));
             assert_bound(&shown, "killed");
@@ -240,21 +234,21 @@
 
 #[test]
 fn limits_hold_while_lenders_freeze_and_wake() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         assert_bound(&play::<LentQuota>(30, 10, 14, seed, freeze_lenders), "frozen");
     }
 }
 
 #[test]
 fn limits_hold_while_lenders_are_killed() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         assert_bound(&play::<LentQuota>(30, 10, 10, seed, kill_lenders), "lenders killed");
     }
 }
 
 #[test]
 fn limits_hold_while_all_nodes_start_again_in_turn() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [6, 30] {
             let shown = play::<LentQuota>(nodes, 10, 14, seed, restart_in_turn(nodes));
             assert_bound(&shown, "started again in turn");
@@ -323,11 +317,11 @@
         for ((name, lent), (_, summed)) in
             plays::<LentQuota>().into_iter().zip(plays::<SummedQuota>())
         {
-            let worst = (1..=seeds()).map(|seed| lent(nodes, tenants, seed).0.worst_window);
+            let worst = (1..=seeds(1)).map(|seed| lent(nodes, tenants, seed).0.worst_window);
             let worst = worst.fold(0.0, f64::max);
             eprintln!(
                 "{nodes} nodes, {tenants} tenants, {name}, lent (worst of {} seeds {worst:.2}) | {}",
-                seeds(),
+                seeds(1),
                 lent(nodes, tenants, 1).0.line()
             );
             eprintln!(
@@ -374,7 +368,7 @@
         ("lenders killed", kill_lenders_of_small_limits),
     ];
     let bounds = QuotaBounds { slack: 0.0, ..BOUNDS };
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [4, 6, 30] {
             for (what, happen) in happens {
                 let world = play_small_limits(nodes, seed, happen);
@@ -398,7 +392,7 @@
 /// A fallback lender that holds less than one request costs refuses callers within the limit.
 #[test]
 fn nobody_within_a_small_limit_is_refused_while_its_lender_stands_still() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [4, 6, 30] {
             let (sent, refused) = refused_while_the_lender_stands_still(nodes, seed);
             let share = refused as f64 / sent as f64;
--- a/crates/cometmoor-gateway/tests/quota_stalled_lender.rs
+++ b/crates/cometmoor-gateway/tests/quota_stalled_lender.rs
@@ -2,12 +2,13 @@
 //! refused over many seeds.
 //!
 //! `COMETMOOR_QUOTA_SEEDS` plays more seeds, `COMETMOOR_QUOTA_TABLE=1` prints the rates by
-//! fleet size (`COMETMOOR_QUOTA_NODES` those of one), `COMETMOOR_QUOTA_TRACE=NODES,SEED` prints what nodes say in one play
-//! (`cargo test --release -p cometmoor-gateway --test quota_stalled_lender -- --nocapture`).
+//! fleet size (`COMETMOOR_QUOTA_NODES` those of one), `COMETMOOR_QUOTA_TRACE=NODES,SEED` prints
+//! what nodes say in one play (`cargo test --release -p cometmoor-gateway --test quota_stalled_lender -- --nocapture`).
 
 mod quota_world;
 mod world;
 
+use quota_world::seeds;
 use quota_world::stalled_lender::{self, refused_while_the_lender_stands_still};
 
 /// Share of the requests within a limit that may be refused for it.
@@ -15,11 +16,6 @@
 /// Fleets, by their number of nodes.
 const SIZES: [usize; 5] = [4, 6, 12, 30, 90];
 
-fn seeds(default: u64) -> u64 {
-    let text = std::env::var("COMETMOOR_QUOTA_SEEDS").ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// Plays, by nodes and seed, in which requests within the limit were refused: lost probes
 /// taken for nodes out of reach, late ticks, lost turns.
 const ONCE_REFUSED: [(usize, u64); 14] = [
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -25,6 +25,15 @@
 use self::tenants::{COSTS, Outcome, SimulatedTenant};
 use crate::world::{self, World, zone_of};
 
+/// Seconds until the nodes know one another and have watched for a window.
+pub const WARM: u64 = 12;
+
+/// Seeds to play: `COMETMOOR_QUOTA_SEEDS`, or so many.
+pub fn seeds(default: u64) -> u64 {
+    let text = std::env::var("COMETMOOR_QUOTA_SEEDS").ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 /// Bounds that operators set in these tests.
 pub const BOUNDS: QuotaBounds = QuotaBounds {
     window: Duration::from_secs(8),
--- a/crates/cometmoor-gateway/tests/quota_world/stalled_lender.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/stalled_lender.rs
@@ -4,10 +4,7 @@
 use cometmoor_core::gateway::quota::lent::LentQuota;
 
 use super::tenants::SimulatedTenant;
-use super::{BOUNDS, QuotaWorld};
-
-/// Seconds until the nodes know one another and have watched for a window.
-const WARM: u64 = 12;
+use super::{BOUNDS, QuotaWorld, WARM};
 
 /// Requests within limits, and those of them that were refused.
 fn conforming_and_refused(world: &QuotaWorld<LentQuota>) -> (usize, usize) {
--- a/crates/cometmoor-gateway/tests/server_limits.rs
+++ b/crates/cometmoor-gateway/tests/server_limits.rs
@@ -13,14 +13,12 @@
 use cometmoor_core::gateway::quota::QuotaKey;
 use cometmoor_core::gateway::quota::lent::LentQuota;
 use cometmoor_core::gateway::quota::server_limit::{SERVER_LIMIT_BOUNDS, server_limit};
-use quota_world::QuotaWorld;
 use quota_world::cuts::{cut_a_third, isolate_a_third};
 use quota_world::equal::EqualShares;
 use quota_world::policy::SimulatedPolicy;
 use quota_world::tenants::{Outcome, SimulatedTenant};
+use quota_world::{QuotaWorld, WARM, seeds};
 
-/// Seconds until the nodes know one another and have watched for a window.
-const WARM: u64 = 12;
 /// Seconds that are played.
 const PLAYED: u64 = 20;
 /// Seconds after which the use of a limit is counted.
@@ -38,10 +36,6 @@
     1.5 * per_second * WINDOW.as_secs_f64() + 5.0
 }
 
-fn seeds() -> u64 {
-    std::env::var("COMETMOOR_QUOTA_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
-}
-
 fn servers() -> Vec<SimulatedTenant> {
     let of = |(place, per_second): (usize, &f64)| SimulatedTenant {
         key: QuotaKey::of(&format!("server-{place}")),
@@ -141,7 +135,7 @@
 
 #[test]
 fn a_limit_is_held_and_used_by_any_number_of_nodes() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [3, 6, 30, 90] {
             let shown = play::<LentQuota>(nodes, seed, is_calm);
             assert_bound(&shown, "calm");
@@ -154,7 +148,7 @@
 
 #[test]
 fn a_limit_is_held_while_nodes_are_cut_off_frozen_killed_and_started_again() {
-    for seed in 1..=seeds() {
+    for seed in 1..=seeds(1) {
         for nodes in [6, 30] {
             assert_bound(&play::<LentQuota>(nodes, seed, cut_a_third), "cut off together");
             assert_bound(&play::<LentQuota>(nodes, seed, isolate_a_third), "cut off one by one");
@@ -178,7 +172,7 @@
     for (name, happen) in plays {
         for nodes in [3, 6, 30, 90, 300] {
             let mut worst = play::<Policy>(nodes, 1, happen);
-            for seed in 2..=seeds() {
+            for seed in 2..=seeds(1) {
                 let shown = play::<Policy>(nodes, seed, happen);
                 for (worst, met) in worst.met.iter_mut().zip(shown.met) {
                     worst.most = worst.most.max(met.most);
