Links: show when a node has not reached any server lately

In the incident one node's lines were the same for a server that had ended and for a link that was cut; only the lines of another node told them apart. A node now says when two servers or more were not reached and none was since ("no server was reached lately", with the age of the last connection), and when one is reached again, and has a gauge of servers that were not reached. What callers get is unchanged.

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod leadership;
+pub mod links;
 pub mod load_rate;
 pub mod orders;
 pub mod planner;
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -61,9 +61,15 @@
         let checkout = server.pool.checkout(self.time_left()).await;
         self.traffic.metrics.observe(&self.traffic.metrics.connect_time, clock::elapsed(started));
         let connection = match checkout {
-            Ok(connection) => connection,
+            Ok(connection) => {
+                if !connection.reused {
+                    self.traffic.links.note_connected(server.hash(), &record.incarnation);
+                }
+                connection
+            }
             Err(error) => {
                 server.record_unreachable(clock::now());
+                self.traffic.links.note_unreached(server.hash(), &record.incarnation);
                 self.log_failure("unreachable", "connect", &record.incarnation, &error.to_string());
                 return SendOutcome::Unreachable;
             }
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::dialect::Dialect;
 use crate::latency::{LatencyEstimates, MAX_RUNNING_FOR_PREFILL_SAMPLE};
+use crate::links::LinkBoard;
 use crate::load::{LoadBoard, server_key};
 use crate::metrics::Metrics;
 use crate::published::Board;
@@ -34,6 +35,8 @@
     pub quarantine: QuarantineBoard,
     /// Signals that servers send in their responses.
     pub signals: SignalBoard,
+    /// Links of this node to the servers.
+    pub links: LinkBoard,
     /// Limits of tenants and servers.
     pub quota: Rc<QuotaLimiter>,
     /// The servers in the registry, with this node's connections to them.
@@ -56,6 +59,7 @@
         loads: LoadBoard,
         quarantine: QuarantineBoard,
         signals: SignalBoard,
+        links: LinkBoard,
         quota: Rc<QuotaLimiter>,
         metrics: Arc<Metrics>,
     ) -> TrafficContext {
@@ -67,6 +71,7 @@
             quarantine,
             servers: RefCell::new(ServerTable::new(signals.clone())),
             signals,
+            links,
             quota,
             metrics,
             started_at: clock::now(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 pub mod http_server;
 pub mod latency;
+pub mod links;
 pub mod load;
 pub mod log;
 pub mod membership;
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -144,6 +144,8 @@
     pub nodes: Gauge,
     /// Servers by state: `ready` or `draining`.
     pub servers: Family<StateLabels, Gauge>,
+    /// Servers that the last attempt to connect failed to reach.
+    pub unreached_servers: Gauge,
     /// Registry entries that are ignored because they describe no usable server.
     pub ignored_entries: Gauge,
     /// Messages to other nodes and calls to the store.
@@ -187,6 +189,7 @@
             is_leader: Gauge::default(),
             nodes: Gauge::default(),
             servers: Family::default(),
+            unreached_servers: Gauge::default(),
             ignored_entries: Gauge::default(),
             control: ControlTraffic::default(),
             dropped_lines: Gauge::default(),
@@ -242,6 +245,7 @@
             ("store_era", "Newest era of the store", &self.store_era),
             ("leads", "Whether this node orders the servers", &self.is_leader),
             ("nodes", "Nodes that take requests", &self.nodes),
+            ("unreached_servers", "Servers that were not reached", &self.unreached_servers),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
             ("dropped_log_lines", "Log lines that were dropped", &self.dropped_lines),
         ];
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::frontend;
 use crate::http::head::RequestHead;
 use crate::http_server::{SimpleResponse, serve};
+use crate::links::LinkBoard;
 use crate::load::LoadBoard;
 use crate::metrics::{CopyLabels, Metrics, StateLabels};
 use crate::peer::{StorePrefix, lease_from_renewal_path};
@@ -112,6 +113,7 @@
     loads: LoadBoard,
     quarantine: QuarantineBoard,
     signals: SignalBoard,
+    links: LinkBoard,
     metrics: Arc<Metrics>,
 }
 
@@ -129,6 +131,7 @@
             loads: loads.clone(),
             quarantine: QuarantineBoard::default(),
             signals: SignalBoard::new(metrics.clone()),
+            links: LinkBoard::default(),
             metrics,
         };
         start_traffic(&settings, &shared)?;
@@ -179,7 +182,7 @@
     let (settings, dialect) = (settings.clone(), shared.dialect.clone());
     let (board, loads) = (shared.board.clone(), shared.loads.clone());
     let (quarantine, metrics) = (shared.quarantine.clone(), shared.metrics.clone());
-    let signals = shared.signals.clone();
+    let (signals, links) = (shared.signals.clone(), shared.links.clone());
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn_fn(move || {
         let listener = match TcpListener::from_std(listener) {
@@ -199,7 +202,7 @@
         };
         let settings = Rc::new(settings);
         let traffic =
-            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, quota, metrics));
+            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, links, quota, metrics));
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
@@ -210,6 +213,8 @@
     loop {
         clock::sleep(POOL_CLEANUP_INTERVAL).await;
         traffic.servers.borrow().close_idle_connections(clock::now());
+        let fleet = traffic.board.fleet.load();
+        traffic.links.retain(|server| fleet.incarnation(server).is_some());
     }
 }
 
@@ -217,7 +222,7 @@
     settings: &GatewaySettings,
     shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
-    let Shared { dialect, board, loads, quarantine, signals, metrics } = shared;
+    let Shared { dialect, board, loads, quarantine, signals, metrics, .. } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
@@ -271,7 +276,7 @@
 
 /// Returns the metrics as text. Metrics of states and ages are updated at each request.
 fn metrics_handler(shared: &Shared) -> Handler {
-    let Shared { board, loads, quarantine, signals, metrics, .. } = shared.clone();
+    let Shared { board, loads, quarantine, signals, links, metrics, .. } = shared.clone();
     Rc::new(move |_| {
         let fleet = board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
@@ -302,6 +307,7 @@
         signaling("limited").set(counts.limited as i64);
         signaling("leaving").set(counts.leaving as i64);
         signaling("resting").set(counts.resting as i64);
+        metrics.unreached_servers.set(links.unreached_count() as i64);
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
         let body = metrics.text().into_bytes();
