A node without links to the servers serves its callers through its peers

Callers of nodes that had lost their links to all servers got 503 behind connections that timed out, or nothing until their deadline: 6 of 167 first tries served from 3 s after the cut, 237 of 240 at the other nodes.

Cause: a node knew of a server that it could not reach, not whether the server or its own link was at fault, so nothing could follow from it. The registry and the peers still named the server; the node went on being listed in the directory, leading and blaming servers. Ruled out in the postmortem: servers down or full, dead idle connections.

What a peer reaches tells the two apart. Where a direct connection fails, or is not there after 100 ms, the node opens a tunnel to the server through a peer with links (tunnel/): the peer connects to the registered server itself, never through another node, and copies bytes. Choice of the server, permits, budgets, deadlines, keys and "not run" stay with the node that took the request, to which a tunnel is a connection. A tunnel that opens shows that the link is cut (core/gateway/links.rs); two of them without a direct connection since make the node isolated. Then: all servers are reached through peers, idle and silent connections are given up, requests that may be run again are sent again, the heartbeat tells it and the directory leaves the node out unless most are cut, it neither leads nor campaigns, its peers read the store in its place, and two direct probes each 500 ms look for the end. A server that refuses is blamed for a crash only if a peer which reaches another server is refused as well.

A request that waits for 0.5 s while no server says anything, or for 1.5 s in any case, has the link of its server checked by one new connection, so that connections that hang are found.

--- a/crates/cometmoor-gateway/src/control/campaign.rs
+++ b/crates/cometmoor-gateway/src/control/campaign.rs
@@ -67,6 +67,7 @@
 fn should_campaign(leader: &Leader) -> bool {
     let fleet = leader.context().board.fleet.load();
     fleet.phase == Phase::Ready
+        && !leader.context().links.is_isolated()
         && fleet.reads_store
         && fleet
             .leader_last_heard_at
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -257,12 +257,14 @@
             .map(|member| NodeEndpoint {
                 address: member.entry.client_address,
                 zone: member.zone.clone(),
+                is_isolated: member.is_isolated(),
             })
             .collect();
         if self.phase == Phase::Ready {
             endpoints.push(NodeEndpoint {
                 address: self.context.settings.client_address,
                 zone: self.context.settings.zone.clone(),
+                is_isolated: self.context.links.reports_isolation(),
             });
         }
         endpoints.sort_by_key(|endpoint| endpoint.address);
@@ -316,6 +318,7 @@
             peer_address: settings.peer_address,
             phase: match self.phase {
                 Phase::Starting => PeerPhase::Starting,
+                Phase::Ready if self.context.links.reports_isolation() => PeerPhase::Isolated,
                 Phase::Ready => PeerPhase::Ready,
                 Phase::Draining | Phase::Closing => PeerPhase::Leaving,
             },
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 use self::fleet::FleetState;
 use crate::control_traffic::ControlTraffic;
 use crate::dialect::Dialect;
+use crate::links::LinkBoard;
 use crate::load::LoadBoard;
 use crate::published::Board;
 use crate::quarantine::QuarantineBoard;
@@ -41,6 +42,8 @@
     pub quarantine: QuarantineBoard,
     /// Signals that servers send about themselves in their responses.
     pub signals: SignalBoard,
+    /// Links of this node to the servers.
+    pub links: LinkBoard,
     /// Counters of messages to other nodes and to the store.
     pub traffic: ControlTraffic,
     /// Client of the store.
--- a/crates/cometmoor-gateway/src/control/term.rs
+++ b/crates/cometmoor-gateway/src/control/term.rs
@@ -91,7 +91,9 @@
         let eras = context.store.eras();
         while leader.leads() {
             let _ = clock::timeout(interval, eras.wait_for_new_era()).await;
-            if context.board.fleet.load().phase != Phase::Ready {
+            // A leader without links to the servers could not order any.
+            let is_isolated = context.links.is_isolated();
+            if is_isolated || context.board.fleet.load().phase != Phase::Ready {
                 leader.resign();
                 let _ = context.store.revoke_lease(self.lease).await;
                 return TermEnd::Ended;
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -9,11 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cometmoor_core::gateway::links::Path;
 use cometmoor_core::gateway::quarantine::CrashVerdict;
+use cometmoor_core::time::BootInstant;
 use spdlog::{info, warn};
 
 use super::ForwardedRequest;
 use crate::clock;
+use crate::connector::Connector;
+use crate::http::connection::connect;
+use crate::links::LinkBoard;
 use crate::load::server_key;
 use crate::metrics::Metrics;
 use crate::published::Board;
@@ -22,6 +27,8 @@
 
 /// Connection attempts to a server that neither accepts nor refuses them in time.
 const MAX_PROBES: u32 = 3;
+/// Timeout of each of them.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two of these attempts.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a new connection must stay open: a crashing process may still accept one
@@ -48,6 +55,9 @@
         if is_first {
             let check = CrashCheck {
                 server: server.clone(),
+                connector: self.traffic.connector.clone(),
+                links: self.traffic.links.clone(),
+                started_at: clock::now(),
                 quarantine: self.traffic.quarantine.clone(),
                 board: self.traffic.board.clone(),
                 metrics: self.traffic.metrics.clone(),
@@ -87,6 +97,9 @@
 /// Checks whether a server has crashed, and blames the requests that lost their connection.
 struct CrashCheck {
     server: Rc<Server>,
+    connector: Rc<Connector>,
+    links: LinkBoard,
+    started_at: BootInstant,
     quarantine: QuarantineBoard,
     board: Arc<Board>,
     metrics: Arc<Metrics>,
@@ -106,16 +119,24 @@
     }
 
     async fn has_crashed(&self) -> bool {
+        let ended = |error: io::Error| async move {
+            self.connector.has_server_ended(&self.server, &error, self.started_at).await
+        };
+        if self.links.path(self.server.hash()) == Path::ViaPeer {
+            return ended(io::ErrorKind::NotConnected.into()).await;
+        }
         for _ in 0..MAX_PROBES {
-            match self.server.pool.connect().await {
+            match connect(self.server.record().address, PROBE_TIMEOUT).await {
                 Ok(stream) => {
                     self.server.record_probe();
                     clock::sleep(PROBE_OPEN_TIME).await;
-                    if self.server.pool.release_if_open(stream) {
+                    if self.server.pool.release_if_open(stream, None) {
                         return false;
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    return ended(error).await;
+                }
                 Err(_) => clock::sleep(PROBE_INTERVAL).await,
             }
         }
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 
 use super::{ForwardedRequest, encode};
 use crate::clock;
+use crate::connector::LinkObserver;
 use crate::dialect::{RunCopy, SendMetadata};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::read_some;
@@ -62,6 +64,7 @@
     /// Bytes that were read and not decoded.
     pub buffer: BytesMut,
     stream: Option<TcpStream>,
+    link: LinkObserver,
     request_fully_sent: bool,
 }
 
@@ -71,7 +74,17 @@
         let Some(stream) = &self.stream else {
             return Err(io::ErrorKind::NotConnected.into());
         };
-        Ok(read_some(stream, &mut self.buffer).await? > 0)
+        let has_read = read_some(stream, &mut self.buffer).await? > 0;
+        if has_read {
+            self.link.note_heard();
+        }
+        Ok(has_read)
+    }
+
+    /// Whether the end of the connection is the end of the response. Through a peer it is not: the
+    /// peer may have ended.
+    pub fn ends_with_connection(&self) -> bool {
+        self.decoder.ends_with_connection() && self.link.via.is_none()
     }
 
     /// Returns the connection to the pool if another request may use it.
@@ -81,7 +94,7 @@
             && is_clean
             && self.head.keeps_connection
         {
-            pool.release(stream, self.head.headers.keep_alive_seconds());
+            pool.release(stream, self.head.headers.keep_alive_seconds(), self.link.via);
         }
         self
     }
@@ -139,8 +152,8 @@
         let dialect = &*self.traffic.dialect;
         let bytes = encode::request(dialect, self.head, self.body, &metadata);
         let sent_at = clock::now();
-        let mut response =
-            send_and_read(connection.stream, &bytes, self.head.method == "HEAD").await?;
+        let link = LinkObserver::new(&self.traffic.connector, server, connection.via);
+        let mut response = self.send_watched(connection.stream, &bytes, server, link).await?;
         for _ in 0..MAX_UNMATCHED_RESPONSES {
             if self.is_for_this_request(&response) {
                 self.record_signals(record, &response, sent_at);
@@ -160,6 +173,27 @@
         Err(SendError::ConnectionLost(invalid_data()))
     }
 
+    /// Sends the request and reads the head of the response. If the link turns out to be cut, a
+    /// request that may be run again is given up; another one may still get its response.
+    async fn send_watched(
+        &self,
+        stream: TcpStream,
+        bytes: &[u8],
+        server: &Rc<Server>,
+        link: LinkObserver,
+    ) -> Result<ServerResponse, SendError> {
+        let watch = self.traffic.connector.watch(server, link.via, clock::now());
+        let mut exchange = pin!(send_and_read(stream, bytes, self.head.method == "HEAD", link));
+        tokio::select! {
+            biased;
+            result = &mut exchange => result,
+            () = watch => match self.route.retry_policy.allows_rerun() {
+                true => Err(SendError::ConnectionLost(io::ErrorKind::TimedOut.into())),
+                false => exchange.await,
+            },
+        }
+    }
+
     fn record_signals(
         &self,
         record: &ServerRecord,
@@ -185,6 +219,7 @@
     stream: TcpStream,
     bytes: &[u8],
     to_head_request: bool,
+    link: LinkObserver,
 ) -> Result<ServerResponse, SendError> {
     let mut buffer = BytesMut::new();
     let written = Cell::new(0);
@@ -203,6 +238,7 @@
                         let error = io::ErrorKind::UnexpectedEof.into();
                         return Err(classify_error(error, written.get()));
                     }
+                    link.note_heard();
                     let head = parse_response_head(&mut buffer, MAX_HEAD_BYTES, to_head_request);
                     if let Some(head) =
                         head.map_err(|_| SendError::ConnectionLost(invalid_data()))?
@@ -215,7 +251,7 @@
     };
     let decoder = BodyDecoder::new(head.framing);
     let request_fully_sent = written.get() == bytes.len();
-    Ok(ServerResponse { head, decoder, buffer, stream: Some(stream), request_fully_sent })
+    Ok(ServerResponse { head, decoder, buffer, stream: Some(stream), link, request_fully_sent })
 }
 
 /// Classifies an error by the bytes of the request that the operating system accepted: without
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -11,9 +11,13 @@
 use crate::clock;
 use crate::dialect::RunMigrationResponse;
 use crate::metrics::StateLabels;
+use crate::pool::PooledConnection;
 
 impl ForwardedRequest<'_> {
-    pub(super) fn log_sent(&self, server: &str, reused: bool) {
+    pub(super) fn log_sent(&self, server: &str, connection: &PooledConnection) {
+        if connection.via.is_some() {
+            self.traffic.metrics.sends_via_peers.inc();
+        }
         if !crate::log::allow_success_line() {
             return;
         }
@@ -26,7 +30,8 @@
             tokens = self.metadata.tokens().unwrap_or_default(),
             model = self.metadata.model.as_ref().map_or("-", |model| &*model.model),
             server,
-            reused,
+            reused = connection.reused,
+            via = connection.via.map_or_else(|| "-".to_owned(), |peer| peer.to_string()),
             sends = self.attempts.get().sends(),
             expected_millis = estimate.expected_millis,
             in_flight = estimate.in_flight,
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -58,7 +58,7 @@
             return Ok(BufferedBody { bytes, is_complete: false });
         }
         if !response.read_more().await? {
-            let is_complete = response.decoder.ends_with_connection();
+            let is_complete = response.ends_with_connection();
             return if is_complete {
                 Ok(BufferedBody { bytes, is_complete })
             } else {
@@ -95,7 +95,7 @@
         }
         match response.read_more().await {
             Ok(true) => {}
-            Ok(false) if response.decoder.ends_with_connection() => {
+            Ok(false) if response.ends_with_connection() => {
                 push_body_end(framing, &mut bytes);
                 return request.write_response(&bytes, keep).await;
             }
@@ -240,7 +240,7 @@
                 return Err(RelayError::Migrated(continuation));
             }
             more.map_err(RelayError::Server)?;
-            if !response.decoder.ends_with_connection() {
+            if !response.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
             let rest = take_events(&mut pending, true);
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -58,18 +58,12 @@
     ) -> SendOutcome {
         let record = server.record();
         let started = clock::now();
-        let checkout = server.pool.checkout(self.time_left()).await;
+        let checkout = self.traffic.connector.checkout(server, self.time_left()).await;
         self.traffic.metrics.observe(&self.traffic.metrics.connect_time, clock::elapsed(started));
         let connection = match checkout {
-            Ok(connection) => {
-                if !connection.reused {
-                    self.traffic.links.note_connected(server.hash(), &record.incarnation);
-                }
-                connection
-            }
+            Ok(connection) => connection,
             Err(error) => {
                 server.record_unreachable(clock::now());
-                self.traffic.links.note_unreached(server.hash(), &record.incarnation);
                 self.log_failure("unreachable", "connect", &record.incarnation, &error.to_string());
                 return SendOutcome::Unreachable;
             }
@@ -79,7 +73,7 @@
             None => match self.acquire_send_permit(server).await {
                 Ok(permit) => Some(permit),
                 Err(hold) => {
-                    server.pool.release_if_open(connection.stream);
+                    server.pool.release_if_open(connection.stream, connection.via);
                     return SendOutcome::OnHold(hold);
                 }
             },
@@ -110,7 +104,7 @@
         };
         record_attempt(Attempts::begin_send);
         self.current_server.replace(Some(record.incarnation.clone()));
-        self.log_sent(&record.incarnation, connection.reused);
+        self.log_sent(&record.incarnation, &connection);
         let exchange =
             self.exchange(server, &record, connection, stream.last_event.as_deref(), copy);
         let set_sent = |is_sent| permit.iter().for_each(|permit| permit.set_sent(is_sent));
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -9,6 +9,7 @@
 use cometmoor_core::time::{BootInstant, Timestamp};
 
 use crate::clock;
+use crate::connector::Connector;
 use crate::dialect::Dialect;
 use crate::latency::{LatencyEstimates, MAX_RUNNING_FOR_PREFILL_SAMPLE};
 use crate::links::LinkBoard;
@@ -20,6 +21,7 @@
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
 use crate::signals::SignalBoard;
+use crate::tunnel::TunnelClient;
 
 /// State of the traffic thread that its requests share.
 pub struct TrafficContext {
@@ -40,7 +42,9 @@
     /// Limits of tenants and servers.
     pub quota: Rc<QuotaLimiter>,
     /// The servers in the registry, with this node's connections to them.
-    pub servers: RefCell<ServerTable>,
+    pub servers: Rc<RefCell<ServerTable>>,
+    /// Opens connections to them.
+    pub connector: Rc<Connector>,
     pub(super) started_at: BootInstant,
     retry_budgets: RefCell<HashMap<String, FleetRetryBudget>>,
     /// Metrics of the node.
@@ -63,13 +67,18 @@
         quota: Rc<QuotaLimiter>,
         metrics: Arc<Metrics>,
     ) -> TrafficContext {
+        let servers = Rc::new(RefCell::new(ServerTable::new(signals.clone())));
+        let tunnels = TunnelClient::new(settings.clone(), board.clone());
+        let connector =
+            Connector::new(links.clone(), tunnels, board.clone(), servers.clone(), metrics.clone());
         TrafficContext {
             settings,
             dialect,
             board,
             loads,
             quarantine,
-            servers: RefCell::new(ServerTable::new(signals.clone())),
+            servers,
+            connector: Rc::new(connector),
             signals,
             links,
             quota,
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! A [`dialect::Dialect`] defines the format of the platform's messages.
 
 pub mod clock;
+pub mod connector;
 pub mod control;
 pub mod control_traffic;
 pub mod dialect;
@@ -34,3 +35,4 @@
 pub mod signals;
 pub mod store;
 pub mod store_era;
+pub mod tunnel;
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -22,6 +22,8 @@
     Ready,
     /// It is shutting down.
     Leaving,
+    /// It accepts client requests, but has lost its links to the servers.
+    Isolated,
 }
 
 /// Recent changes to the placement of models, announced by the leader before they appear in the
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -264,7 +264,11 @@
 
     /// Numbers of nodes with a lower rank: those that the store answers, and the others.
     fn preceding(&self) -> (usize, usize) {
-        let preceding = self.members.iter().filter(|member| member.rank < self.own_rank);
+        // An isolated node reads the store for itself, but cannot order servers as leader.
+        let preceding = self
+            .members
+            .iter()
+            .filter(|member| member.rank < self.own_rank && !member.is_isolated());
         let (failing, answered): (Vec<&Member>, Vec<&Member>) =
             preceding.partition(|member| member.entry.store_fails);
         (answered.len(), failing.len())
--- a/crates/cometmoor-gateway/src/membership/packed.rs
+++ b/crates/cometmoor-gateway/src/membership/packed.rs
@@ -66,6 +66,7 @@
         PeerPhase::Starting => 0,
         PeerPhase::Ready => 1,
         PeerPhase::Leaving => 2,
+        PeerPhase::Isolated => 3,
     };
     let reads_store = if entry.reads_store { READS_STORE } else { 0 };
     let store_fails = if entry.store_fails { STORE_FAILS } else { 0 };
@@ -76,6 +77,7 @@
     match flags & PHASE_BITS {
         0 => PeerPhase::Starting,
         1 => PeerPhase::Ready,
-        _ => PeerPhase::Leaving,
+        2 => PeerPhase::Leaving,
+        _ => PeerPhase::Isolated,
     }
 }
--- a/crates/cometmoor-gateway/src/membership/peers.rs
+++ b/crates/cometmoor-gateway/src/membership/peers.rs
@@ -151,7 +151,12 @@
 impl Member {
     /// Whether it accepts client requests.
     pub fn is_ready(&self) -> bool {
-        self.entry.phase == PeerPhase::Ready
+        matches!(self.entry.phase, PeerPhase::Ready | PeerPhase::Isolated)
+    }
+
+    /// Whether it has lost its links to the servers.
+    pub fn is_isolated(&self) -> bool {
+        self.entry.phase == PeerPhase::Isolated
     }
 
     /// Address for messages from other nodes.
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -144,8 +144,17 @@
     pub nodes: Gauge,
     /// Servers by state: `ready` or `draining`.
     pub servers: Family<StateLabels, Gauge>,
-    /// Servers that the last attempt to connect failed to reach.
-    pub unreached_servers: Gauge,
+    /// Servers that are not reached directly, by state: `cut` if a peer reaches them, else
+    /// `unreached`.
+    pub unlinked_servers: Family<StateLabels, Gauge>,
+    /// Whether this node has lost its links to the servers: 1 or 0.
+    pub is_isolated: Gauge,
+    /// Connections to servers that were opened through peers.
+    pub tunnels: Counter,
+    /// Requests that were sent over such connections.
+    pub sends_via_peers: Counter,
+    /// Open connections to servers for peers.
+    pub open_tunnels: Gauge,
     /// Registry entries that are ignored because they describe no usable server.
     pub ignored_entries: Gauge,
     /// Messages to other nodes and calls to the store.
@@ -189,7 +198,11 @@
             is_leader: Gauge::default(),
             nodes: Gauge::default(),
             servers: Family::default(),
-            unreached_servers: Gauge::default(),
+            unlinked_servers: Family::default(),
+            is_isolated: Gauge::default(),
+            tunnels: Counter::default(),
+            sends_via_peers: Counter::default(),
+            open_tunnels: Gauge::default(),
             ignored_entries: Gauge::default(),
             control: ControlTraffic::default(),
             dropped_lines: Gauge::default(),
@@ -245,13 +258,20 @@
             ("store_era", "Newest era of the store", &self.store_era),
             ("leads", "Whether this node orders the servers", &self.is_leader),
             ("nodes", "Nodes that take requests", &self.nodes),
-            ("unreached_servers", "Servers that were not reached", &self.unreached_servers),
+            ("isolated", "Whether this node has lost its links to servers", &self.is_isolated),
+            ("open_tunnels", "Connections to servers for peers", &self.open_tunnels),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
             ("dropped_log_lines", "Log lines that were dropped", &self.dropped_lines),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        let unlinked = self.unlinked_servers.clone();
+        registry.register("unlinked_servers", "Servers not reached directly", unlinked);
+        let tunnels = self.tunnels.clone();
+        registry.register("tunnels", "Connections to servers through peers", tunnels);
+        let sends = self.sends_via_peers.clone();
+        registry.register("sends_via_peers", "Requests sent through peers", sends);
         let losses = self.store_losses.clone();
         registry.register("store_losses", "Times the store came back from an older copy", losses);
         let proof_age = self.proof_age.clone();
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::signals::SignalBoard;
 use crate::store::{Store, StoreLease};
+use crate::tunnel;
 
 /// Maximum number of connections that wait to be accepted, per listener.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -179,6 +180,7 @@
 
 fn start_traffic(settings: &GatewaySettings, shared: &Shared) -> Result<(), StartError> {
     let listener = listen(settings.client_address)?;
+    let tunnel_listener = settings.tunnel_address.map(listen).transpose()?;
     let (settings, dialect) = (settings.clone(), shared.dialect.clone());
     let (board, loads) = (shared.board.clone(), shared.loads.clone());
     let (quarantine, metrics) = (shared.quarantine.clone(), shared.metrics.clone());
@@ -204,6 +206,15 @@
         let traffic =
             Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, links, quota, metrics));
         actix_rt::spawn(close_idle_connections(traffic.clone()));
+        match tunnel_listener.map(TcpListener::from_std) {
+            Some(Ok(listener)) => {
+                actix_rt::spawn(tunnel::serve(listener, traffic.clone()));
+            }
+            Some(Err(source)) => {
+                error!("[tunnel] cannot accept connections", kv: { reason = source.to_string() });
+            }
+            None => {}
+        }
         actix_rt::spawn(frontend::serve(listener, traffic));
     });
     Ok(())
@@ -212,9 +223,8 @@
 async fn close_idle_connections(traffic: Rc<TrafficContext>) {
     loop {
         clock::sleep(POOL_CLEANUP_INTERVAL).await;
-        traffic.servers.borrow().close_idle_connections(clock::now());
-        let fleet = traffic.board.fleet.load();
-        traffic.links.retain(|server| fleet.incarnation(server).is_some());
+        traffic.connector.close_idle_connections();
+        traffic.links.retain(&traffic.board.fleet.load());
     }
 }
 
@@ -222,7 +232,7 @@
     settings: &GatewaySettings,
     shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
-    let Shared { dialect, board, loads, quarantine, signals, metrics, .. } = shared;
+    let Shared { dialect, board, loads, quarantine, signals, links, metrics } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
@@ -230,6 +240,7 @@
         loads: loads.clone(),
         quarantine: quarantine.clone(),
         signals: signals.clone(),
+        links: links.clone(),
         traffic: metrics.control.clone(),
         store: Store::new(dialect.clone(), settings.store_address, metrics.clone()),
         incarnation: new_incarnation(),
@@ -307,7 +318,10 @@
         signaling("limited").set(counts.limited as i64);
         signaling("leaving").set(counts.leaving as i64);
         signaling("resting").set(counts.resting as i64);
-        metrics.unreached_servers.set(links.unreached_count() as i64);
+        let unlinked = |state| metrics.unlinked_servers.get_or_create(&StateLabels { state });
+        unlinked("cut").set(links.counts().cut as i64);
+        unlinked("unreached").set(links.counts().unreached as i64);
+        metrics.is_isolated.set(i64::from(links.is_isolated()));
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
         let body = metrics.text().into_bytes();
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -47,6 +47,8 @@
     pub address: SocketAddrV4,
     /// Zone of the node.
     pub zone: String,
+    /// Whether the node has lost its links to the servers.
+    pub is_isolated: bool,
 }
 
 /// State of the fleet as known to this node.
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -106,11 +107,19 @@
     /// Whether a probe has completed since the first of them.
     is_probed: Cell<bool>,
     probe_completed: Notify,
+    /// When a byte last came over a direct connection.
+    heard_at: Cell<BootInstant>,
+    /// When the link was last checked.
+    link_checked_at: Cell<Option<BootInstant>>,
+    /// How often the connections of each path were given up: direct ones, and those through each
+    /// peer.
+    losses: RefCell<HashMap<Option<SocketAddrV4>, u64>>,
+    path_lost: Notify,
 }
 
 impl Server {
     fn new(record: Arc<ServerRecord>, signals: SignalBoard) -> Server {
-        let pool = Pool::new(record.address);
+        let pool = Pool::default();
         let call_client = CallClient::new(record.address);
         Server {
             hash: IncarnationHash::of(&record.incarnation),
@@ -128,6 +137,10 @@
             interrupted: RefCell::new(Vec::new()),
             is_probed: Cell::new(true),
             probe_completed: Notify::new(),
+            heard_at: Cell::new(clock::now()),
+            link_checked_at: Cell::default(),
+            losses: RefCell::default(),
+            path_lost: Notify::new(),
         }
     }
 
@@ -228,6 +241,58 @@
         }
     }
 
+    /// When a byte last came over a direct connection, or the server became known.
+    pub fn heard_at(&self) -> BootInstant {
+        self.heard_at.get()
+    }
+
+    /// Records that bytes have come over a direct connection.
+    pub fn note_heard(&self, now: BootInstant) {
+        self.heard_at.set(now);
+    }
+
+    /// Whether the link is to be checked now: it was not within the interval.
+    pub fn begin_link_check(&self, now: BootInstant, interval: Duration) -> bool {
+        let is_early = self.link_checked_at.get().is_some_and(|at| now.since(at) < interval);
+        if !is_early {
+            self.link_checked_at.set(Some(now));
+        }
+        !is_early
+    }
+
+    /// Gives up the direct connections, because nothing comes over them any more.
+    pub fn end_direct_connections(&self) {
+        self.pool.close_direct();
+        self.record_loss(None);
+    }
+
+    /// Gives up the connections through a peer.
+    pub fn end_tunnels(&self, peer: SocketAddrV4) {
+        self.pool.close_tunnels_through(peer);
+        self.record_loss(Some(peer));
+    }
+
+    fn record_loss(&self, path: Option<SocketAddrV4>) {
+        *self.losses.borrow_mut().entry(path).or_default() += 1;
+        self.path_lost.notify_waiters();
+    }
+
+    fn loss_count(&self, path: Option<SocketAddrV4>) -> u64 {
+        self.losses.borrow().get(&path).copied().unwrap_or_default()
+    }
+
+    /// Waits until the connections of a path, direct or through a peer, are given up.
+    pub async fn wait_for_loss(&self, path: Option<SocketAddrV4>) {
+        let before = self.loss_count(path);
+        loop {
+            let lost = self.path_lost.notified();
+            if self.loss_count(path) != before {
+                return;
+            }
+            lost.await;
+        }
+    }
+
     /// Records that the incarnation is no longer at its address.
     pub fn mark_replaced(&self) {
         self.is_removed.set(true);
@@ -332,10 +397,30 @@
         self.by_service.get(service).map(Vec::as_slice).unwrap_or_default()
     }
 
-    /// Closes connections that have been idle for too long.
-    pub fn close_idle_connections(&self, now: BootInstant) {
+    /// The server with an incarnation's name.
+    pub fn get(&self, incarnation: &str) -> Option<Rc<Server>> {
+        self.by_incarnation.get(incarnation).cloned()
+    }
+
+    /// The server with the hash of an incarnation's name.
+    pub fn by_hash(&self, hash: IncarnationHash) -> Option<Rc<Server>> {
+        self.all().find(|server| server.hash() == hash).cloned()
+    }
+
+    /// All servers.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.by_incarnation.values()
+    }
+
+    /// Closes connections that have been idle for too long, and those through peers that
+    /// `is_usable` rejects.
+    pub fn close_idle_connections(
+        &self,
+        now: BootInstant,
+        is_usable: impl Fn(SocketAddrV4) -> bool,
+    ) {
         for server in self.by_incarnation.values() {
-            server.pool.close_expired(now);
+            server.pool.close_unusable(now, &is_usable);
         }
     }
 }
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -46,6 +46,11 @@
     /// UDP address for messages about allowances that nodes lend one another. The port is the
     /// same on all nodes.
     pub quota_address: SocketAddrV4,
+    /// Address at which the node opens connections to servers for nodes that have lost their own
+    /// links. The port is the same on all nodes. Without it this node does that for none, and is
+    /// served by none.
+    #[serde(default)]
+    pub tunnel_address: Option<SocketAddrV4>,
     /// Address of the metrics endpoint; without it there is no such endpoint.
     #[serde(default)]
     pub metrics_address: Option<SocketAddrV4>,
--- /dev/null
+++ b/crates/cometmoor-gateway/src/tunnel/door.rs
@@ -0,0 +1,174 @@
+//! Opens tunnels for peers that have lost their links to the servers.
+
+use std::cell::Cell;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use cometmoor_core::gateway::links::Path;
+use spdlog::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{METHOD, PATH, TUNNEL_ID};
+use crate::clock;
+use crate::forward::TrafficContext;
+use crate::http::connection::{connect, read_some, set_socket_options, write_all};
+use crate::http::head::{RequestHead, parse_request_head};
+use crate::published::Phase;
+use crate::servers::Server;
+
+/// Status of the response if the server refuses connections.
+pub(super) const REFUSED_STATUS: u16 = 502;
+const NOT_REACHED_STATUS: u16 = 504;
+const UNAVAILABLE_STATUS: u16 = 503;
+const UNKNOWN_SERVER_STATUS: u16 = 404;
+/// Timeout for connecting to the server: the peer has less than the timeout of a direct connection
+/// left.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Other servers that are tried when one refuses: several may have ended at once.
+const MAX_OTHERS: usize = 2;
+/// Timeout for reading the request for a tunnel.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Delay before the next accept after one failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of open tunnels. Each takes two descriptors and up to 32 KB of buffers.
+const MAX_TUNNELS: usize = 512;
+const MAX_HEAD_BYTES: usize = 4 << 10;
+
+/// Opens tunnels for peers until the process ends.
+pub async fn serve(listener: TcpListener, traffic: Rc<TrafficContext>) {
+    let open: Rc<Cell<usize>> = Rc::default();
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            clock::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        if !is_peer(&traffic, from) || open.get() >= MAX_TUNNELS {
+            warn!("[tunnel] a connection was closed", kv: { from = from.to_string(), open = open.get() as u64 });
+            continue;
+        }
+        let (traffic, open) = (traffic.clone(), open.clone());
+        actix_rt::spawn(async move {
+            open.set(open.get() + 1);
+            traffic.metrics.open_tunnels.inc();
+            let guard = traffic.loads.add_in_progress();
+            serve_tunnel(&stream, from, &traffic).await;
+            drop(guard);
+            traffic.metrics.open_tunnels.dec();
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Whether a connection comes from a node of the fleet. Nobody else may reach servers this way.
+fn is_peer(traffic: &TrafficContext, from: SocketAddr) -> bool {
+    let fleet = traffic.board.fleet.load();
+    fleet.nodes.iter().any(|node| IpAddr::V4(*node.address.ip()) == from.ip())
+}
+
+async fn serve_tunnel(peer: &TcpStream, from: SocketAddr, traffic: &TrafficContext) {
+    if set_socket_options(peer).is_err() {
+        return;
+    }
+    let Ok(Ok(head)) = clock::timeout(HEAD_TIMEOUT, read_head(peer)).await else { return };
+    let result = open(&head, traffic).await;
+    let status = result.as_ref().map_or_else(|status| *status, |_| 200);
+    let tunnel = head.headers.get(TUNNEL_ID).unwrap_or("-");
+    let server = head.path().strip_prefix(PATH).unwrap_or("-");
+    info!("[tunnel] a peer has requested a tunnel", kv: { tunnel, peer = from.to_string(), server, status });
+    let response = format!("HTTP/1.1 {status} -\r\n\r\n");
+    let is_written = write_all(peer, response.as_bytes()).await.is_ok();
+    if let (Ok(server), true) = (result, is_written) {
+        carry(peer, &server).await;
+    }
+}
+
+async fn read_head(peer: &TcpStream) -> io::Result<RequestHead> {
+    let mut buffer = BytesMut::new();
+    loop {
+        if read_some(peer, &mut buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let head = parse_request_head(&mut buffer, MAX_HEAD_BYTES)
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        if let Some(head) = head {
+            return Ok(head);
+        }
+    }
+}
+
+/// Connects to the server that the request names; an error is the status of the response.
+async fn open(head: &RequestHead, traffic: &TrafficContext) -> Result<TcpStream, u16> {
+    let incarnation = head.path().strip_prefix(PATH).filter(|_| head.method == METHOD);
+    let fleet = traffic.board.fleet.load_full();
+    if fleet.phase != Phase::Ready && fleet.phase != Phase::Draining {
+        return Err(UNAVAILABLE_STATUS);
+    }
+    let server = {
+        let mut table = traffic.servers.borrow_mut();
+        table.update(&fleet);
+        incarnation.and_then(|incarnation| table.get(incarnation)).ok_or(UNKNOWN_SERVER_STATUS)?
+    };
+    if traffic.links.path(server.hash()) == Path::ViaPeer {
+        return Err(UNAVAILABLE_STATUS);
+    }
+    match connect(server.record().address, CONNECT_TIMEOUT).await {
+        Ok(stream) => {
+            traffic.links.note_connected(server.hash(), &server.record().incarnation);
+            Ok(stream)
+        }
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            match reaches_another(&server, traffic).await {
+                true => Err(REFUSED_STATUS),
+                false => Err(UNAVAILABLE_STATUS),
+            }
+        }
+        Err(_) => Err(NOT_REACHED_STATUS),
+    }
+}
+
+/// Whether this node reaches a server other than one that refuses it. Otherwise its own links may be
+/// cut, and the refusal says nothing of the server.
+async fn reaches_another(refusing: &Rc<Server>, traffic: &TrafficContext) -> bool {
+    let others: Vec<Rc<Server>> = {
+        let table = traffic.servers.borrow();
+        let is_other =
+            |server: &&Rc<Server>| server.accepts_requests() && server.hash() != refusing.hash();
+        table.all().filter(is_other).take(MAX_OTHERS).cloned().collect()
+    };
+    for other in &others {
+        if let Ok(stream) = connect(other.record().address, CONNECT_TIMEOUT).await {
+            traffic.links.note_connected(other.hash(), &other.record().incarnation);
+            other.pool.release(stream, None, None);
+            return true;
+        }
+    }
+    others.is_empty()
+}
+
+/// Copies bytes both ways until either end closes. A connection that the server resets is reset at
+/// the peer, too, so that a response which it cuts off does not look complete.
+async fn carry(peer: &TcpStream, server: &TcpStream) {
+    let to_server = copy(peer, server);
+    let to_peer = copy(server, peer);
+    tokio::select! {
+        _ = to_server => {}
+        result = to_peer => {
+            if result.is_err() {
+                // The peer notices the reset in any case by the missing end of the response.
+                let _ = peer.set_zero_linger();
+            }
+        }
+    }
+}
+
+async fn copy(from: &TcpStream, to: &TcpStream) -> io::Result<()> {
+    let mut buffer = BytesMut::new();
+    while read_some(from, &mut buffer).await? > 0 {
+        write_all(to, &buffer).await?;
+        buffer.clear();
+    }
+    Ok(())
+}
--- a/crates/cometmoor-gateway/tests/directory.rs
+++ b/crates/cometmoor-gateway/tests/directory.rs
@@ -12,7 +12,7 @@
     let node = |index: usize| {
         let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
         let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 7000);
-        NodeEndpoint { address, zone: format!("zone-{}", index % ZONES) }
+        NodeEndpoint { address, zone: format!("zone-{}", index % ZONES), is_isolated: false }
     };
     (0..count).map(node).collect()
 }
