--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -96,6 +96,7 @@
         server: &Rc<Server>,
         timeout: Duration,
     ) -> io::Result<PooledConnection> {
+        server.begin_connect(clock::now(), CONNECT_TIMEOUT);
         let opening = async {
             match self.links.path(server.hash()) {
                 Path::Direct => self.open_direct_first(server).await,
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -219,7 +219,14 @@
                         .finish_without_server(last_error, &stream, refusal, retry_after)
                         .await;
                 }
+                Selection::Unreachable(after) => {
+                    return self
+                        .finish_without_server(last_error, &stream, Refusal::NotReached, after)
+                        .await;
+                }
                 Selection::Unavailable(refusal) => {
+                    let was_reached = unreachable == 0 || refusal != Refusal::ServerRefused;
+                    let refusal = if was_reached { refusal } else { Refusal::NotReached };
                     return self
                         .finish_without_server(last_error, &stream, refusal, DEFAULT_RETRY_AFTER)
                         .await;
@@ -245,7 +252,7 @@
                 SendOutcome::Unreachable => {
                     unreachable += 1;
                     if unreachable >= MAX_UNREACHABLE {
-                        let refusal = Refusal::NoServer;
+                        let refusal = Refusal::NotReached;
                         return self
                             .finish_without_server(
                                 last_error,
@@ -312,6 +319,7 @@
             Selection::Server { .. } => OTHER_SERVER_RETRY_AFTER,
             Selection::OnHold { retry_after, .. } => retry_after,
             Selection::Overloaded(expected) => retry_after_queue(expected, self.route.objective),
+            Selection::Unreachable(retry_after) => retry_after,
             Selection::Unavailable(_) => DEFAULT_RETRY_AFTER,
         }
     }
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -23,8 +23,10 @@
     NoModel,
     /// Servers hold its model, but not the adapter.
     NoAdapter,
-    /// The service has no server that accepts requests, or none could be reached.
+    /// The service has no server that accepts requests.
     NoServer,
+    /// None of the servers that could run it was reached, directly or through a peer.
+    NotReached,
     /// Every server is expected to respond too late.
     Overloaded,
     /// Every server that could run it is on hold: leaving, resting or at its limit.
@@ -61,6 +63,7 @@
             Refusal::NoModel => "no server holds the model",
             Refusal::NoAdapter => "no server holds the adapter",
             Refusal::NoServer => "no server takes work",
+            Refusal::NotReached => "no server was reached",
             Refusal::Overloaded => "every server would answer too late",
             Refusal::ServersOnHold => "every server rests or is at its limit",
             Refusal::ServerRefused => "the server refused it",
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -63,7 +63,7 @@
         let connection = match checkout {
             Ok(connection) => connection,
             Err(error) => {
-                server.record_unreachable(clock::now());
+                server.record_unreachable(error.kind(), clock::now());
                 self.log_failure("unreachable", "connect", &record.incarnation, &error.to_string());
                 return SendOutcome::Unreachable;
             }
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -57,6 +57,8 @@
         /// Time after which a client should retry.
         retry_after: Duration,
     },
+    /// No eligible server answers attempts to connect; another one is tried after this time.
+    Unreachable(Duration),
     /// No server can run the request.
     Unavailable(Refusal),
 }
@@ -85,6 +87,7 @@
                 Selection::OnHold { recheck_after, .. } => {
                     clock::now() + recheck_after > wait_until
                 }
+                Selection::Unreachable(_) => true,
                 Selection::Overloaded(_) | Selection::Unavailable(_) => false,
             };
             if let Selection::Unavailable(Refusal::NoAdapter) = selection {
@@ -138,6 +141,11 @@
         }
         let reachable: Vec<&Rc<Server>> =
             eligible.iter().copied().filter(|server| !server.is_backing_off(now)).collect();
+        let unresponsive = eligible.iter().map(|server| server.unresponsive_for(now));
+        let unresponsive: Option<Vec<Duration>> = unresponsive.collect();
+        if let Some(retry_after) = unresponsive.and_then(|times| times.into_iter().min()) {
+            return Selection::Unreachable(retry_after);
+        }
         let servers = if reachable.is_empty() { eligible } else { reachable };
         let servers = self.apply_slow_start(servers, now);
         let candidates: Vec<Candidate> =
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -97,6 +98,8 @@
     backoff_until: Cell<Option<BootInstant>>,
     /// Consecutive failures to connect.
     connect_failures: Cell<u32>,
+    /// Whether the last attempt to connect got no answer.
+    is_unresponsive: Cell<bool>,
     /// Consecutive rejections, at most one counted for each backoff.
     rejections: Cell<u32>,
     failure_share: Cell<f64>,
@@ -130,6 +133,7 @@
             is_removed: Cell::new(false),
             backoff_until: Cell::new(None),
             connect_failures: Cell::new(0),
+            is_unresponsive: Cell::new(false),
             rejections: Cell::new(0),
             failure_share: Cell::new(0.0),
             failure_share_updated: Cell::new(clock::now()),
@@ -183,6 +187,7 @@
         self.update_failure_share(now, 0.0);
         self.backoff_until.set(None);
         self.connect_failures.set(0);
+        self.is_unresponsive.set(false);
         self.rejections.set(0);
     }
 
@@ -201,8 +206,23 @@
         self.backoff_until.set(Some(now + backoff.min(MAX_REJECTION_BACKOFF)));
     }
 
+    /// Time until another connection is to be tried, if the last one got no answer; each try takes as
+    /// long as its timeout.
+    pub fn unresponsive_for(&self, now: BootInstant) -> Option<Duration> {
+        let until = self.backoff_until.get().filter(|_| self.is_unresponsive.get())?;
+        (now < until).then(|| until.since(now))
+    }
+
+    /// Records that a connection is tried. While the server is unresponsive, no other one is.
+    pub fn begin_connect(&self, now: BootInstant, timeout: Duration) {
+        if self.is_unresponsive.get() {
+            self.backoff_until.set(Some(now + timeout));
+        }
+    }
+
     /// Records a failure to connect: starts a backoff and closes the idle connections.
-    pub fn record_unreachable(&self, now: BootInstant) {
+    pub fn record_unreachable(&self, error: io::ErrorKind, now: BootInstant) {
+        self.is_unresponsive.set(error == io::ErrorKind::TimedOut);
         self.update_failure_share(now, 1.0);
         let backoff = INITIAL_CONNECT_BACKOFF * (1 << self.connect_failures.get().min(4));
         self.connect_failures.set(self.connect_failures.get() + 1);
