Servers that fail when they reject too much are sent no more than they can process

Callers got next to nothing from servers that say they are brittle: each fall moved the load to the next server. Nobody read the header; servers were filled until they rejected, and only rejections told of their room.

All nodes together now send such a server its slots divided by the time that a request occupies one, with a burst of two, by the code that already lends a server's named limit (a scope of its own; the lending node's estimate counts). A rejection that happens all the same goes to all nodes with the next message: the server rests for 60 ms and its share falls by 5%, or 20% if one came within half a second before; it regains 10% a second. A server that becomes known while its service is brittle begins at 40%, so that one that is back is not felled by what waits. What nodes know lapses 3 s after the last response that says so, over all nodes. A message of its own carries it: older nodes drop it.

Not built: shares of the places by rank (nodes without a place would need a hop), lent places with return (an expiry for each, a second machinery).

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod brittle;
 pub mod configuration;
 pub mod demand;
 pub mod leadership;
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -141,6 +141,7 @@
             PeerMessage::FleetDigest(digest) => {
                 self.handle_digest(digest, context, Membership::receive_fleet_digest);
             }
+            PeerMessage::Brittle(report) => self.context.brittle.merge(&report),
             PeerMessage::ProofAnswer(answer) => self.handle_proof_answer(&answer),
             // The heartbeat task answers requests by a `GetProof`.
             PeerMessage::ProofRequest(_) => {}
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -36,7 +36,7 @@
 use crate::clock::{self, SuspensionDetector};
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 use crate::membership::{
-    CopyVersions, Heartbeat, Membership, OutgoingMessage, PeerPhase, Placement,
+    CopyVersions, Heartbeat, Membership, Message, OutgoingMessage, PeerPhase, Placement,
 };
 use crate::peer::StorePrefix;
 use crate::published::{FleetSnapshot, NodeEndpoint, Phase, PlacementView, ShutdownTimes};
@@ -343,6 +343,7 @@
         self.demand.receive(&heartbeat, now);
         self.request_planning(!heartbeat.awaited_models.is_empty());
         let mut outgoing = self.peers.outgoing(&heartbeat, now);
+        outgoing.extend(self.brittle_report(&outgoing));
         outgoing.extend(self.proof_request());
         if let Some(loads) = heartbeat.loads {
             self.reported_loads = loads;
@@ -350,6 +351,15 @@
         outgoing
     }
 
+    /// What is known of brittle servers, for the recipients of the other messages.
+    fn brittle_report(&self, others: &[OutgoingMessage]) -> Option<OutgoingMessage> {
+        let report = self.context.brittle.report()?;
+        let targets: BTreeSet<SocketAddrV4> =
+            others.iter().flat_map(|other| &other.targets).copied().collect();
+        let targets = targets.into_iter().collect();
+        Some(OutgoingMessage { message: Message::Brittle(report), targets })
+    }
+
     fn recent_demand(&self) -> Vec<(ModelKey, ModelDemand)> {
         self.context.loads.recent_demand(clock::now())
     }
@@ -404,6 +414,7 @@
     fn tick(&mut self) {
         self.suspensions.check();
         self.context.signals.tick();
+        self.context.brittle.tick();
         let now = self.now();
         self.peers.tick(now);
         if self.entries.awaits_rewrites() {
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -49,7 +49,9 @@
 
 fn traffic_kind(message: &Message) -> TrafficKind {
     match message {
-        Message::Heartbeat(_) | Message::HeartbeatToHub(..) => TrafficKind::Heartbeat,
+        Message::Heartbeat(_) | Message::HeartbeatToHub(..) | Message::Brittle(_) => {
+            TrafficKind::Heartbeat
+        }
         Message::ZoneDigest(_) => TrafficKind::ZoneDigest,
         Message::FleetDigest(_) => TrafficKind::FleetDigest,
         Message::ProofRequest(_) | Message::ProofAnswer(_) => TrafficKind::Proof,
--- a/crates/cometmoor-gateway/src/control/mod.rs
+++ b/crates/cometmoor-gateway/src/control/mod.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use self::fleet::FleetState;
+use crate::brittle::BrittleBoard;
 use crate::control_traffic::ControlTraffic;
 use crate::dialect::Dialect;
 use crate::links::LinkBoard;
@@ -42,6 +43,8 @@
     pub quarantine: QuarantineBoard,
     /// Signals that servers send about themselves in their responses.
     pub signals: SignalBoard,
+    /// Servers that must not have to reject requests.
+    pub brittle: BrittleBoard,
     /// Links of this node to the servers.
     pub links: LinkBoard,
     /// Counters of messages to other nodes and to the store.
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -151,6 +151,8 @@
     pub load: Option<ReportedLoad>,
     /// Signals of the server; `None` if they may be those of another server.
     pub signals: Option<ResponseSignals>,
+    /// Rejections a second beyond which the server fails; `None` if it does not say so.
+    pub max_rejections: Option<f64>,
 }
 
 /// An item in the store.
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -201,6 +201,11 @@
         sent_at: BootInstant,
     ) {
         let metadata = self.traffic.dialect.response_metadata(&response.head);
+        if let Some(max_rejections) = metadata.max_rejections
+            && self.traffic.brittle.note_brittle(record, max_rejections)
+        {
+            self.traffic.board.heartbeat_wanted.notify_one();
+        }
         let Some(signals) = metadata.signals else { return };
         let board = &self.traffic.signals;
         if board.note_response(&record.incarnation, &self.metadata.id, signals, sent_at) {
--- a/crates/cometmoor-gateway/src/forward/permit.rs
+++ b/crates/cometmoor-gateway/src/forward/permit.rs
@@ -10,25 +10,30 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::quota::Decision;
+use cometmoor_core::gateway::quota::server_limit::denial_backoff;
 use cometmoor_core::gateway::signals::{Denial, Hold, IncarnationHash};
 
 use super::ForwardedRequest;
 use crate::clock;
 use crate::metrics::StateLabels;
-use crate::quota::QuotaLimiter;
+use crate::quota::{LimitScope, QuotaLimiter};
 use crate::servers::Server;
 
 /// Timeout of the decision on a server's limit, after which another server is tried. Most
 /// decisions take up to 3 ms, or up to 45 ms if a datagram is lost.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(100);
+/// Divisor of the backoff after a denial for a brittle server, whose limit has hardly a burst: what
+/// no node requests in time is lost.
+const BRITTLE_BACKOFF_DIVISOR: u32 = 3;
 /// Time for which a server gets no requests after its limit could not be decided on.
 const UNDECIDED_HOLD: Duration = Duration::from_millis(100);
 
 /// Permits one request to be sent to a server. Dropping an unused permit refunds it.
 pub(super) struct SendPermit {
     quota: Rc<QuotaLimiter>,
-    /// The server, if it has a limit.
-    limited_server: Option<IncarnationHash>,
+    server: IncarnationHash,
+    /// Limits of the server of which a part is used.
+    limits: Vec<LimitScope>,
     /// Whether the request may have reached the server.
     is_sent: Cell<bool>,
 }
@@ -42,8 +47,8 @@
 
 impl Drop for SendPermit {
     fn drop(&mut self) {
-        if let Some(server) = self.limited_server.filter(|_| !self.is_sent.get()) {
-            self.quota.refund_send(server);
+        if !self.is_sent.get() {
+            self.limits.iter().for_each(|scope| self.quota.refund_send(*scope, self.server));
         }
     }
 }
@@ -61,23 +66,51 @@
 
     async fn decide_send_permit(&self, server: &Server) -> Result<SendPermit, Hold> {
         let key = server.hash();
-        let signals = &self.traffic.signals;
-        let permit = |limited_server| SendPermit {
-            quota: self.traffic.quota.clone(),
-            limited_server,
-            is_sent: Cell::new(false),
-        };
-        if let Some(hold) = signals.hold(key, clock::now()) {
+        if let Some(hold) = self.hold(server, clock::now()) {
             return Err(hold);
         }
-        let Some(limit) = signals.limit(key) else { return Ok(permit(None)) };
-        let decision = self.traffic.quota.acquire_send(key, limit);
+        let quota = self.traffic.quota.clone();
+        let is_sent = Cell::new(false);
+        let mut permit = SendPermit { quota, server: key, limits: Vec::new(), is_sent };
+        self.acquire_brittle(server, &mut permit).await?;
+        self.acquire_limited(server, &mut permit).await?;
+        // The server may have been put on hold in the meantime.
+        match permit.limits.is_empty() {
+            true => Ok(permit),
+            false => self.hold(server, clock::now()).map_or(Ok(permit), Err),
+        }
+    }
+
+    /// Acquires a part of what a server that must not have to reject requests can process.
+    async fn acquire_brittle(&self, server: &Server, permit: &mut SendPermit) -> Result<(), Hold> {
+        let scope = LimitScope::BrittleServers;
+        let Some(limit) = self.traffic.brittle.limit(&server.record()) else { return Ok(()) };
+        let decision = self.traffic.quota.acquire_send(scope, server.hash(), limit);
+        let retry_after = match clock::timeout(DECISION_TIMEOUT, decision).await {
+            Ok(Decision::Granted) => {
+                permit.limits.push(scope);
+                return Ok(());
+            }
+            Ok(Decision::Refused(retry_after)) => retry_after,
+            Ok(Decision::Undecided | Decision::Pending(_)) | Err(_) => UNDECIDED_HOLD,
+        };
+        let nodes = self.traffic.board.fleet.load().live_nodes;
+        let recheck_after = denial_backoff(&limit, nodes, retry_after) / BRITTLE_BACKOFF_DIVISOR;
+        self.traffic.brittle.note_denied(&server.record(), recheck_after);
+        Err(Hold::OverLimit { recheck_after, retry_after })
+    }
+
+    /// Acquires a part of the limit that a server names.
+    async fn acquire_limited(&self, server: &Server, permit: &mut SendPermit) -> Result<(), Hold> {
+        let key = server.hash();
+        let signals = &self.traffic.signals;
+        let Some(limit) = signals.limit(key) else { return Ok(()) };
+        let decision = self.traffic.quota.acquire_send(LimitScope::Servers, key, limit);
         let denial = match clock::timeout(DECISION_TIMEOUT, decision).await {
             Ok(Decision::Granted) => {
                 signals.note_granted(key);
-                let permit = permit(Some(key));
-                // The server may have been put on hold in the meantime.
-                return signals.hold(key, clock::now()).map_or(Ok(permit), Err);
+                permit.limits.push(LimitScope::Servers);
+                return Ok(());
             }
             Ok(Decision::Refused(retry_after)) => Denial::Exhausted(retry_after),
             Ok(Decision::Undecided | Decision::Pending(_)) | Err(_) => {
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -107,6 +107,7 @@
         self.log_sent(&record.incarnation, &connection);
         let exchange =
             self.exchange(server, &record, connection, stream.last_event.as_deref(), copy);
+        let begun_at = clock::now();
         let set_sent = |is_sent| permit.iter().for_each(|permit| permit.set_sent(is_sent));
         set_sent(true);
         let result = exchange.await;
@@ -135,12 +136,17 @@
             return SendOutcome::NotRun { status, misdirected };
         }
         let is_success = (200..300).contains(&response.head.status);
-        if self.route.retry_policy.is_stream() && is_success {
+        let outcome = if self.route.retry_policy.is_stream() && is_success {
             let mut recorder = FirstEventRecorder { guard: &mut guard, sent_at };
-            return self.relay_stream(server, response, stream, &mut recorder).await;
+            self.relay_stream(server, response, stream, &mut recorder).await
+        } else {
+            guard.record_first_event();
+            self.relay_response(server, response, stream).await
+        };
+        if matches!(outcome, SendOutcome::Finished(_)) && copy.is_none() {
+            self.traffic.brittle.note_completed(&record, clock::elapsed(begun_at));
         }
-        guard.record_first_event();
-        self.relay_response(server, response, stream).await
+        outcome
     }
 
     /// Prefill work that the request adds to the queue of a server.
@@ -153,7 +159,13 @@
         match (&self.metadata.model, misdirected) {
             (Some(model), true) => server.record_missing(model, now),
             (None, true) => server.mark_replaced(),
-            (_, false) => server.record_rejection(now),
+            (_, false) => {
+                server.record_rejection(now);
+                if self.traffic.brittle.note_rejected(&server.record(), &self.metadata.id) {
+                    self.traffic.metrics.brittle_rejections.inc();
+                    self.traffic.board.heartbeat_wanted.notify_one();
+                }
+            }
         }
     }
 
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -6,6 +6,7 @@
 
 use cometmoor_core::gateway::admission::{QUEUE_POLL_INTERVAL, can_answer_in_time, max_queue_wait};
 use cometmoor_core::gateway::selection::{Candidate, CostModel, RequestProfile, select};
+use cometmoor_core::gateway::signals::Hold;
 use cometmoor_core::time::BootInstant;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -128,7 +129,7 @@
             .collect();
         let mut holds = Vec::new();
         eligible.retain(|server| {
-            let hold = self.traffic.signals.hold(server.hash(), now);
+            let hold = self.hold(server, now);
             holds.extend(hold);
             hold.is_none()
         });
@@ -184,6 +185,15 @@
         Selection::Overloaded(expected)
     }
 
+    /// Why a server gets no request of this node now.
+    pub(super) fn hold(&self, server: &Server, now: BootInstant) -> Option<Hold> {
+        let signaled = self.traffic.signals.hold(server.hash(), now);
+        signaled.or_else(|| {
+            let left = self.traffic.brittle.hold(&server.record(), now)?;
+            Some(Hold::OverLimit { recheck_after: left, retry_after: left })
+        })
+    }
+
     /// Excludes servers in slow start, whose limit or rest has just ended, for a share of the
     /// requests, unless there are no other servers.
     fn apply_slow_start<'s>(
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -8,6 +8,7 @@
 use cometmoor_core::gateway::retry_budget::{FleetRetryBudget, RetryBounds};
 use cometmoor_core::time::{BootInstant, Timestamp};
 
+use crate::brittle::BrittleBoard;
 use crate::clock;
 use crate::connector::Connector;
 use crate::dialect::Dialect;
@@ -37,6 +38,8 @@
     pub quarantine: QuarantineBoard,
     /// Signals that servers send in their responses.
     pub signals: SignalBoard,
+    /// Servers that must not have to reject requests.
+    pub brittle: BrittleBoard,
     /// Links of this node to the servers.
     pub links: LinkBoard,
     /// Limits of tenants and servers.
@@ -63,6 +66,7 @@
         loads: LoadBoard,
         quarantine: QuarantineBoard,
         signals: SignalBoard,
+        brittle: BrittleBoard,
         links: LinkBoard,
         quota: Rc<QuotaLimiter>,
         metrics: Arc<Metrics>,
@@ -80,6 +84,7 @@
             servers,
             connector: Rc::new(connector),
             signals,
+            brittle,
             links,
             quota,
             metrics,
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! One thread holds the [`control`] state and publishes it; another thread handles the traffic.
 //! A [`dialect::Dialect`] defines the format of the platform's messages.
 
+pub mod brittle;
 pub mod clock;
 pub mod connector;
 pub mod control;
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use cometmoor_core::gateway::brittle::BrittleReport;
 use cometmoor_core::gateway::quarantine::SuspectReport;
 use cometmoor_core::gateway::signals::SignalReport;
 use cometmoor_core::gateway::store_position::{StoreEra, StorePosition};
@@ -254,6 +255,9 @@
     ProofRequest(ProofRequest),
     /// The answer to a request for a proof.
     ProofAnswer(ProofAnswer),
+    /// What a node knows of brittle servers, for the recipients of its other messages. Nodes that
+    /// do not know this message drop it.
+    Brittle(BrittleReport),
 }
 
 impl Message {
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -147,6 +147,10 @@
     /// Servers that are not reached directly, by state: `cut` if a peer reaches them, else
     /// `unreached`.
     pub unlinked_servers: Family<StateLabels, Gauge>,
+    /// Services whose servers are brittle.
+    pub brittle_services: Gauge,
+    /// Requests that brittle servers have rejected, at most one for each hold that follows.
+    pub brittle_rejections: Counter,
     /// Whether this node has lost its links to the servers: 1 or 0.
     pub is_isolated: Gauge,
     /// Connections to servers that were opened through peers.
@@ -199,6 +203,8 @@
             nodes: Gauge::default(),
             servers: Family::default(),
             unlinked_servers: Family::default(),
+            brittle_services: Gauge::default(),
+            brittle_rejections: Counter::default(),
             is_isolated: Gauge::default(),
             tunnels: Counter::default(),
             sends_via_peers: Counter::default(),
@@ -258,6 +264,7 @@
             ("store_era", "Newest era of the store", &self.store_era),
             ("leads", "Whether this node orders the servers", &self.is_leader),
             ("nodes", "Nodes that take requests", &self.nodes),
+            ("brittle_services", "Services with brittle servers", &self.brittle_services),
             ("isolated", "Whether this node has lost its links to servers", &self.is_isolated),
             ("open_tunnels", "Connections to servers for peers", &self.open_tunnels),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
@@ -268,6 +275,8 @@
         }
         let unlinked = self.unlinked_servers.clone();
         registry.register("unlinked_servers", "Servers not reached directly", unlinked);
+        let rejections = self.brittle_rejections.clone();
+        registry.register("brittle_rejections", "Rejections by brittle servers", rejections);
         let tunnels = self.tunnels.clone();
         registry.register("tunnels", "Connections to servers through peers", tunnels);
         let sends = self.sends_via_peers.clone();
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::brittle::BrittleBoard;
 use crate::clock;
 use crate::control::fleet::{BeginShutdown, FleetState, GetUpdate, StopAcceptingRequests};
 use crate::control::{ControlContext, start as start_control};
@@ -114,6 +115,7 @@
     loads: LoadBoard,
     quarantine: QuarantineBoard,
     signals: SignalBoard,
+    brittle: BrittleBoard,
     links: LinkBoard,
     metrics: Arc<Metrics>,
 }
@@ -132,6 +134,7 @@
             loads: loads.clone(),
             quarantine: QuarantineBoard::default(),
             signals: SignalBoard::new(metrics.clone()),
+            brittle: BrittleBoard::default(),
             links: LinkBoard::default(),
             metrics,
         };
@@ -185,6 +188,7 @@
     let (board, loads) = (shared.board.clone(), shared.loads.clone());
     let (quarantine, metrics) = (shared.quarantine.clone(), shared.metrics.clone());
     let (signals, links) = (shared.signals.clone(), shared.links.clone());
+    let brittle = shared.brittle.clone();
     let arbiter = actix_rt::Arbiter::new();
     arbiter.spawn_fn(move || {
         let listener = match TcpListener::from_std(listener) {
@@ -194,7 +198,7 @@
                 return;
             }
         };
-        let quota = match QuotaLimiter::start(&settings, board.clone(), signals.clone(), metrics.clone()) {
+        let quota = match QuotaLimiter::start(&settings, board.clone(), signals.clone(), brittle.clone(), metrics.clone()) {
             Ok(quota) => quota,
             Err(source) => {
                 let address = settings.quota_address.to_string();
@@ -204,7 +208,7 @@
         };
         let settings = Rc::new(settings);
         let traffic =
-            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, links, quota, metrics));
+            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, brittle, links, quota, metrics));
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         match tunnel_listener.map(TcpListener::from_std) {
             Some(Ok(listener)) => {
@@ -232,7 +236,7 @@
     settings: &GatewaySettings,
     shared: &Shared,
 ) -> Result<Addr<FleetState>, StartError> {
-    let Shared { dialect, board, loads, quarantine, signals, links, metrics } = shared;
+    let Shared { dialect, board, loads, quarantine, signals, brittle, links, metrics } = shared;
     let context = Rc::new(ControlContext {
         settings: settings.clone(),
         dialect: dialect.clone(),
@@ -240,6 +244,7 @@
         loads: loads.clone(),
         quarantine: quarantine.clone(),
         signals: signals.clone(),
+        brittle: brittle.clone(),
         links: links.clone(),
         traffic: metrics.control.clone(),
         store: Store::new(dialect.clone(), settings.store_address, metrics.clone()),
@@ -287,7 +292,7 @@
 
 /// Returns the metrics as text. Metrics of states and ages are updated at each request.
 fn metrics_handler(shared: &Shared) -> Handler {
-    let Shared { board, loads, quarantine, signals, links, metrics, .. } = shared.clone();
+    let Shared { board, loads, quarantine, signals, brittle, links, metrics, .. } = shared.clone();
     Rc::new(move |_| {
         let fleet = board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
@@ -321,6 +326,7 @@
         let unlinked = |state| metrics.unlinked_servers.get_or_create(&StateLabels { state });
         unlinked("cut").set(links.counts().cut as i64);
         unlinked("unreached").set(links.counts().unreached as i64);
+        metrics.brittle_services.set(brittle.count() as i64);
         metrics.is_isolated.set(i64::from(links.is_isolated()));
         metrics.ignored_entries.set(fleet.ignored_entries as i64);
         metrics.dropped_lines.set(i64::try_from(crate::log::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cometmoor_core::gateway::brittle::BRITTLE_BOUNDS;
 use cometmoor_core::gateway::quota::lending::{LendingMessage, LendingPolicy, TokenRequest};
 use cometmoor_core::gateway::quota::server_limit::SERVER_LIMIT_BOUNDS;
 use cometmoor_core::gateway::quota::{
@@ -22,6 +23,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
+use crate::brittle::BrittleBoard;
 use crate::clock;
 use crate::control_traffic::TrafficKind;
 use crate::metrics::Metrics;
@@ -40,11 +42,13 @@
 
 /// What a limit applies to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-enum LimitScope {
+pub enum LimitScope {
     /// A tenant. The limit comes from the configuration.
     Tenants,
     /// A server. The limit comes from its responses.
     Servers,
+    /// A server that must not have to reject requests. The limit follows from its slots.
+    BrittleServers,
 }
 
 /// Datagram between nodes, after the format version.
@@ -82,9 +86,11 @@
     socket: UdpSocket,
     board: Arc<Board>,
     signals: SignalBoard,
+    brittle: BrittleBoard,
     metrics: Arc<Metrics>,
     tenants: PolicyState,
     servers: PolicyState,
+    brittle_servers: PolicyState,
     /// Generation of the fleet snapshot that the policies' set of live nodes comes from.
     nodes_generation: Cell<u64>,
     /// Notified when a policy starts to await requests or responses, so that ticks become frequent.
@@ -98,6 +104,7 @@
         settings: &GatewaySettings,
         board: Arc<Board>,
         signals: SignalBoard,
+        brittle: BrittleBoard,
         metrics: Arc<Metrics>,
     ) -> io::Result<Rc<QuotaLimiter>> {
         let own = settings.quota_address;
@@ -109,9 +116,11 @@
             socket: UdpSocket::from_std(socket)?,
             board,
             signals,
+            brittle,
             metrics,
             tenants: PolicyState::new(own, seeds.clone(), settings.quota_bounds()),
-            servers: PolicyState::new(own, seeds, SERVER_LIMIT_BOUNDS),
+            servers: PolicyState::new(own, seeds.clone(), SERVER_LIMIT_BOUNDS),
+            brittle_servers: PolicyState::new(own, seeds, BRITTLE_BOUNDS),
             nodes_generation: Cell::new(0),
             wake_tick: Notify::new(),
         });
@@ -140,19 +149,25 @@
     }
 
     /// Acquires quota for sending one request to a server with a limit.
-    pub async fn acquire_send(&self, server: IncarnationHash, limit: VersionedLimit) -> Decision {
-        self.decide(LimitScope::Servers, server.into(), limit, 1.0).await
+    pub async fn acquire_send(
+        &self,
+        scope: LimitScope,
+        server: IncarnationHash,
+        limit: VersionedLimit,
+    ) -> Decision {
+        self.decide(scope, server.into(), limit, 1.0).await
     }
 
     /// Refunds the quota of a request that did not reach its server.
-    pub fn refund_send(&self, server: IncarnationHash) {
-        self.refund_tokens(LimitScope::Servers, server.into(), 1.0);
+    pub fn refund_send(&self, scope: LimitScope, server: IncarnationHash) {
+        self.refund_tokens(scope, server.into(), 1.0);
     }
 
     fn state(&self, scope: LimitScope) -> &PolicyState {
         match scope {
             LimitScope::Tenants => &self.tenants,
             LimitScope::Servers => &self.servers,
+            LimitScope::BrittleServers => &self.brittle_servers,
         }
     }
 
@@ -241,6 +256,19 @@
         request
     }
 
+    /// Replaces the limit in a token request for a brittle server by this node's own estimate, if it
+    /// knows that the server is brittle.
+    fn with_own_estimate(&self, mut request: TokenRequest) -> TokenRequest {
+        let server = request.key.into();
+        let fleet = self.board.fleet.load();
+        let mut records = fleet.servers.iter();
+        let record = records.find(|record| IncarnationHash::of(&record.incarnation) == server);
+        if let Some(limit) = record.and_then(|record| self.brittle.limit(record)) {
+            request.limit = limit.into();
+        }
+        request
+    }
+
     async fn receive(self: Rc<QuotaLimiter>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -257,6 +285,9 @@
                 (LimitScope::Servers, LendingMessage::Request(request)) => {
                     LendingMessage::Request(self.with_local_limit(from, request, signal))
                 }
+                (LimitScope::BrittleServers, LendingMessage::Request(request)) => {
+                    LendingMessage::Request(self.with_own_estimate(request))
+                }
                 (_, message) => message,
             };
             self.with_policy(scope, |policy, effects| {
@@ -271,13 +302,14 @@
     async fn tick(self: Rc<QuotaLimiter>) {
         loop {
             self.update_nodes();
-            for scope in [LimitScope::Tenants, LimitScope::Servers] {
+            for scope in [LimitScope::Tenants, LimitScope::Servers, LimitScope::BrittleServers] {
                 self.with_policy(scope, |policy, effects| policy.tick(clock::now(), effects));
             }
             self.metrics.lending_tenants.set(self.tenants.policy.borrow().lending_count() as i64);
             self.metrics.lending_servers.set(self.servers.policy.borrow().lending_count() as i64);
             let has_waiting = |state: &PolicyState| state.policy.borrow().has_waiting();
-            if !has_waiting(&self.tenants) && !has_waiting(&self.servers) {
+            let states = [&self.tenants, &self.servers, &self.brittle_servers];
+            if !states.into_iter().any(has_waiting) {
                 let _ = clock::timeout(IDLE_TICK, self.wake_tick.notified()).await;
             }
             // Messages settle nearly all requests before the next tick.
@@ -295,7 +327,7 @@
         let addresses = fleet.nodes.iter().map(|node| SocketAddrV4::new(*node.address.ip(), port));
         let mut live_nodes: Vec<SocketAddrV4> = addresses.collect();
         live_nodes.sort_unstable();
-        for state in [&self.tenants, &self.servers] {
+        for state in [&self.tenants, &self.servers, &self.brittle_servers] {
             state.policy.borrow_mut().set_nodes(&live_nodes, clock::now());
         }
     }
