Ask peers of other zones for tunnels beside one that does not answer

Cause: a node asked a peer of its own zone first, which was cut as well and tried its own direct connection for 300 ms; with the 100 ms before, the timeout of the whole attempt (400 ms) ended the question before it had an answer. So the peer was never passed over, no tunnel opened, and no node of the zone learned that it was cut. The tests had all nodes in one zone, where another random peer answers sooner or later.

A second peer, of another zone, is asked after 50 ms without an answer, then further ones; the first tunnel wins and slower peers are passed over for a second. A peer gives a server 150 ms.

--- a/crates/cometmoor-gateway/src/tunnel/client.rs
+++ b/crates/cometmoor-gateway/src/tunnel/client.rs
@@ -10,7 +10,9 @@
 
 use bytes::BytesMut;
 use cometmoor_core::time::BootInstant;
-use rand::seq::IndexedRandom;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::SliceRandom;
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::door::REFUSED_STATUS;
@@ -25,6 +27,8 @@
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a peer that has not opened a tunnel is not asked again.
 const PEER_BACKOFF: Duration = Duration::from_secs(1);
+/// Time without an answer of a peer after which another one is asked, too.
+const PEER_HEDGE_DELAY: Duration = Duration::from_millis(50);
 /// Peers that are asked for one tunnel.
 const MAX_PEERS: usize = 4;
 const MAX_HEAD_BYTES: usize = 4 << 10;
@@ -44,16 +48,37 @@
         TunnelClient { settings, board, backoffs: RefCell::default(), opened: Cell::new(0) }
     }
 
-    /// Opens a tunnel to a server, through a peer of this node's zone if possible.
+    /// Opens a tunnel to a server, through a peer of this node's zone if possible. A peer that does
+    /// not answer soon may be cut off itself, like others of its zone, so that one of another zone
+    /// is asked beside it.
     pub async fn open(&self, incarnation: &str) -> Result<Tunnel, TunnelError> {
-        for _ in 0..MAX_PEERS {
-            let Some(peer) = self.pick_peer() else { return Err(TunnelError::Unreachable) };
-            match self.open_via(peer, incarnation).await {
+        let mut peers = self.pick_peers().into_iter();
+        let mut asked: Vec<(SocketAddrV4, BootInstant)> = Vec::new();
+        let mut requests = FuturesUnordered::new();
+        loop {
+            if let Some(peer) = peers.next() {
+                asked.push((peer, clock::now()));
+                requests.push(async move { (peer, self.open_via(peer, incarnation).await) });
+            }
+            let result = match peers.len() {
+                0 => requests.next().await,
+                _ => match clock::timeout(PEER_HEDGE_DELAY, requests.next()).await {
+                    Ok(result) => result,
+                    Err(_) => continue,
+                },
+            };
+            let Some((peer, result)) = result else { return Err(TunnelError::Unreachable) };
+            asked.retain(|(known, _)| *known != peer);
+            match result {
                 Err(TunnelError::Unreachable) => self.back_off(peer),
-                result => return result,
+                result => {
+                    let is_slow = |at: &BootInstant| clock::elapsed(*at) >= PEER_HEDGE_DELAY;
+                    let slow = asked.iter().filter(|(_, at)| is_slow(at));
+                    slow.for_each(|(peer, _)| self.back_off(*peer));
+                    return result;
+                }
             }
         }
-        Err(TunnelError::Unreachable)
     }
 
     /// Opens a tunnel to a server through one peer.
@@ -94,23 +119,29 @@
         Some(SocketAddrV4::new(*node.address.ip(), own.port()))
     }
 
-    /// A peer that has links to servers, one of this zone if there are any.
-    fn pick_peer(&self) -> Option<SocketAddrV4> {
+    /// Peers to ask in order, of those that have links to servers: one of this zone first, and then
+    /// by turns of other zones and of this one.
+    fn pick_peers(&self) -> Vec<SocketAddrV4> {
         let fleet = self.board.fleet.load();
         let own = self.settings.client_address;
         let others = fleet.nodes.iter().filter(|node| node.address != own && !node.is_isolated);
-        let usable: Vec<(SocketAddrV4, bool)> = others
-            .filter_map(|node| {
-                let is_in_zone = node.zone == self.settings.zone;
-                Some((self.tunnel_address(node)?, is_in_zone))
-            })
-            .filter(|(peer, _)| !self.is_backing_off(*peer))
-            .collect();
-        let local: Vec<SocketAddrV4> =
-            usable.iter().filter(|(_, is_in_zone)| *is_in_zone).map(|(peer, _)| *peer).collect();
-        let all: Vec<SocketAddrV4> = usable.iter().map(|(peer, _)| *peer).collect();
-        let candidates = if local.is_empty() { all } else { local };
-        candidates.choose(&mut rand::rng()).copied()
+        let (mut local, mut remote) = (Vec::new(), Vec::new());
+        for node in others {
+            let Some(peer) = self.tunnel_address(node) else { continue };
+            if !self.is_backing_off(peer) {
+                let is_local = node.zone == self.settings.zone;
+                if is_local { &mut local } else { &mut remote }.push(peer);
+            }
+        }
+        let random = &mut rand::rng();
+        local.shuffle(random);
+        remote.shuffle(random);
+        let mut picked: Vec<SocketAddrV4> = Vec::with_capacity(MAX_PEERS);
+        while picked.len() < MAX_PEERS && !(local.is_empty() && remote.is_empty()) {
+            picked.extend(local.pop().into_iter().chain(remote.pop()));
+        }
+        picked.truncate(MAX_PEERS);
+        picked
     }
 
     /// Connects from this node's own address, by which the peer knows it.
--- a/crates/cometmoor-gateway/src/tunnel/door.rs
+++ b/crates/cometmoor-gateway/src/tunnel/door.rs
@@ -24,9 +24,9 @@
 const NOT_REACHED_STATUS: u16 = 504;
 const UNAVAILABLE_STATUS: u16 = 503;
 const UNKNOWN_SERVER_STATUS: u16 = 404;
-/// Timeout for connecting to the server: the peer has less than the timeout of a direct connection
-/// left.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for connecting to the server. The peer has less than the timeout of a direct connection
+/// left, also for asking another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Other servers that are tried when one refuses: several may have ended at once.
 const MAX_OTHERS: usize = 2;
 /// Timeout for reading the request for a tunnel.
