--- a/crates/cometmoor-core/src/gateway/brittle.rs
+++ b/crates/cometmoor-core/src/gateway/brittle.rs
@@ -114,17 +114,18 @@
         (self.share + regained).min(MAX_SHARE)
     }
 
-    /// Applies a rejection at `at`, unless one of the same moment was applied before.
+    /// Applies a rejection at `at`, unless one of the same moment was applied before: reports of it
+    /// come from several nodes. Returns whether it was applied.
     fn apply_rejection(&mut self, at: BootInstant, now: BootInstant) -> bool {
-        let is_known = self.rejected_at.is_some_and(|known| at <= known + REJECTION_HOLD);
-        let is_repeated = self.rejected_at.is_some_and(|known| at <= known + REPEATED_WITHIN);
-        self.rejected_at = self.rejected_at.max(Some(at));
-        if !is_known {
-            let factor = if is_repeated { REPEATED_REJECTION_FACTOR } else { REJECTION_FACTOR };
-            self.share = (self.share(now) * factor).max(MIN_SHARE);
-            self.updated_at = now;
+        if self.rejected_at.is_some_and(|known| at <= known + REJECTION_HOLD) {
+            return false;
         }
-        !is_known
+        let is_repeated = self.rejected_at.is_some_and(|known| at <= known + REPEATED_WITHIN);
+        let factor = if is_repeated { REPEATED_REJECTION_FACTOR } else { REJECTION_FACTOR };
+        self.share = (self.share(now) * factor).max(MIN_SHARE);
+        self.updated_at = now;
+        self.rejected_at = Some(at);
+        true
     }
 }
 
--- a/crates/cometmoor-gateway/src/brittle.rs
+++ b/crates/cometmoor-gateway/src/brittle.rs
@@ -1,5 +1,6 @@
 //! Brittle servers, shared by the node's threads.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BrittleBoard {
     table: Arc<Mutex<BrittleTable>>,
+    /// Whether any service is brittle. Most requests then need no look at the table.
+    is_any_brittle: Arc<AtomicBool>,
 }
 
 fn keys(record: &ServerRecord) -> (ServiceHash, IncarnationHash) {
@@ -34,6 +37,7 @@
     pub fn note_brittle(&self, record: &ServerRecord, max_rejections: f64) -> bool {
         let (service, _) = keys(record);
         let is_new = self.with(|table, now| table.note_brittle(service, now));
+        self.is_any_brittle.store(true, Ordering::Relaxed);
         if is_new {
             info!("[brittle] the servers of a service fail if they reject too much", kv: { service = &*record.service, server = &*record.incarnation, max_rejections, source = "answer" });
         }
@@ -48,6 +52,9 @@
 
     /// Records that a server has rejected a request. Returns whether other nodes have to be told.
     pub fn note_rejected(&self, record: &ServerRecord, request: &str) -> bool {
+        if !self.is_any_brittle() {
+            return false;
+        }
         let (service, server) = keys(record);
         let is_reported = self.with(|table, now| table.note_rejected(service, server, now));
         if is_reported {
@@ -58,6 +65,9 @@
 
     /// The rate at which all nodes together send requests to a server; `None` if it is not brittle.
     pub fn limit(&self, record: &ServerRecord) -> Option<VersionedLimit> {
+        if !self.is_any_brittle() {
+            return None;
+        }
         let (service, server) = keys(record);
         self.with(|table, now| table.limit(service, server, record.slots, now))
     }
@@ -70,6 +80,9 @@
 
     /// Time for which this node sends nothing to a server; `None` if it may send now.
     pub fn hold(&self, record: &ServerRecord, now: BootInstant) -> Option<Duration> {
+        if !self.is_any_brittle() {
+            return None;
+        }
         let (service, server) = keys(record);
         self.with(|table, _| table.hold(service, server, now))
     }
@@ -82,6 +95,7 @@
     /// Merges another node's report.
     pub fn merge(&self, report: &BrittleReport) {
         let new = self.with(|table, now| table.merge(report, now));
+        self.is_any_brittle.store(true, Ordering::Relaxed);
         if new > 0 {
             info!("[brittle] the servers of a service fail if they reject too much", kv: { services = new as u64, source = "peer" });
         }
@@ -92,8 +106,17 @@
         self.with(|table, now| table.count(now))
     }
 
+    fn is_any_brittle(&self) -> bool {
+        self.is_any_brittle.load(Ordering::Relaxed)
+    }
+
     /// Forgets servers that have not been used for long.
     pub fn tick(&self) {
-        self.with(BrittleTable::tick);
+        let count = self.with(|table, now| {
+            table.tick(now);
+            table.count(now)
+        });
+        // A response in between is followed by further ones that say the same.
+        self.is_any_brittle.store(count > 0, Ordering::Relaxed);
     }
 }
