A node that has heard of no server for a second opens a new connection

In the table of cuts at 30 nodes (silent links, callers that follow the directory) 4 of 20 first tries at cut nodes failed from 3 s on: each was the first request of its node since the cut, on an idle connection that was dead. Such a node finds out by that request, which may not run again.

Before it uses an idle direct connection, a node that has heard nothing from any server for a second opens a new one; that finds the cut before anything is sent. At most one connection a second and node, and none at nodes with some requests a second.

--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -31,6 +31,8 @@
 /// Time without a response to a request after which its link is checked although other servers
 /// respond: only some links may be cut. Many first events take less.
 const WAIT_BEFORE_CHECK: Duration = Duration::from_millis(1500);
+/// Time without a byte from any server after which idle connections are not used unchecked.
+const MAX_UNHEARD: Duration = Duration::from_secs(1);
 /// Minimum time between two checks of the link to a server: each opens a connection.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which a node with cut links looks whether probes are due.
@@ -52,7 +54,7 @@
     board: Arc<Board>,
     servers: Rc<RefCell<ServerTable>>,
     metrics: Arc<Metrics>,
-    /// When a byte last came over a direct connection, from any server.
+    /// When a byte last came over a direct connection, or one was opened, to any server.
     heard_at: Cell<BootInstant>,
     is_probing: Cell<bool>,
 }
@@ -71,12 +73,18 @@
         Connector { links, tunnels, board, servers, metrics, heard_at, is_probing }
     }
 
-    /// Returns an idle connection to a server, or opens a new one within the timeout.
+    /// Returns an idle connection to a server, or opens a new one within the timeout. A node that has
+    /// not heard of any server lately may have lost its links without a sign: what it wrote to an
+    /// idle connection would be lost, so it opens a new one.
     pub async fn checkout(
         self: &Rc<Self>,
         server: &Rc<Server>,
         timeout: Duration,
     ) -> io::Result<PooledConnection> {
+        let is_unheard = clock::elapsed(self.heard_at.get()) >= MAX_UNHEARD;
+        if is_unheard && self.links.path(server.hash()) == Path::Direct {
+            return self.open(server, timeout).await;
+        }
         let is_usable = |peer| self.tunnels.is_usable(peer);
         match server.pool.take_idle(clock::now(), is_usable) {
             Some(connection) => Ok(connection),
@@ -182,6 +190,7 @@
     }
 
     fn note_connected(&self, server: &Rc<Server>) {
+        self.heard_at.set(clock::now());
         let change = self.links.note_connected(server.hash(), &server.record().incarnation);
         if change.is_some() {
             server.pool.close_tunnels();
