Soak: nodes lose their links to all servers

Each node's process has links of its own to the servers, whose addresses it reads from a file; every 3 to 8 s one node's links are refused and reset, silent, or refuse new connections, for 1 to 7 s. A new check holds cut nodes to what the others serve; a planted violation is reported.

--- a/crates/cometmoor-lab/src/main.rs
+++ b/crates/cometmoor-lab/src/main.rs
@@ -5,13 +5,19 @@
 use cometmoor_lab::emulator::command::{compare, experiment};
 use cometmoor_lab::flags::{CometmoorLab, CometmoorLabCmd};
 use cometmoor_lab::soak::command::{SoakOptions, parse_seeds};
+use cometmoor_lab::soak::processes::LINKS_VARIABLE;
+use cometmoor_platform_stand_in::links::dialect_of_file;
 
 fn main() -> ExitCode {
     match CometmoorLab::from_env_or_exit().subcommand {
         CometmoorLabCmd::Node(node) => cometmoor::cli::run_node::run(&node.settings, None).into(),
-        CometmoorLabCmd::Gateway(node) => {
-            cometmoor::cli::run_gateway::run(&node.settings, None).into()
-        }
+        CometmoorLabCmd::Gateway(node) => match std::env::var_os(LINKS_VARIABLE) {
+            Some(file) => {
+                let dialect = dialect_of_file(file.into());
+                cometmoor::cli::run_gateway::run_with(&node.settings, None, dialect).into()
+            }
+            None => cometmoor::cli::run_gateway::run(&node.settings, None).into(),
+        },
         CometmoorLabCmd::Soak(soak) => {
             let Some(seeds) = parse_seeds(soak.seeds.as_deref().unwrap_or("1")) else {
                 eprintln!("seeds are one number, or two as in 1..50");
--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -5,7 +5,9 @@
 
 use serde::Serialize;
 
-use super::history::{Ended, History, Kind, RequestRecord, RunRecord, Whom};
+use super::history::{
+    Disturbance, Ended, History, Kind, RequestRecord, RunRecord, ServerCut, Whom,
+};
 use super::tenants::{Credential, LAUNDRY};
 use super::{signal_checks, tenant_checks};
 
@@ -19,6 +21,9 @@
 /// Time without a disturbance before a node is held to the bounds.
 pub(super) const CALM: Duration = Duration::from_secs(3);
 
+/// Time by which the records of a cut and of its disturbance may differ.
+const CUT_EDGE: Duration = Duration::from_millis(100);
+
 /// A run and its request.
 pub(super) type Ran<'a> = (&'a RunRecord, &'a RequestRecord);
 
@@ -33,7 +38,7 @@
 
 /// All broken promises.
 pub fn check(history: &History) -> Vec<Violation> {
-    let checks: [fn(&History) -> Vec<Violation>; 11] = [
+    let checks: [fn(&History) -> Vec<Violation>; 12] = [
         at_most_once,
         not_run_is_true,
         whole_and_own,
@@ -45,6 +50,7 @@
         no_own_ends,
         is_alive,
         left_gets_nothing,
+        cut_nodes_serve,
     ];
     let broken = checks.into_iter().flat_map(|check| check(history));
     let broken = broken.chain(tenant_checks::check(history));
@@ -109,6 +115,15 @@
             && self.is_calm(Whom::Server(server), from, until)
     }
 
+    /// Whether a disturbance is that of a cut's beginning or end.
+    fn is_cut_edge(&self, disturbance: &Disturbance) -> bool {
+        self.cuts.iter().any(|cut| {
+            let Whom::Node(node) = disturbance.whom else { return false };
+            let is_near = |at: Duration| disturbance.from.abs_diff(at) < CUT_EDGE;
+            node == cut.node && (is_near(cut.from) || is_near(cut.until))
+        })
+    }
+
     /// Whether nothing disturbed it from [`CALM`] before one time until another.
     pub(super) fn is_calm(&self, whom: Whom, from: Duration, until: Duration) -> bool {
         let from = from.saturating_sub(CALM);
@@ -258,6 +273,40 @@
         .collect()
 }
 
+/// Callers of nodes that have lost their links to all servers are served like others', from
+/// [`CALM`] on: not less than two thirds as often, unless few requests fail.
+fn cut_nodes_serve(history: &History) -> Vec<Violation> {
+    let is_cut = |request: &RequestRecord| {
+        let mut cuts = history.cuts.iter().filter(|cut| cut.node == request.node);
+        cuts.any(|cut| request.sent >= cut.from + CALM && request.done <= cut.until)
+    };
+    let is_other = |request: &RequestRecord| {
+        let during = |cut: &ServerCut| request.sent >= cut.from + CALM && request.done <= cut.until;
+        !is_cut(request) && history.cuts.iter().any(during)
+    };
+    let is_calm = |request: &RequestRecord| {
+        let others = history
+            .disturbances
+            .iter()
+            .filter(|disturbance| disturbance.whom == Whom::Node(request.node));
+        let from = request.sent.saturating_sub(CALM);
+        let mut others = others.clone().filter(|other| !history.is_cut_edge(other));
+        !others.any(|other| other.from <= request.done && other.until >= from)
+    };
+    let counted = |is_counted: &dyn Fn(&RequestRecord) -> bool| {
+        answered(history.owed().filter(|request| is_counted(request) && is_calm(request)))
+    };
+    let (cut, all_cut) = counted(&is_cut);
+    let (others, all_others) = counted(&is_other);
+    let is_few = (all_cut - cut) * 50 <= 10 * 50 + all_cut;
+    let is_alike = cut * all_others * 3 >= others * all_cut * 2;
+    if is_few || is_alike {
+        return Vec::new();
+    }
+    let what = format!("{cut} of {all_cut} at cut nodes, {others} of {all_others} at others");
+    vec![violation("callers of a node without links to servers are served", what)]
+}
+
 /// How many of some requests were answered whole, and how many they are.
 pub(super) fn answered<'a>(requests: impl Iterator<Item = &'a RequestRecord>) -> (usize, usize) {
     requests.fold((0, 0), |(whole, all), request| {
--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -5,15 +5,16 @@
 use cometmoor_platform_stand_in::fleet::{
     once_route, public_route, safe_route, services, stream_route,
 };
+use cometmoor_platform_stand_in::links::{LinkState, NodeLinks};
 use cometmoor_platform_stand_in::store::{Door, LostChange};
 use cometmoor_platform_stand_in::worker::{Says, Worker};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use super::history::{StoreOutage, Whom};
+use super::history::{ServerCut, StoreOutage, Whom};
 use super::proxy::Way;
 use super::schedule::{Fault, WayFault};
-use super::system::{RESTART_AFTER, START, ServerPlace, SoakSystem, Stopping};
+use super::system::{LINK_HOST, RESTART_AFTER, START, ServerPlace, SoakSystem, Stopping};
 use super::tenants::DESK;
 
 /// The service that all routes lead to, and another one.
@@ -21,6 +22,8 @@
 const OTHER_SERVICE: &str = "other";
 /// Time after the end of a server within which its answers may be missing.
 const LASTS_FOR_CLIENTS: Duration = Duration::from_secs(4);
+/// Time in which a node may lose requests to a cut of its links, or to its end.
+const CUT_NOTICED: Duration = Duration::from_millis(1500);
 /// Work on a request without events.
 const WORK: Duration = Duration::from_millis(40);
 /// Prefix of the servers' entries.
@@ -65,6 +68,7 @@
                 let rest = Some(Duration::from_millis(millis));
                 self.say(place, Says { rest, ..Says::default() }, lasts);
             }
+            Fault::CutServers(node, state, lasts) => self.cut_servers(node, state, lasts),
             Fault::SayLeaving(place, lasts) => self.say_leaving(place, lasts).await,
         }
     }
@@ -113,6 +117,22 @@
         });
     }
 
+    /// A node loses its links to all servers for a while. From [`CALM`] on it is held to the same
+    /// bounds as others.
+    fn cut_servers(&self, node: usize, state: LinkState, lasts: Duration) {
+        let links = self.inner.nodes.borrow()[node].links.clone();
+        links.set(state);
+        self.disturb(Whom::Node(node), CUT_NOTICED);
+        let (at, until) = (self.elapsed(), self.elapsed() + lasts);
+        self.inner.history.borrow_mut().cuts.push(ServerCut { node, from: at, until });
+        let system = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(lasts).await;
+            links.set(LinkState::Open);
+            system.disturb(Whom::Node(node), CUT_NOTICED);
+        });
+    }
+
     fn strike_store_way(&self, node: usize, fault: WayFault, lasts: Duration) {
         let way = self.inner.nodes.borrow()[node].way.clone();
         self.strike(&way, Whom::Node(node), fault, lasts);
@@ -228,11 +248,18 @@
         let worker = Worker::start(host, &id, WORK).await;
         let way = Way::open(host, worker.address).await;
         let way = way.map_err(|error| format!("way to a server: {error}"))?;
+        for links in &self.links_of_nodes() {
+            links.add(self.inner.fleet.host(LINK_HOST), way.address).await;
+        }
         self.inner.fleet.register_at(&id, service, way.address, "ready");
         self.inner.workers.borrow_mut().push(worker);
         Ok(ServerPlace { id, number, way })
     }
 
+    fn links_of_nodes(&self) -> Vec<NodeLinks> {
+        self.inner.nodes.borrow().iter().map(|node| node.links.clone()).collect()
+    }
+
     /// A server leaves, with a word or without, and serves on; a new one comes.
     async fn replace_server(&self, place: usize, says_so: bool) {
         let Ok(new) = self.new_server(SERVICE).await else { return };
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -97,6 +97,17 @@
     pub until: Option<Duration>,
 }
 
+/// A span in which a node has lost its links to all servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerCut {
+    /// The node.
+    pub node: usize,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
 /// A planned stop of a node.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedStop {
@@ -127,6 +138,8 @@
     pub leavings: Vec<(usize, Duration)>,
     /// When the store took a version of the configuration.
     pub configurations: Vec<(u64, Duration)>,
+    /// Cuts of nodes from all servers.
+    pub cuts: Vec<ServerCut>,
     /// Planned stops.
     pub stops: Vec<PlannedStop>,
     /// Servers of a service that no route leads to.
--- a/crates/cometmoor-lab/src/soak/processes.rs
+++ b/crates/cometmoor-lab/src/soak/processes.rs
@@ -8,6 +8,9 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+/// Environment variable with the file that holds the addresses of a node's links to servers.
+pub const LINKS_VARIABLE: &str = "COMETMOOR_LAB_LINKS";
+
 /// One node's process, or the place of one.
 pub struct NodeProcess {
     program: PathBuf,
@@ -23,6 +26,11 @@
         NodeProcess { program, folder, settings, child: None }
     }
 
+    /// File with the addresses of its links to servers.
+    pub fn links_file(&self) -> PathBuf {
+        self.folder.join(format!("{}.links", self.settings.node))
+    }
+
     /// Starts a process; its log follows those of earlier ones.
     pub fn start(&mut self) -> std::io::Result<()> {
         let file = self.folder.join(format!("{}.json", self.settings.node));
@@ -32,6 +40,7 @@
             .arg("gateway")
             .arg("--settings")
             .arg(&file)
+            .env(LINKS_VARIABLE, self.links_file())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/cometmoor-lab/src/soak/schedule.rs
+++ b/crates/cometmoor-lab/src/soak/schedule.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use cometmoor_platform_stand_in::links::LinkState;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -37,6 +38,12 @@
 const COPY_AGES: (u64, u64) = (300, 6000);
 /// Shortest and longest time for which it is away meanwhile.
 const AWAY: (u64, u64) = (50, 3000);
+/// Shortest and longest time between two cuts of a node from all servers.
+const CUT_PAUSES: (u64, u64) = (3000, 8000);
+/// Shortest and longest time that one lasts.
+const CUT_LASTS: (u64, u64) = (1000, 7000);
+/// Keeps such cuts apart from the other faults of a seed.
+const CUT_DRAWS: u64 = 0xc0_7000_0000;
 /// Keeps restores apart from the other faults of a seed.
 const RESTORE_DRAWS: u64 = 0x4e57_0000;
 
@@ -103,6 +110,8 @@
     NameLimit(usize, u32, Duration),
     /// A server turns requests away and asks for a rest of so many milliseconds.
     AskRest(usize, u64, Duration),
+    /// A node loses its links to all servers.
+    CutServers(usize, LinkState, Duration),
     /// A server says in its answers that it leaves, a while before its entry does; a new one
     /// takes its place.
     SayLeaving(usize, Duration),
@@ -133,7 +142,9 @@
     let signals = draw_each(random, span, SIGNAL_PAUSES, |random| draw_signal(random, servers));
     let random = ChaCha8Rng::seed_from_u64(seed ^ RESTORE_DRAWS);
     let restores = draw_each(random, span, RESTORE_PAUSES, draw_restore);
-    let all = faults.into_iter().chain(tenants).chain(signals).chain(restores);
+    let random = ChaCha8Rng::seed_from_u64(seed ^ CUT_DRAWS);
+    let cuts = draw_each(random, span, CUT_PAUSES, |random| draw_cut(random, nodes));
+    let all = faults.into_iter().chain(tenants).chain(signals).chain(restores).chain(cuts);
     let mut planned: Vec<Planned> = all.collect();
     planned.sort_by_key(|planned| planned.at);
     planned
@@ -181,6 +192,13 @@
     Fault::StoreRestore { age: millis(COPY_AGES), away: millis(AWAY) }
 }
 
+fn draw_cut(random: &mut ChaCha8Rng, nodes: usize) -> Fault {
+    let states = [LinkState::Refusing, LinkState::Silent, LinkState::RefusingNew];
+    let state = states[random.random_range(0..states.len())];
+    let lasts = Duration::from_millis(random.random_range(CUT_LASTS.0..CUT_LASTS.1));
+    Fault::CutServers(random.random_range(0..nodes), state, lasts)
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, nodes: usize, servers: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let server = random.random_range(0..servers);
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use cometmoor_platform_stand_in::fleet::Fleet;
+use cometmoor_platform_stand_in::links::NodeLinks;
 use cometmoor_platform_stand_in::store::{DoorHandle, EraTold, StoreCopy};
 use cometmoor_platform_stand_in::worker::{KEY_PREFIX, Worker};
 use nix::sys::signal::Signal;
@@ -41,6 +42,8 @@
 const FIRST_NODE: u8 = 1;
 const STORE_HOST: u8 = 60;
 const FIRST_WAY: u8 = 61;
+/// Host of the nodes' links to the servers.
+pub(super) const LINK_HOST: u8 = 121;
 
 /// A server and the way to it.
 pub(super) struct ServerPlace {
@@ -59,6 +62,8 @@
 pub(super) struct NodePlace {
     pub(super) process: NodeProcess,
     pub(super) way: Way,
+    /// Its links to the servers.
+    pub(super) links: NodeLinks,
     pub(super) stopping: Option<Stopping>,
     pub(super) is_frozen: bool,
     pub(super) restart_at: Option<Instant>,
@@ -105,8 +110,15 @@
             settings.bounds.quota_window_seconds = LIMIT_WINDOW.as_secs_f64();
             settings.bounds.quota_excess = LIMIT_EXCESS;
             let process = NodeProcess::new(run.program.clone(), run.folder.clone(), settings);
-            let node =
-                NodePlace { process, way, stopping: None, is_frozen: false, restart_at: None };
+            let links = NodeLinks::in_file(process.links_file());
+            let node = NodePlace {
+                process,
+                way,
+                links,
+                stopping: None,
+                is_frozen: false,
+                restart_at: None,
+            };
             nodes.push(node);
         }
         let inner = Inner {
--- a/crates/cometmoor-lab/tests/soak_checks.rs
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -7,7 +7,7 @@
 use cometmoor_lab::soak::command::parse_seeds;
 use cometmoor_lab::soak::history::{
     ArrivalRecord, Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Says,
-    StoreOutage, Whom,
+    ServerCut, StoreOutage, Whom,
 };
 use cometmoor_lab::soak::schedule::draw;
 use cometmoor_lab::soak::tenants::{Credential, KeyRecord, LAUNDRY, LIBRARY, LimitRecord};
@@ -295,6 +295,26 @@
     assert_eq!(promises(&history), Vec::<&str>::new(), "another node was not asked");
 }
 
+#[test]
+fn callers_of_a_cut_node_that_are_served_far_worse_than_others_are_reported() {
+    let mut history = calm();
+    history.cuts = vec![ServerCut { node: 1, from: seconds(100), until: seconds(200) }];
+    for number in 0..60 {
+        let sent = 140 + number % 50;
+        let ended = if number % 2 == 0 { Ended::Whole } else { Ended::NotRun(503) };
+        let mut at_cut = request(&format!("c{number}"), Kind::Safe, sent, ended);
+        at_cut.node = 1;
+        history.requests.push(at_cut);
+        history.requests.push(request(&format!("o{number}"), Kind::Safe, sent, Ended::Whole));
+    }
+    assert_eq!(promises(&history), ["callers of a node without links to servers are served"]);
+    let edge = Disturbance { whom: Whom::Node(1), from: seconds(200), until: seconds(215) };
+    history.disturbances = vec![edge];
+    assert_eq!(promises(&history).len(), 1, "the cut itself excuses nothing");
+    history.disturbances.push(Disturbance { from: seconds(150), until: seconds(160), ..edge });
+    assert_eq!(promises(&history), Vec::<&str>::new(), "another fault at the node does");
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
     let span = Duration::from_secs(30);
--- a/crates/cometmoor/src/cli/run_gateway.rs
+++ b/crates/cometmoor/src/cli/run_gateway.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use cometmoor_gateway::dialect::Dialect;
 use cometmoor_gateway::explain::explain;
 use cometmoor_platform::PlatformDialect;
 
@@ -12,11 +13,16 @@
 
 /// Runs a gateway node in the foreground.
 pub fn run(file: &Path, log_level: Option<&str>) -> Exit {
+    run_with(file, log_level, Arc::new(PlatformDialect))
+}
+
+/// Runs a gateway node in the foreground that speaks a dialect of its own.
+pub fn run_with(file: &Path, log_level: Option<&str>, dialect: Arc<dyn Dialect>) -> Exit {
     let level = match log_level_or_default(log_level) {
         Ok(level) => level,
         Err(exit) => return exit,
     };
-    let node = cometmoor_gateway::node::run(file.to_owned(), Arc::new(PlatformDialect), level);
+    let node = cometmoor_gateway::node::run(file.to_owned(), dialect, level);
     match actix::System::new().block_on(node) {
         Ok(()) => Exit::Success,
         Err(error) => {
