A server whose connection comes up is no longer held for unresponsive

The backoff of a server that had not answered an attempt to connect lasted until its first response: where it was the only one, callers were refused for that time, though a connection was up. Found by reading. The listener for tunnels has the file name server.rs.

--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -40,13 +40,6 @@
 /// Further servers that are tried once the link to one is found to be cut.
 const FURTHER_CHECKS: usize = 2;
 
-/// Ends the direct connections to a server whose link is cut, unless they still carry responses.
-fn end_silent_connections(server: &Server) {
-    if clock::elapsed(server.heard_at()) >= SILENCE_BEFORE_CHECK {
-        server.end_direct_connections();
-    }
-}
-
 /// Opens connections to servers.
 pub struct Connector {
     links: LinkBoard,
@@ -113,8 +106,9 @@
         };
         let result = clock::timeout(timeout.min(CONNECT_TIMEOUT), opening).await;
         let result = result.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        if result.is_err() {
-            self.links.note_unreached(server.hash());
+        match &result {
+            Ok(_) => server.record_connected(),
+            Err(_) => self.links.note_unreached(server.hash()),
         }
         result
     }
@@ -341,6 +335,13 @@
     }
 }
 
+/// Ends the direct connections to a server whose link is cut, unless they still carry responses.
+fn end_silent_connections(server: &Server) {
+    if clock::elapsed(server.heard_at()) >= SILENCE_BEFORE_CHECK {
+        server.end_direct_connections();
+    }
+}
+
 /// A connection to a server as its reader sees it.
 #[derive(Clone)]
 pub struct LinkObserver {
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -220,6 +220,13 @@
         }
     }
 
+    /// Records that a connection was established, which ends the backoff of an unresponsive server.
+    pub fn record_connected(&self) {
+        if self.is_unresponsive.take() {
+            self.backoff_until.set(None);
+        }
+    }
+
     /// Records a failure to connect: starts a backoff and closes the idle connections.
     pub fn record_unreachable(&self, error: io::ErrorKind, now: BootInstant) {
         self.is_unresponsive.set(error == io::ErrorKind::TimedOut);
--- a/crates/cometmoor-gateway/src/tunnel/client.rs
+++ b/crates/cometmoor-gateway/src/tunnel/client.rs
@@ -15,7 +15,7 @@
 use rand::seq::SliceRandom;
 use tokio::net::{TcpSocket, TcpStream};
 
-use super::door::REFUSED_STATUS;
+use super::server::REFUSED_STATUS;
 use super::{METHOD, PATH, TUNNEL_ID, Tunnel, TunnelError};
 use crate::clock;
 use crate::http::connection::{read_some, set_socket_options, write_all};
--- a/crates/cometmoor-gateway/src/tunnel/mod.rs
+++ b/crates/cometmoor-gateway/src/tunnel/mod.rs
@@ -11,14 +11,14 @@
 //! never complete over a tunnel.
 
 mod client;
-mod door;
+mod server;
 
 use std::net::SocketAddrV4;
 
 use tokio::net::TcpStream;
 
 pub use self::client::TunnelClient;
-pub use self::door::serve;
+pub use self::server::serve;
 
 /// Method of the request for a tunnel.
 const METHOD: &str = "CONNECT";
