A failing soak seed: a tenant within its limit is refused at one of six nodes

Soak by hand, 15 s a seed: 20 seeds with four processes, no promise broken; 20 with six, 4 short (23, 24, 29, 32), all with refusals of the tenant that sends a quarter of its limit. In seed 23 all of them are at one node, one request after another for nine seconds, with times to come back of 20 to 120 ms.

--- a/crates/cometmoor-lab/tests/soak.rs
+++ b/crates/cometmoor-lab/tests/soak.rs
@@ -6,27 +6,37 @@
 
 use cometmoor_lab::soak::{SoakRun, run};
 
+/// Plays a seed; its logs stay in the folder that the message names if it falls short.
+fn check_seed(seed: u64, seconds: u64, nodes: usize) {
+    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let soak = SoakRun {
+        seed,
+        span: Duration::from_secs(seconds),
+        nodes,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_cometmoor-lab")),
+        folder: folder.clone(),
+    };
+    let report = actix_rt::System::new().block_on(run(&soak)).unwrap();
+    assert!(
+        report.violations.is_empty(),
+        "logs in {}: {:#?}, after {:#?}",
+        folder.display(),
+        report.violations,
+        report.faults
+    );
+    assert!(report.answered > 100, "{report:?}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn processes_keep_the_promises_under_drawn_faults() {
     for seed in [1, 2] {
-        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let soak = SoakRun {
-            seed,
-            span: Duration::from_secs(12),
-            nodes: 4,
-            program: PathBuf::from(env!("CARGO_BIN_EXE_cometmoor-lab")),
-            folder: folder.clone(),
-        };
-        let report = actix_rt::System::new().block_on(run(&soak)).unwrap();
-        assert!(
-            report.violations.is_empty(),
-            "logs in {}: {:#?}, after {:#?}",
-            folder.display(),
-            report.violations,
-            report.faults
-        );
-        assert!(report.answered > 100, "{report:?}");
-        std::fs::remove_dir_all(&folder).unwrap();
+        check_seed(seed, 12, 4);
     }
 }
+
+#[test]
+fn a_tenant_within_its_limit_is_not_refused_at_one_of_six_nodes_for_seconds() {
+    check_seed(23, 15, 6);
+}
