A brittle server in use keeps its share, however long its service is brittle

Found by reading: a server was forgotten 60 s after its share had last been set, which without a rejection is when its service became brittle, so that one in use began anew at 0.4 of its rate. When it was last used is a time of its own now.

--- a/crates/cometmoor-core/src/gateway/brittle.rs
+++ b/crates/cometmoor-core/src/gateway/brittle.rs
@@ -95,9 +95,11 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Server {
-    /// Share of its processing rate that it got at `updated_at`.
+    /// Share of its processing rate that it got at `share_set_at`.
     share: f64,
-    updated_at: BootInstant,
+    share_set_at: BootInstant,
+    /// When it last completed a request of this node, or became known.
+    used_at: BootInstant,
     occupancy: Option<Duration>,
     rejected_at: Option<BootInstant>,
     /// Until when this node sends it nothing, because it was denied a part of the limit.
@@ -106,11 +108,18 @@
 
 impl Server {
     fn new(share: f64, now: BootInstant) -> Server {
-        Server { share, updated_at: now, occupancy: None, rejected_at: None, denied_until: now }
+        Server {
+            share,
+            share_set_at: now,
+            used_at: now,
+            occupancy: None,
+            rejected_at: None,
+            denied_until: now,
+        }
     }
 
     fn share(&self, now: BootInstant) -> f64 {
-        let regained = RECOVERY_PER_SECOND * now.since(self.updated_at).as_secs_f64();
+        let regained = RECOVERY_PER_SECOND * now.since(self.share_set_at).as_secs_f64();
         (self.share + regained).min(MAX_SHARE)
     }
 
@@ -123,7 +132,7 @@
         let is_repeated = self.rejected_at.is_some_and(|known| at <= known + REPEATED_WITHIN);
         let factor = if is_repeated { REPEATED_REJECTION_FACTOR } else { REJECTION_FACTOR };
         self.share = (self.share(now) * factor).max(MIN_SHARE);
-        self.updated_at = now;
+        self.share_set_at = now;
         self.rejected_at = Some(at);
         true
     }
@@ -169,15 +178,16 @@
         service.occupancy = Some(average(service.occupancy, occupancy));
         let known = self.servers.entry(server).or_insert_with(|| Server::new(START_SHARE, now));
         known.occupancy = Some(average(known.occupancy, occupancy));
+        known.used_at = now;
         if !service.is_brittle(now) {
             // The share matters only while the service is brittle.
             known.share = START_SHARE;
-            known.updated_at = now;
+            known.share_set_at = now;
         }
     }
 
-    /// Records that a server of a brittle service has rejected a request. Returns whether other
-    /// nodes have to be told.
+    /// Records that a server of a brittle service has rejected a request. Returns whether it
+    /// has to be reported to other nodes.
     pub fn note_rejected(
         &mut self,
         service: ServiceHash,
@@ -275,7 +285,7 @@
 
     /// Forgets servers that have not been used for long.
     pub fn tick(&mut self, now: BootInstant) {
-        self.servers.retain(|_, known| now.since(known.updated_at) < SERVER_RETENTION);
+        self.servers.retain(|_, known| now.since(known.used_at) < SERVER_RETENTION);
     }
 }
 
--- a/crates/cometmoor-core/tests/gateway_brittle.rs
+++ b/crates/cometmoor-core/tests/gateway_brittle.rs
@@ -91,3 +91,17 @@
     }
     assert_eq!(tables.map(|table| table.count(at(6000))), [0, 0]);
 }
+
+#[test]
+fn a_server_in_use_keeps_its_share_however_long_its_service_is_brittle() {
+    let (service, server) = keys();
+    let mut table = brittle_table();
+    let mut lowest = f64::MAX;
+    for millis in (0..90_000).step_by(500) {
+        table.note_brittle(service, at(millis));
+        lowest = lowest.min(rate(&mut table, millis).unwrap());
+        table.note_completed(service, server, OCCUPANCY, at(millis));
+        table.tick(at(millis));
+    }
+    assert!(lowest >= 36.0, "{lowest} of 40 a second");
+}
--- a/crates/cometmoor-gateway/src/brittle.rs
+++ b/crates/cometmoor-gateway/src/brittle.rs
@@ -33,7 +33,7 @@
     }
 
     /// Records a response by which a server fails if it has to reject more than so many requests a
-    /// second. Returns whether other nodes have to be told.
+    /// second. Returns whether that has to be reported to other nodes.
     pub fn note_brittle(&self, record: &ServerRecord, max_rejections: f64) -> bool {
         let (service, _) = keys(record);
         let is_new = self.with(|table, now| table.note_brittle(service, now));
@@ -50,7 +50,8 @@
         self.with(|table, now| table.note_completed(service, server, occupancy, now));
     }
 
-    /// Records that a server has rejected a request. Returns whether other nodes have to be told.
+    /// Records that a server has rejected a request. Returns whether that has to be reported to
+    /// other nodes.
     pub fn note_rejected(&self, record: &ServerRecord, request: &str) -> bool {
         if !self.is_any_brittle() {
             return false;
--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -66,9 +66,9 @@
         Connector { links, tunnels, board, servers, metrics, heard_at, is_probing }
     }
 
-    /// Returns an idle connection to a server, or opens a new one within the timeout. A node that has
-    /// not heard of any server lately may have lost its links without a sign: what it wrote to an
-    /// idle connection would be lost, so it opens a new one.
+    /// Returns an idle connection to a server, or opens a new one within the timeout. If the
+    /// node has received nothing from any server for [`MAX_UNHEARD`], its links may be cut silently,
+    /// and a request written to an idle connection would be lost; then it opens a new one.
     pub async fn checkout(
         self: &Rc<Self>,
         server: &Rc<Server>,
@@ -223,7 +223,7 @@
         }
     }
 
-    /// Opens a connection to a server, unless that is being done or was done lately.
+    /// Checks the link to a server by a new connection, at most once per [`MIN_CHECK_INTERVAL`].
     pub fn check_link(self: &Rc<Self>, server: &Rc<Server>) {
         if !server.begin_link_check(clock::now(), MIN_CHECK_INTERVAL) {
             return;
