A peer that is asked whether a server has crashed tries servers at random

Cause: a peer that is refused by a server tells so only if it reaches another one, as its own links may be cut. It tried two others, always the same two. Where these had crashed it answered 503; the node backed off from it for one second, and had no verdict of its own, so that no crash counted meanwhile.

The check tries up to 16 servers in random order, four at a time, within the same 150 ms; the node makes it itself where no peer tells within 100 ms. The check of other links after a cut drew the same two each time, too, and now draws at random.

--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -11,6 +11,9 @@
 
 use cometmoor_core::gateway::links::{LinkChange, Path};
 use cometmoor_core::time::BootInstant;
+use futures::StreamExt;
+use futures::stream;
+use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
 
 use crate::clock;
@@ -39,6 +42,16 @@
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Further servers that are tried once the link to one is found to be cut.
 const FURTHER_CHECKS: usize = 2;
+/// Timeout for learning whether any server is reached. A peer that asks has less than the timeout
+/// of a direct connection left, also for asking another node.
+const REACH_TIMEOUT: Duration = Duration::from_millis(150);
+/// Servers that are tried to learn whether any is reached: many may have ended at once.
+const MAX_REACH_CHECKS: usize = 16;
+/// Number of them that are tried at a time.
+const PARALLEL_REACH_CHECKS: usize = 4;
+/// Time without an answer of a peer after which a refusing server is judged without it. A request
+/// that waits for the verdict waits longer than this.
+const PEER_VERDICT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Opens connections to servers.
 pub struct Connector {
@@ -183,7 +196,8 @@
         Ok(PooledConnection { stream, reused: false, via: Some(peer) })
     }
 
-    fn note_connected(&self, server: &Rc<Server>) {
+    /// Records that a direct connection to a server was established.
+    pub fn note_connected(&self, server: &Server) {
         self.heard_at.set(clock::now());
         let change = self.links.note_connected(server.hash(), &server.record().incarnation);
         if change.is_some() {
@@ -214,13 +228,48 @@
 
     /// Checks the links to a few other servers, to learn whether this node is isolated.
     fn check_others(self: &Rc<Self>) {
+        let is_direct = |server: &Rc<Server>| self.links.path(server.hash()) == Path::Direct;
+        for server in self.pick_servers(FURTHER_CHECKS, is_direct) {
+            self.check_link(&server);
+        }
+    }
+
+    /// Random servers of those that accept requests and that `is_candidate` accepts.
+    fn pick_servers(
+        &self,
+        count: usize,
+        is_candidate: impl Fn(&Rc<Server>) -> bool,
+    ) -> Vec<Rc<Server>> {
         let servers = self.servers.borrow();
-        let is_direct = |server: &&Rc<Server>| {
-            server.accepts_requests() && self.links.path(server.hash()) == Path::Direct
-        };
-        for server in servers.all().filter(is_direct).take(FURTHER_CHECKS) {
-            self.check_link(server);
+        let candidates = servers.all().filter(|server| server.accepts_requests());
+        let candidates = candidates.filter(|server| is_candidate(server)).cloned();
+        candidates.choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// Whether this node reaches a server other than one that refuses it. Otherwise its own links
+    /// may be cut, and the refusal says nothing of the server. True if there is no other server.
+    pub async fn reaches_another(&self, refusing: &Server) -> bool {
+        let is_other = |server: &Rc<Server>| server.hash() != refusing.hash();
+        let others = self.pick_servers(MAX_REACH_CHECKS, is_other);
+        if others.is_empty() {
+            return true;
         }
+        let attempts = stream::iter(others).map(|other| async move {
+            let connection = connect(other.record().address, REACH_TIMEOUT).await;
+            (other, connection)
+        });
+        let mut attempts = pin!(attempts.buffer_unordered(PARALLEL_REACH_CHECKS));
+        let reaching = async {
+            while let Some((other, connection)) = attempts.next().await {
+                if let Ok(connection) = connection {
+                    self.note_connected(&other);
+                    other.pool.release(connection, None, None);
+                    return true;
+                }
+            }
+            false
+        };
+        clock::timeout(REACH_TIMEOUT, reaching).await.unwrap_or(false)
     }
 
     /// Checks the link to a server by a new connection, at most once per [`MIN_CHECK_INTERVAL`].
@@ -320,7 +369,7 @@
         since: BootInstant,
     ) -> bool {
         let incarnation = server.record().incarnation.clone();
-        let opening = clock::timeout(CONNECT_TIMEOUT, self.tunnels.open(&incarnation));
+        let opening = clock::timeout(PEER_VERDICT_TIMEOUT, self.tunnels.open(&incarnation));
         match opening.await {
             Ok(Ok(Tunnel { peer, .. })) => {
                 self.note_cut(server, peer, error);
@@ -329,7 +378,7 @@
             Ok(Err(TunnelError::Refused)) => true,
             Ok(Err(TunnelError::Unreachable)) | Err(_) => {
                 let is_alone = self.board.fleet.load().nodes.len() <= 1;
-                is_alone || self.heard_at.get() > since
+                is_alone || self.heard_at.get() > since || self.reaches_another(server).await
             }
         }
     }
--- a/crates/cometmoor-gateway/src/tunnel/server.rs
+++ b/crates/cometmoor-gateway/src/tunnel/server.rs
@@ -17,7 +17,6 @@
 use crate::http::connection::{connect, read_some, set_socket_options, write_all};
 use crate::http::head::{RequestHead, parse_request_head};
 use crate::published::Phase;
-use crate::servers::Server;
 
 /// Status of the response if the server refuses connections.
 pub(super) const REFUSED_STATUS: u16 = 502;
@@ -27,8 +26,6 @@
 /// Timeout for connecting to the server. The peer has less than the timeout of a direct connection
 /// left, also for asking another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Other servers that are tried when one refuses: several may have ended at once.
-const MAX_OTHERS: usize = 2;
 /// Timeout for reading the request for a tunnel.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the next accept after one failed.
@@ -116,11 +113,11 @@
     }
     match connect(server.record().address, CONNECT_TIMEOUT).await {
         Ok(stream) => {
-            traffic.links.note_connected(server.hash(), &server.record().incarnation);
+            traffic.connector.note_connected(&server);
             Ok(stream)
         }
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            match reaches_another(&server, traffic).await {
+            match traffic.connector.reaches_another(&server).await {
                 true => Err(REFUSED_STATUS),
                 false => Err(UNAVAILABLE_STATUS),
             }
@@ -129,25 +126,6 @@
     }
 }
 
-/// Whether this node reaches a server other than one that refuses it. Otherwise its own links may be
-/// cut, and the refusal says nothing of the server.
-async fn reaches_another(refusing: &Rc<Server>, traffic: &TrafficContext) -> bool {
-    let others: Vec<Rc<Server>> = {
-        let table = traffic.servers.borrow();
-        let is_other =
-            |server: &&Rc<Server>| server.accepts_requests() && server.hash() != refusing.hash();
-        table.all().filter(is_other).take(MAX_OTHERS).cloned().collect()
-    };
-    for other in &others {
-        if let Ok(stream) = connect(other.record().address, CONNECT_TIMEOUT).await {
-            traffic.links.note_connected(other.hash(), &other.record().incarnation);
-            other.pool.release(stream, None, None);
-            return true;
-        }
-    }
-    others.is_empty()
-}
-
 /// Copies bytes both ways until either end closes. A connection that the server resets is reset at
 /// the peer, too, so that a response which it cuts off does not look complete.
 async fn carry(peer: &TcpStream, server: &TcpStream) {
