The probe that decides on a quarantine must stay open for 100 ms

What callers saw: a request that had crashed three servers crashed a fourth one, in 1 of 200 runs of a_node_does_not_repeat_a_request_that_has_crashed_ three_servers (four at a time, beside a build).

Cause: the third server still accepted the probe 32 ms after it had reset the connection, as its process did not get the processor; a probe that stayed open for 30 ms counted as a sign of life. By the log: no peer was asked between the reset and the second send, 32 ms later.

Where the verdict decides whether the request is quarantined, and only there, the probe must stay open for 100 ms.

Test: the_third_crash_counts_though_the_server_still_accepts_connections; failed before (4 crashed, 3 wanted). Ruled out: asking the server something over the probe (a request that no client sent).

--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::links::Path;
-use cometmoor_core::gateway::quarantine::CrashVerdict;
+use cometmoor_core::gateway::quarantine::{CrashVerdict, Fingerprint};
 use cometmoor_core::time::BootInstant;
 use spdlog::{info, warn};
 
@@ -34,6 +34,9 @@
 /// Time for which a new connection must stay open: a crashing process may still accept one
 /// while its sockets are closed one after the other.
 const PROBE_OPEN_TIME: Duration = Duration::from_millis(30);
+/// The same if the verdict decides whether a request is quarantined: the process may also be
+/// descheduled while its sockets are closed.
+const DECISIVE_PROBE_OPEN_TIME: Duration = Duration::from_millis(100);
 /// Longest time that a retry waits for a crash check; an address that refuses connections does
 /// so within a millisecond.
 const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
@@ -55,6 +58,7 @@
         if is_first {
             let check = CrashCheck {
                 server: server.clone(),
+                content: self.content,
                 connector: self.traffic.connector.clone(),
                 links: self.traffic.links.clone(),
                 started_at: clock::now(),
@@ -97,6 +101,8 @@
 /// Checks whether a server has crashed, and blames the requests that lost their connection.
 struct CrashCheck {
     server: Rc<Server>,
+    /// The request that lost its connection first.
+    content: Fingerprint,
     connector: Rc<Connector>,
     links: LinkBoard,
     started_at: BootInstant,
@@ -129,7 +135,7 @@
             match connect(self.server.record().address, PROBE_TIMEOUT).await {
                 Ok(stream) => {
                     self.server.record_probe();
-                    clock::sleep(PROBE_OPEN_TIME).await;
+                    clock::sleep(self.probe_open_time()).await;
                     if self.server.pool.release_if_open(stream, None) {
                         return false;
                     }
@@ -143,6 +149,13 @@
         false
     }
 
+    fn probe_open_time(&self) -> Duration {
+        match self.quarantine.is_decision_pending(self.content) {
+            true => DECISIVE_PROBE_OPEN_TIME,
+            false => PROBE_OPEN_TIME,
+        }
+    }
+
     fn blame(&self, interrupted: &InterruptedRequest) {
         let incarnation = &*self.server.record().incarnation;
         let (request, content) = (&*interrupted.request_id, interrupted.content.to_string());
--- a/crates/cometmoor-gateway/src/quarantine.rs
+++ b/crates/cometmoor-gateway/src/quarantine.rs
@@ -58,12 +58,17 @@
         self.check_ended.notify_waiters();
     }
 
+    /// Whether the pending crash checks may bring content to the crash limit.
+    pub fn is_decision_pending(&self, content: Fingerprint) -> bool {
+        self.with(|quarantine, _| quarantine.is_decision_pending(content))
+    }
+
     /// Waits until the pending crash checks can no longer bring content to the crash limit, so
     /// that it is decided whether it is quarantined.
     pub async fn wait_for_decision(&self, content: Fingerprint) {
         loop {
             let ended = self.check_ended.notified();
-            if !self.with(|quarantine, _| quarantine.is_decision_pending(content)) {
+            if !self.is_decision_pending(content) {
                 return;
             }
             ended.await;
