Log why a lender denies tokens, and the share of a brittle server after a rejection

What was missing: a refusal by a tenant's limit names neither the node that decided it nor the state of its account, so that a limit that is used up, a lender that holds back a part, and one that takes the fleet for partitioned look alike. The same for a brittle server, whose share of its rate was in no line.

The line of a rejection by a brittle server has the share from then on.

--- a/crates/cometmoor-core/src/gateway/brittle.rs
+++ b/crates/cometmoor-core/src/gateway/brittle.rs
@@ -186,15 +186,19 @@
         }
     }
 
-    /// Records that a server of a brittle service has rejected a request. Returns whether it
-    /// has to be reported to other nodes.
+    /// Records that a server of a brittle service has rejected a request. Returns the share of its
+    /// processing rate that it gets from now on, or `None` if that is not reduced.
     pub fn note_rejected(
         &mut self,
         service: ServiceHash,
         server: IncarnationHash,
         now: BootInstant,
-    ) -> bool {
-        self.is_brittle(service, now) && self.server(server, now).apply_rejection(now, now)
+    ) -> Option<f64> {
+        if !self.is_brittle(service, now) {
+            return None;
+        }
+        let server = self.server(server, now);
+        server.apply_rejection(now, now).then_some(server.share)
     }
 
     fn server(&mut self, server: IncarnationHash, now: BootInstant) -> &mut Server {
--- a/crates/cometmoor-core/src/gateway/quota/bucket.rs
+++ b/crates/cometmoor-core/src/gateway/quota/bucket.rs
@@ -35,6 +35,11 @@
         self.capacity
     }
 
+    /// Tokens that accrue in a second.
+    pub fn per_second(&self) -> f64 {
+        self.per_second
+    }
+
     /// Changes the capacity and the rate from `now` on. Tokens above the new capacity are dropped.
     pub fn reconfigure(&mut self, capacity: f64, per_second: f64, now: BootInstant) {
         self.level(now);
--- a/crates/cometmoor-core/src/gateway/quota/lending/account_state.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lending/account_state.rs
@@ -17,6 +17,17 @@
     Bootstrap,
 }
 
+impl LenderRole {
+    /// Name for log lines.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            LenderRole::Primary => "primary",
+            LenderRole::Fallback => "fallback",
+            LenderRole::Bootstrap => "bootstrap",
+        }
+    }
+}
+
 /// State of a lender's account.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum AccountState {
--- a/crates/cometmoor-core/src/gateway/quota/lending/lender.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lending/lender.rs
@@ -12,7 +12,7 @@
 use super::wait_queue::WaitQueue;
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::fleet_view::FleetView;
-use crate::gateway::quota::{QuotaBounds, QuotaKey};
+use crate::gateway::quota::{LenderDenial, QuotaBounds, QuotaKey};
 use crate::time::BootInstant;
 
 /// Time for which a node that has not responded to a probe is skipped.
@@ -41,6 +41,7 @@
 pub(super) struct LenderEffects {
     pub(super) responses: Vec<OutgoingResponse>,
     pub(super) messages: Vec<(SocketAddrV4, LendingMessage)>,
+    pub(super) denials: Vec<LenderDenial>,
 }
 
 /// Status that a probed node reports.
@@ -328,6 +329,9 @@
                 }
             }
         };
+        if response.is_denial() {
+            effects.denials.push(account.denial(from, &request, role, now));
+        }
         if let Some(requester) = account.by_node.get_mut(&from) {
             requester.last_response = Some((request.number, response));
         }
--- a/crates/cometmoor-core/src/gateway/quota/lending/lender_account.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lending/lender_account.rs
@@ -8,9 +8,9 @@
 use super::message::{LimitParameters, TokenRequest, TokenResponse};
 use super::requesters::RecentRequesters;
 use super::wait_queue::WaitQueue;
-use crate::gateway::quota::QuotaBounds;
 use crate::gateway::quota::bucket::TokenBucket;
 use crate::gateway::quota::fleet_view::FleetView;
+use crate::gateway::quota::{LenderDenial, QuotaBounds};
 use crate::gateway::tenants::{QuotaUnit, TenantLimit};
 use crate::time::BootInstant;
 
@@ -217,6 +217,25 @@
             && self.leeway.covers(cost, now)
     }
 
+    /// What decided a denial.
+    pub(super) fn denial(
+        &mut self,
+        to: SocketAddrV4,
+        request: &TokenRequest,
+        role: LenderRole,
+        now: BootInstant,
+    ) -> LenderDenial {
+        LenderDenial {
+            key: request.key,
+            to,
+            role: role.name(),
+            cost: request.first_cost,
+            level: self.bucket.level(now),
+            capacity: self.bucket.capacity(),
+            per_second: self.bucket.per_second(),
+        }
+    }
+
     /// Denies a request and assigns it a retry time.
     fn deny(&mut self, cost: f64, now: BootInstant) -> TokenResponse {
         let empty = self.bucket.time_until_available(cost, now);
--- a/crates/cometmoor-core/src/gateway/quota/lending/message.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lending/message.rs
@@ -77,6 +77,13 @@
     },
 }
 
+impl TokenResponse {
+    /// Whether the lender has no tokens for the request now.
+    pub(super) fn is_denial(&self) -> bool {
+        matches!(self, TokenResponse::Denied { .. } | TokenResponse::DeniedProvisionally { .. })
+    }
+}
+
 /// A datagram between borrowers and lenders, or between lenders.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LendingMessage {
--- a/crates/cometmoor-core/src/gateway/quota/lending/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/lending/mod.rs
@@ -142,6 +142,7 @@
         effects: &mut Effects<LendingMessage>,
     ) {
         effects.messages.extend(lender_effects.messages);
+        effects.denials.extend(lender_effects.denials);
         for OutgoingResponse { to, key, number, response } in lender_effects.responses {
             if to == self.fleet.own() {
                 self.receive_response(to, key, number, response, now, effects);
--- a/crates/cometmoor-core/src/gateway/quota/mod.rs
+++ b/crates/cometmoor-core/src/gateway/quota/mod.rs
@@ -103,18 +103,41 @@
     pub decision: Decision,
 }
 
-/// Side effects of a policy call: messages to send, and decisions on pending requests.
+/// A node's refusal to lend tokens, with the state of its account that decided it. Amounts are in
+/// the limit's unit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LenderDenial {
+    /// The limit.
+    pub key: QuotaKey,
+    /// The node that requested the tokens.
+    pub to: SocketAddrV4,
+    /// In which capacity this node lends.
+    pub role: &'static str,
+    /// Tokens that are needed for the first request.
+    pub cost: f64,
+    /// Tokens in the account.
+    pub level: f64,
+    /// Maximum number of tokens in the account.
+    pub capacity: f64,
+    /// Tokens a second that the account accrues.
+    pub per_second: f64,
+}
+
+/// Side effects of a policy call: messages to send, decisions on pending requests, and refusals to
+/// log.
 #[derive(Debug)]
 pub struct Effects<Message> {
     /// Messages with their recipients.
     pub messages: Vec<(SocketAddrV4, Message)>,
     /// Decisions on requests that were pending.
     pub settled: Vec<Settled>,
+    /// Refusals of this node to lend.
+    pub denials: Vec<LenderDenial>,
 }
 
 impl<Message> Default for Effects<Message> {
     fn default() -> Effects<Message> {
-        Effects { messages: Vec::new(), settled: Vec::new() }
+        Effects { messages: Vec::new(), settled: Vec::new(), denials: Vec::new() }
     }
 }
 
--- a/crates/cometmoor-core/tests/gateway_brittle.rs
+++ b/crates/cometmoor-core/tests/gateway_brittle.rs
@@ -52,8 +52,8 @@
     let (service, server) = keys();
     let (mut one, mut other) = (brittle_table(), brittle_table());
     let before = rate(&mut other, 100).unwrap();
-    assert!(one.note_rejected(service, server, at(100)));
-    assert!(!one.note_rejected(service, server, at(101)), "one report for each hold");
+    assert!(one.note_rejected(service, server, at(100)).is_some());
+    assert!(one.note_rejected(service, server, at(101)).is_none(), "one report for each hold");
     other.merge(&one.report(at(110)).unwrap(), at(120));
     assert!(other.hold(service, server, at(121)).is_some());
     assert!(other.hold(service, server, at(400)).is_none());
--- a/crates/cometmoor-gateway/src/brittle.rs
+++ b/crates/cometmoor-gateway/src/brittle.rs
@@ -57,11 +57,11 @@
             return false;
         }
         let (service, server) = keys(record);
-        let is_reported = self.with(|table, now| table.note_rejected(service, server, now));
-        if is_reported {
-            warn!("[brittle] a brittle server has rejected a request", kv: { service = &*record.service, server = &*record.incarnation, request });
+        let share = self.with(|table, now| table.note_rejected(service, server, now));
+        if let Some(share) = share {
+            warn!("[brittle] a brittle server has rejected a request", kv: { service = &*record.service, server = &*record.incarnation, request, share });
         }
-        is_reported
+        share.is_some()
     }
 
     /// The rate at which all nodes together send requests to a server; `None` if it is not brittle.
--- a/crates/cometmoor-gateway/src/quota.rs
+++ b/crates/cometmoor-gateway/src/quota/mod.rs
@@ -3,6 +3,8 @@
 //! The core's lending policy makes the decisions. This module exchanges its messages with the other
 //! nodes over UDP and holds requests until they are decided.
 
+mod denial_log;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -23,6 +25,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
+use self::denial_log::DenialLog;
 use crate::brittle::BrittleBoard;
 use crate::clock;
 use crate::control_traffic::TrafficKind;
@@ -51,6 +54,17 @@
     BrittleServers,
 }
 
+impl LimitScope {
+    /// Name for log lines.
+    fn name(self) -> &'static str {
+        match self {
+            LimitScope::Tenants => "tenant",
+            LimitScope::Servers => "server",
+            LimitScope::BrittleServers => "brittle server",
+        }
+    }
+}
+
 /// Datagram between nodes, after the format version.
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram {
@@ -72,12 +86,17 @@
 struct PolicyState {
     policy: RefCell<LendingPolicy>,
     waiting: RefCell<HashMap<Ticket, WaitingRequest>>,
+    denials: DenialLog,
 }
 
 impl PolicyState {
     fn new(own: SocketAddrV4, seeds: Vec<SocketAddrV4>, bounds: QuotaBounds) -> PolicyState {
         let policy = LendingPolicy::new(own, seeds, bounds, rand::random(), clock::now());
-        PolicyState { policy: RefCell::new(policy), waiting: RefCell::default() }
+        PolicyState {
+            policy: RefCell::new(policy),
+            waiting: RefCell::default(),
+            denials: DenialLog::default(),
+        }
     }
 }
 
@@ -216,6 +235,8 @@
         for (target, message) in effects.messages {
             self.send(scope, target, message);
         }
+        let fleet = self.board.fleet.load();
+        effects.denials.iter().for_each(|denial| state.denials.log(scope, denial, &fleet));
         output
     }
 
