A brittle server's share returns slowly to the level at which it rejected

Cause, by the share in the line of each rejection: it rises by 0.1 a second without regard to what the server has just rejected, meets the next rejection within a second, and two within half a second take a fifth of it: it goes between 1.09 and 0.7 of the server's rate. Ruled out: load (idle machine) and falls (none). Denials and holds of 60 ms were not measured by themselves.

From 0.95 of the share at the last rejection on, 0.02 a second is regained.

--- a/crates/cometmoor-core/src/gateway/brittle.rs
+++ b/crates/cometmoor-core/src/gateway/brittle.rs
@@ -47,6 +47,10 @@
 const REPEATED_WITHIN: Duration = Duration::from_millis(500);
 /// Share that is regained per second.
 const RECOVERY_PER_SECOND: f64 = 0.1;
+/// The same from [`SAFE_FACTOR`] of the share at the last rejection on. The server is close to what
+/// it can process there, and each further rejection costs it requests.
+const PROBING_PER_SECOND: f64 = 0.02;
+const SAFE_FACTOR: f64 = 0.95;
 /// Time for which a server that has rejected a request gets none.
 const REJECTION_HOLD: Duration = Duration::from_millis(60);
 /// Weight of the newest request in the average time for which one occupies a slot.
@@ -98,6 +102,8 @@
     /// Share of its processing rate that it got at `share_set_at`.
     share: f64,
     share_set_at: BootInstant,
+    /// Share from which on more is regained slowly.
+    safe_share: f64,
     /// When it last completed a request of this node, or became known.
     used_at: BootInstant,
     occupancy: Option<Duration>,
@@ -111,6 +117,7 @@
         Server {
             share,
             share_set_at: now,
+            safe_share: MAX_SHARE,
             used_at: now,
             occupancy: None,
             rejected_at: None,
@@ -119,8 +126,14 @@
     }
 
     fn share(&self, now: BootInstant) -> f64 {
-        let regained = RECOVERY_PER_SECOND * now.since(self.share_set_at).as_secs_f64();
-        (self.share + regained).min(MAX_SHARE)
+        let seconds = now.since(self.share_set_at).as_secs_f64();
+        let quickly = (self.share + RECOVERY_PER_SECOND * seconds).min(self.safe_share);
+        if quickly < self.safe_share {
+            return quickly;
+        }
+        let seconds_to_safe = (self.safe_share - self.share).max(0.0) / RECOVERY_PER_SECOND;
+        let slowly = PROBING_PER_SECOND * (seconds - seconds_to_safe);
+        (self.share.max(self.safe_share) + slowly).min(MAX_SHARE)
     }
 
     /// Applies a rejection at `at`, unless one of the same moment was applied before: reports of it
@@ -131,7 +144,9 @@
         }
         let is_repeated = self.rejected_at.is_some_and(|known| at <= known + REPEATED_WITHIN);
         let factor = if is_repeated { REPEATED_REJECTION_FACTOR } else { REJECTION_FACTOR };
-        self.share = (self.share(now) * factor).max(MIN_SHARE);
+        let share = self.share(now);
+        self.safe_share = share * SAFE_FACTOR;
+        self.share = (share * factor).max(MIN_SHARE);
         self.share_set_at = now;
         self.rejected_at = Some(at);
         true
@@ -183,6 +198,7 @@
             // The share matters only while the service is brittle.
             known.share = START_SHARE;
             known.share_set_at = now;
+            known.safe_share = MAX_SHARE;
         }
     }
 
--- a/crates/cometmoor-core/tests/gateway_brittle.rs
+++ b/crates/cometmoor-core/tests/gateway_brittle.rs
@@ -105,3 +105,21 @@
     }
     assert!(lowest >= 36.0, "{lowest} of 40 a second");
 }
+
+/// A share that grows back at once meets the next rejection a moment later, and the servers process
+/// a tenth less than they could.
+#[test]
+fn the_share_at_which_a_server_has_rejected_is_reached_again_slowly() {
+    let (service, server) = keys();
+    let mut table = brittle_table();
+    let rejected_at = rate(&mut table, 1000).unwrap();
+    table.note_rejected(service, server, at(1000));
+    let after = rate(&mut table, 1000).unwrap();
+    table.note_brittle(service, at(2500));
+    let later = rate(&mut table, 2500).unwrap();
+    assert!(after < later && later < rejected_at, "{after} {later} {rejected_at}");
+    for millis in (3000..6000).step_by(500) {
+        table.note_brittle(service, at(millis));
+    }
+    assert!(rate(&mut table, 6000).unwrap() > rejected_at, "more is tried in the end");
+}
