Read again: the share of a brittle server in two plain terms, names of limits

Behaviour is unchanged: the share regained is the sum of a quick and a slow part instead of two cases. The scope of a denied limit is written as one word. Comments of the constants and of the simulation say what they mean.

--- a/crates/cometmoor-core/src/gateway/brittle.rs
+++ b/crates/cometmoor-core/src/gateway/brittle.rs
@@ -45,11 +45,11 @@
 const REJECTION_FACTOR: f64 = 0.95;
 const REPEATED_REJECTION_FACTOR: f64 = 0.8;
 const REPEATED_WITHIN: Duration = Duration::from_millis(500);
-/// Share that is regained per second.
+/// Share that is regained per second up to the safe share.
 const RECOVERY_PER_SECOND: f64 = 0.1;
-/// The same from [`SAFE_FACTOR`] of the share at the last rejection on. The server is close to what
-/// it can process there, and each further rejection costs it requests.
+/// Share that is regained per second beyond it, until the server rejects again.
 const PROBING_PER_SECOND: f64 = 0.02;
+/// Safe share, as a fraction of the share at the last rejection.
 const SAFE_FACTOR: f64 = 0.95;
 /// Time for which a server that has rejected a request gets none.
 const REJECTION_HOLD: Duration = Duration::from_millis(60);
@@ -102,7 +102,7 @@
     /// Share of its processing rate that it got at `share_set_at`.
     share: f64,
     share_set_at: BootInstant,
-    /// Share from which on more is regained slowly.
+    /// Share that the server has not rejected requests at lately.
     safe_share: f64,
     /// When it last completed a request of this node, or became known.
     used_at: BootInstant,
@@ -127,13 +127,10 @@
 
     fn share(&self, now: BootInstant) -> f64 {
         let seconds = now.since(self.share_set_at).as_secs_f64();
-        let quickly = (self.share + RECOVERY_PER_SECOND * seconds).min(self.safe_share);
-        if quickly < self.safe_share {
-            return quickly;
-        }
         let seconds_to_safe = (self.safe_share - self.share).max(0.0) / RECOVERY_PER_SECOND;
-        let slowly = PROBING_PER_SECOND * (seconds - seconds_to_safe);
-        (self.share.max(self.safe_share) + slowly).min(MAX_SHARE)
+        let quickly = RECOVERY_PER_SECOND * seconds.min(seconds_to_safe);
+        let slowly = PROBING_PER_SECOND * (seconds - seconds_to_safe).max(0.0);
+        (self.share + quickly + slowly).min(MAX_SHARE)
     }
 
     /// Applies a rejection at `at`, unless one of the same moment was applied before: reports of it
--- a/crates/cometmoor-gateway/src/quota/mod.rs
+++ b/crates/cometmoor-gateway/src/quota/mod.rs
@@ -60,7 +60,7 @@
         match self {
             LimitScope::Tenants => "tenant",
             LimitScope::Servers => "server",
-            LimitScope::BrittleServers => "brittle server",
+            LimitScope::BrittleServers => "brittle_server",
         }
     }
 }
--- a/crates/cometmoor-gateway/tests/quota_world/mod.rs
+++ b/crates/cometmoor-gateway/tests/quota_world/mod.rs
@@ -1,7 +1,7 @@
 //! Simulation of a fleet whose nodes enforce tenants' limits together, in virtual time.
 //!
-//! Clients send requests to random nodes, of all or of some, datagrams are delayed and may be lost, and granted
-//! requests are recorded.
+//! Clients send requests to random nodes, or to a few of them. Datagrams are delayed and may be
+//! lost. Granted requests are recorded.
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
