Log and count how servers end their parts of streams

Callers received streams that had been broken off as complete. The lines 'answered' and 'stream interrupted' could not tell whether the server's body ended with its connection, with its last chunk or its length, and whether an event was unfinished then.

Both lines now have framing, events and unfinished_bytes, the second one also the last event that the client has; cometmoor_stream_ends_total counts by framing and end. What is relayed is unchanged.

--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -7,7 +7,7 @@
 
 use super::ForwardedRequest;
 use super::outcome::Refusal;
-use super::relay::EventIntervals;
+use super::relay::StreamState;
 use crate::clock;
 use crate::dialect::RunMigrationResponse;
 use crate::metrics::StateLabels;
@@ -74,10 +74,12 @@
 
     /// Logs a complete stream, with the times that can make it late: until its first event, and
     /// the longest interval between two events.
-    pub(super) fn log_stream_completed(&self, server: &str, intervals: &EventIntervals) {
+    pub(super) fn log_stream_completed(&self, server: &str, stream: &StreamState) {
+        self.traffic.metrics.record_stream_end(stream.end.framing, "complete");
         if !self.record_completion() {
             return;
         }
+        let StreamState { intervals, end, .. } = stream;
         info!("[forward] answered", kv: {
             request = &*self.metadata.id,
             route = &*self.route.name,
@@ -86,10 +88,35 @@
             output_tokens = self.metadata.output_tokens,
             first_event_millis = intervals.time_to_first.as_millis() as u64,
             longest_pause_millis = intervals.longest.as_millis() as u64,
+            framing = end.framing,
+            events = end.events,
+            unfinished_bytes = end.unfinished_bytes as u64,
             age_millis = clock::elapsed(self.received_at).as_millis() as u64,
         });
     }
 
+    /// Logs and counts a stream whose server did not complete it, of which the client has a part.
+    pub(super) fn log_stream_interrupted(&self, server: &str, stream: &StreamState) {
+        let end = &stream.end;
+        let place = if end.unfinished_bytes > 0 { "inside_event" } else { "between_events" };
+        self.traffic.metrics.record_stream_end(end.framing, place);
+        warn!("[forward] stream interrupted", kv: {
+            request = &*self.metadata.id,
+            content = self.content.to_string(),
+            route = &*self.route.name,
+            step = "stream",
+            server,
+            reason = "the stream ended early",
+            framing = end.framing,
+            events = end.events,
+            unfinished_bytes = end.unfinished_bytes as u64,
+            last_event = stream.last_event.as_deref().unwrap_or("-"),
+            sends = self.attempts.get().sends(),
+            age_millis = clock::elapsed(self.received_at).as_millis() as u64,
+            model = self.metadata.model.as_ref().map_or("-", |model| &*model.model),
+        });
+    }
+
     /// Logs and counts a run that was stopped to continue on another server, by the result.
     pub(super) fn log_migration(
         &self,
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -192,7 +192,7 @@
                 match self.send(&server, &mut stream, Some(&copy)).await.for_continuation() {
                     SendOutcome::Finished(action) => return action,
                     SendOutcome::Migrated(next) => continuation = Some(next),
-                    _ if self.may_resume_stream(service, &server).await => {}
+                    _ if self.may_resume_stream(service, &server, &stream).await => {}
                     _ => return ConnectionAction::Abort,
                 }
                 continue;
@@ -296,7 +296,7 @@
                     last_error = Some((response, body));
                 }
                 SendOutcome::StreamInterrupted => {
-                    if !self.may_resume_stream(service, &server).await {
+                    if !self.may_resume_stream(service, &server, &stream).await {
                         return ConnectionAction::Abort;
                     }
                 }
@@ -325,13 +325,13 @@
     }
 
     /// Whether an interrupted stream, of which the client has a part, may resume as another run.
-    async fn may_resume_stream(&self, service: &str, server: &Server) -> bool {
-        self.log_failure(
-            "stream interrupted",
-            "stream",
-            &server.record().incarnation,
-            "the stream ended early",
-        );
+    async fn may_resume_stream(
+        &self,
+        service: &str,
+        server: &Server,
+        stream: &StreamState,
+    ) -> bool {
+        self.log_stream_interrupted(&server.record().incarnation, stream);
         let may_resume = self.may_retry(service, server, SendFailure::StreamInterrupted).await;
         if !may_resume {
             self.record_end("cut", "stream", "the stream broke off");
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -145,9 +145,31 @@
     pub last_event: Option<String>,
     /// Intervals between its events.
     pub intervals: EventIntervals,
+    /// How the last server's part of it has ended.
+    pub end: StreamEnd,
     framing: Option<(BodyFraming, bool)>,
 }
 
+/// How a server's part of a stream has ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StreamEnd {
+    /// How the server indicates the end of the body.
+    pub framing: &'static str,
+    /// Complete events that it sent.
+    pub events: u64,
+    /// Bytes that it sent after the last complete event.
+    pub unfinished_bytes: usize,
+}
+
+impl StreamEnd {
+    /// Records the events in the bytes that have been received and not yet relayed.
+    fn record(&mut self, pending: &[u8]) {
+        let complete = events_end(pending);
+        self.events += split_events(&pending[..complete]).count() as u64;
+        self.unfinished_bytes = pending.len() - complete;
+    }
+}
+
 /// Intervals between the arrivals of a stream's events.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EventIntervals {
@@ -206,11 +228,13 @@
     let mut migration = Migration::new(request, server);
     let mut pending = BytesMut::new();
     let mut out = Vec::new();
+    state.end = StreamEnd { framing: response.head.framing.name(), ..StreamEnd::default() };
     loop {
         while let Some(piece) = next_piece(&mut response)? {
             pending.extend_from_slice(&piece);
         }
         let done = response.decoder.is_done();
+        state.end.record(&pending);
         let events = take_events(&mut pending, done);
         if !events.is_empty() {
             if let Some(interval) = state.intervals.record(request.received_at, clock::now()) {
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -192,7 +192,7 @@
                 }
                 server.record_success(clock::now());
                 self.record_stream_duration(&stream.intervals);
-                self.log_stream_completed(&server.record().incarnation, &stream.intervals);
+                self.log_stream_completed(&server.record().incarnation, stream);
                 SendOutcome::Finished(action)
             }
             Err(RelayError::Client) => {
--- a/crates/cometmoor-gateway/src/http/head.rs
+++ b/crates/cometmoor-gateway/src/http/head.rs
@@ -41,6 +41,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Value of the `framing` field of log lines and label of metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Empty => "empty",
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "connection",
+        }
+    }
+}
+
 /// Header lines in the order in which they were received.
 #[derive(Clone, Debug, Default)]
 pub struct Headers {
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -38,6 +38,15 @@
     event: &'static str,
 }
 
+/// Labels of a server's part of a stream that has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StreamEndLabels {
+    /// How the server indicates the end of the body: `length`, `chunked`, `connection` or `empty`.
+    framing: &'static str,
+    /// `complete`, `inside_event` or `between_events`.
+    end: &'static str,
+}
+
 /// Label of a metric that is divided by state.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StateLabels {
@@ -118,6 +127,7 @@
     pub signaling_servers: Family<StateLabels, Gauge>,
     /// Runs that were stopped to be migrated to another server, by result.
     pub run_migrations: Family<StateLabels, Counter>,
+    stream_ends: Family<StreamEndLabels, Counter>,
     /// Time that a request waited in the queue for a server.
     pub queue_time: Histogram,
     /// Time until a connection to a server was available, or could not be established.
@@ -189,6 +199,7 @@
             held_back: Family::default(),
             signaling_servers: Family::default(),
             run_migrations: Family::default(),
+            stream_ends: Family::default(),
             queue_time: histogram(),
             connect_time: histogram(),
             time_to_first_byte: histogram(),
@@ -227,6 +238,8 @@
         registry.register("tenant_requests", "Requests of tenants by how they ended", tenants);
         registry.register("repeats", "Sends beyond a request's first", self.retries.clone());
         registry.register("run_moves", "Runs moved to other servers", self.run_migrations.clone());
+        let ends = self.stream_ends.clone();
+        registry.register("stream_ends", "Servers' parts of streams by how they ended", ends);
         let crashes = self.server_crashes.clone();
         registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
@@ -306,6 +319,11 @@
         self.signal_changes.get_or_create(&SignalLabels { signal, event }).inc();
     }
 
+    /// Counts a server's part of a stream that has ended.
+    pub fn record_stream_end(&self, framing: &'static str, end: &'static str) {
+        self.stream_ends.get_or_create(&StreamEndLabels { framing, end }).inc();
+    }
+
     /// Adds a duration to a histogram, in seconds.
     pub fn observe(&self, histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
