A stream is complete only if it does not end inside an event

Seen by callers: a part of a stream, with an unfinished event at its end, framed as a complete response.

Cause: at the end of the server's body, by whatever framing, the relay passed on all bytes that were left and sent the end of the response. Class: the end of the transport was taken for the end of the message.

Change: the end of a stream is decided in one place, for every framing. A body that ends inside an event, or with its connection before any event, has been broken off: nothing of the unfinished event reaches the client, the failure counts like a lost connection, and the stream goes on elsewhere where that is allowed or is cut. A stream's length is not promised to the client, as another server may complete it.

Ruled out: a server's crash check as the only sign (these servers go on serving).

--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -95,11 +95,9 @@
         });
     }
 
-    /// Logs and counts a stream whose server did not complete it, of which the client has a part.
+    /// Logs a stream whose server did not complete it, of which the client has a part.
     pub(super) fn log_stream_interrupted(&self, server: &str, stream: &StreamState) {
         let end = &stream.end;
-        let place = if end.unfinished_bytes > 0 { "inside_event" } else { "between_events" };
-        self.traffic.metrics.record_stream_end(end.framing, place);
         warn!("[forward] stream interrupted", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cometmoor_core::gateway::attempts::Attempts;
 use cometmoor_core::time::BootInstant;
 
@@ -14,6 +14,7 @@
 use super::{ConnectionAction, ForwardedRequest};
 use crate::clock;
 use crate::http::connection::write_all;
+use crate::http::events::EventSplitter;
 use crate::http::head::Framing;
 use crate::load::InFlightGuard;
 use crate::pool::Pool;
@@ -120,6 +121,19 @@
     }
 }
 
+/// The same for a stream. Another server may complete it, so the length that this one names is not
+/// promised to the client.
+fn stream_framing(
+    request: &ForwardedRequest<'_>,
+    response: &ServerResponse,
+) -> (BodyFraming, bool) {
+    match (client_framing(request, response), request.head.is_http_1_1) {
+        ((BodyFraming::Length(1..), keep), true) => (BodyFraming::Chunked, keep),
+        ((BodyFraming::Length(1..), _), false) => (BodyFraming::UntilClose, false),
+        (framing, _) => framing,
+    }
+}
+
 fn push_body(framing: BodyFraming, piece: &[u8], bytes: &mut Vec<u8>) {
     if piece.is_empty() {
         return;
@@ -162,11 +176,9 @@
 }
 
 impl StreamEnd {
-    /// Records the events in the bytes that have been received and not yet relayed.
-    fn record(&mut self, pending: &[u8]) {
-        let complete = events_end(pending);
-        self.events += split_events(&pending[..complete]).count() as u64;
-        self.unfinished_bytes = pending.len() - complete;
+    /// Where an incomplete stream has ended, for metrics.
+    pub fn place(&self) -> &'static str {
+        if self.unfinished_bytes > 0 { "inside_event" } else { "between_events" }
     }
 }
 
@@ -224,34 +236,23 @@
     recorder: &mut FirstEventRecorder<'_>,
     server: &Rc<Server>,
 ) -> Result<ConnectionAction, RelayError> {
-    let pool = &server.pool;
     let mut migration = Migration::new(request, server);
-    let mut pending = BytesMut::new();
+    let mut splitter = EventSplitter::default();
     let mut out = Vec::new();
     state.end = StreamEnd { framing: response.head.framing.name(), ..StreamEnd::default() };
     loop {
         while let Some(piece) = next_piece(&mut response)? {
-            pending.extend_from_slice(&piece);
-        }
-        let done = response.decoder.is_done();
-        state.end.record(&pending);
-        let events = take_events(&mut pending, done);
-        if !events.is_empty() {
-            if let Some(interval) = state.intervals.record(request.received_at, clock::now()) {
-                let metrics = &request.traffic.metrics;
-                metrics.observe(&metrics.event_interval, interval);
-            }
-            recorder.record(request);
-            push_events(request, &response, state, &events, &mut out);
+            splitter.push(&piece);
         }
-        if done {
-            return end_stream(request, response, state, out, pool).await;
+        relay_blocks(request, &response, state, recorder, &mut splitter, &mut out);
+        if response.decoder.is_done() {
+            return end_stream(request, response, state, splitter, out, &server.pool).await;
         }
         if !out.is_empty() {
             write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
             out.clear();
         }
-        if pending.len() > MAX_EVENT_BYTES {
+        if splitter.pending_bytes() > MAX_EVENT_BYTES {
             return Err(RelayError::Server(invalid_data()));
         }
         if state.last_event.is_some() {
@@ -267,25 +268,73 @@
             if !response.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
-            let rest = take_events(&mut pending, true);
-            push_events(request, &response, state, &rest, &mut out);
-            return end_stream(request, response, state, out, pool).await;
+            return end_stream(request, response, state, splitter, out, &server.pool).await;
         }
     }
 }
 
+/// Moves the complete blocks that were received to the output.
+fn relay_blocks(
+    request: &ForwardedRequest<'_>,
+    response: &ServerResponse,
+    state: &mut StreamState,
+    recorder: &mut FirstEventRecorder<'_>,
+    splitter: &mut EventSplitter,
+    out: &mut Vec<u8>,
+) {
+    let events_before = state.end.events;
+    let mut new_bytes = Vec::new();
+    while let Some(block) = splitter.next_block() {
+        state.end.events += u64::from(block.is_event);
+        if is_duplicate(block.id(), state.last_event.as_deref()) {
+            continue;
+        }
+        if let Some(id) = block.id() {
+            state.last_event = Some(id.to_owned());
+        }
+        new_bytes.extend_from_slice(&block.bytes);
+    }
+    state.end.unfinished_bytes = splitter.pending_bytes();
+    if state.end.events > events_before {
+        if let Some(interval) = state.intervals.record(request.received_at, clock::now()) {
+            let metrics = &request.traffic.metrics;
+            metrics.observe(&metrics.event_interval, interval);
+        }
+        recorder.record(request);
+    }
+    if !new_bytes.is_empty() {
+        let (framing, _) = start_response(request, response, state, out);
+        push_body(framing, &new_bytes, out);
+    }
+}
+
 fn next_piece(response: &mut ServerResponse) -> Result<Option<Bytes>, RelayError> {
     response.decoder.next(&mut response.buffer).map_err(|_| RelayError::Server(invalid_data()))
 }
 
+/// Ends the stream for the client if the server has completed it.
 async fn end_stream(
     request: &ForwardedRequest<'_>,
     response: ServerResponse,
     state: &mut StreamState,
+    mut splitter: EventSplitter,
     mut out: Vec<u8>,
     pool: &Pool,
 ) -> Result<ConnectionAction, RelayError> {
+    let ended_with_connection = response.decoder.ends_with_connection();
+    // A server that ends before its first event has closed the connection, and said nothing.
+    let is_empty = ended_with_connection && state.end.events == 0;
+    if splitter.is_inside_event() || is_empty {
+        if !out.is_empty() {
+            write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
+        }
+        return Err(RelayError::Server(match ended_with_connection {
+            true => io::ErrorKind::UnexpectedEof.into(),
+            false => invalid_data(),
+        }));
+    }
     let (framing, keep) = start_response(request, &response, state, &mut out);
+    push_body(framing, &splitter.take_rest(), &mut out);
     push_body_end(framing, &mut out);
     response.release_connection(pool);
     Ok(request.write_response(&out, keep).await)
@@ -302,7 +351,7 @@
     if let Some(started) = state.framing {
         return started;
     }
-    let started = client_framing(request, response);
+    let started = stream_framing(request, response);
     state.framing = Some(started);
     state.head_sent = true;
     request.update_attempts(Attempts::record_response_started);
@@ -310,83 +359,6 @@
     started
 }
 
-fn push_events(
-    request: &ForwardedRequest<'_>,
-    response: &ServerResponse,
-    state: &mut StreamState,
-    events: &[u8],
-    out: &mut Vec<u8>,
-) {
-    let (framing, _) = start_response(request, response, state, out);
-    let previous_id = state.last_event.clone();
-    let mut new_events = Vec::with_capacity(events.len());
-    for event in split_events(events) {
-        let id = event_id(event);
-        if is_duplicate(id, previous_id.as_deref()) {
-            continue;
-        }
-        if let Some(id) = id {
-            state.last_event = Some(id.to_owned());
-        }
-        new_events.extend_from_slice(event);
-    }
-    push_body(framing, &new_events, out);
-}
-
-/// Removes the complete events from the front of the buffer; at the end of the stream, all
-/// bytes.
-fn take_events(pending: &mut BytesMut, done: bool) -> BytesMut {
-    let end = if done { pending.len() } else { events_end(pending) };
-    pending.split_to(end)
-}
-
-/// End of the last complete event, which is after its blank line.
-fn events_end(bytes: &[u8]) -> usize {
-    let mut end = 0;
-    let mut from = 0;
-    while let Some(length) = first_event_length(&bytes[from..]) {
-        from += length;
-        end = from;
-    }
-    end
-}
-
-fn first_event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
-fn split_events(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    std::iter::from_fn(move || {
-        if bytes.is_empty() {
-            return None;
-        }
-        let length = first_event_length(bytes).unwrap_or(bytes.len());
-        let (event, rest) = bytes.split_at(length);
-        bytes = rest;
-        Some(event)
-    })
-}
-
-/// Value of the `id` field of an event.
-fn event_id(event: &[u8]) -> Option<&str> {
-    event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))
-        .and_then(|value| std::str::from_utf8(value).ok())
-        .map(str::trim)
-}
-
 /// Whether the client already has the event; identifiers are increasing numbers.
 fn is_duplicate(id: Option<&str>, last: Option<&str>) -> bool {
     let number = |text: Option<&str>| text.and_then(|text| text.parse::<u64>().ok());
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -209,6 +209,7 @@
             Err(RelayError::Server(error)) => {
                 server.record_failure(clock::now());
                 self.record_lost_connection(server, &error);
+                self.traffic.metrics.record_stream_end(stream.end.framing, stream.end.place());
                 if stream.head_sent {
                     SendOutcome::StreamInterrupted
                 } else {
--- a/crates/cometmoor-gateway/src/http/mod.rs
+++ b/crates/cometmoor-gateway/src/http/mod.rs
@@ -8,4 +8,5 @@
 pub mod body;
 pub mod client;
 pub mod connection;
+pub mod events;
 pub mod head;
