A cut towards a client of HTTP/1.0 is a reset

Seen: 19 of 41 prefixes of a stream looked complete to a client of HTTP/1.0.

Cause: such a client gets a body that ends with its connection, and a response that is cut closed the connection as a complete one does. The same held for large bodies, and where the node's process ends meanwhile.

Change: while such a body is incomplete, the socket is set to reset on close. Evidence: a_stream_that_ends_inside_an_event_does_not_look_complete_to_an_old_client, 19 of 41 before, none now; a complete one still looks complete.

--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cometmoor_core::gateway::attempts::Attempts;
 use cometmoor_core::time::BootInstant;
+use socket2::SockRef;
 
 use super::encode::{self, BodyFraming};
 use super::exchange::{ServerResponse, invalid_data};
@@ -77,6 +78,7 @@
 ) -> ConnectionAction {
     request.update_attempts(Attempts::record_response_started);
     let (framing, keep) = client_framing(request, &response);
+    request.begin_body(framing);
     let mut bytes = encode::response_head(&response.head, Some(framing), keep);
     push_body(framing, &prefix, &mut bytes);
     loop {
@@ -89,7 +91,7 @@
         }
         if response.decoder.is_done() {
             push_body_end(framing, &mut bytes);
-            return request.write_response(&bytes, keep).await;
+            return request.end_body(framing, &bytes, keep).await;
         }
         if !bytes.is_empty() {
             continue;
@@ -98,7 +100,7 @@
             Ok(true) => {}
             Ok(false) if response.ends_with_connection() => {
                 push_body_end(framing, &mut bytes);
-                return request.write_response(&bytes, keep).await;
+                return request.end_body(framing, &bytes, keep).await;
             }
             Ok(false) | Err(_) => return ConnectionAction::Abort,
         }
@@ -337,7 +339,38 @@
     push_body(framing, &splitter.take_rest(), &mut out);
     push_body_end(framing, &mut out);
     response.release_connection(pool);
-    Ok(request.write_response(&out, keep).await)
+    Ok(request.end_body(framing, &out, keep).await)
+}
+
+impl ForwardedRequest<'_> {
+    /// Prepares the client's connection for a body. Where the end of the connection is the end of
+    /// the body, a cut has to be a reset, also if this process ends meanwhile.
+    fn begin_body(&self, framing: BodyFraming) {
+        if framing == BodyFraming::UntilClose {
+            self.set_reset_on_close(true);
+        }
+    }
+
+    /// Writes the last bytes of a complete body.
+    async fn end_body(&self, framing: BodyFraming, bytes: &[u8], keep: bool) -> ConnectionAction {
+        let action = self.write_response(bytes, keep).await;
+        if framing == BodyFraming::UntilClose && action == ConnectionAction::Close {
+            self.set_reset_on_close(false);
+        }
+        action
+    }
+
+    fn set_reset_on_close(&self, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(self.client).set_linger(linger) {
+            self.log_failure(
+                "cannot set how the connection closes",
+                "stream",
+                "-",
+                &error.to_string(),
+            );
+        }
+    }
 }
 
 /// Writes the response head, unless it was written before. Returns the framing of the body and
@@ -355,6 +388,7 @@
     state.framing = Some(started);
     state.head_sent = true;
     request.update_attempts(Attempts::record_response_started);
+    request.begin_body(started.0);
     out.extend_from_slice(&encode::response_head(&response.head, Some(started.0), started.1));
     started
 }
