A stream that cannot be resumed ends without another response in it

Seen with a real node: where the server that was to go on with a stream gave no response, a 502 (504 at the deadline) was written into the client's body. To a client of HTTP/1.0 that was a complete body with a status line in it; one of HTTP/1.1 got bytes that are no chunk and waited on an open connection.

Cause: a second send put the request's progress back from responding to sent, and its failure was handled like that of a first one. Class: a response that has begun was forgotten while it was continued.

Change: a response that was started stays started, and a failure after that is an interrupted stream whichever server failed.

--- a/crates/cometmoor-core/src/gateway/attempts.rs
+++ b/crates/cometmoor-core/src/gateway/attempts.rs
@@ -68,7 +68,10 @@
     /// Records that the request is about to be written to a server.
     pub fn begin_send(&mut self) {
         self.progress_before_send = self.progress;
-        self.progress = Progress::Sent;
+        // A response that was started cannot be replaced by another one.
+        if self.progress != Progress::Responding {
+            self.progress = Progress::Sent;
+        }
         self.sends += 1;
     }
 
--- a/crates/cometmoor-core/tests/gateway_attempts.rs
+++ b/crates/cometmoor-core/tests/gateway_attempts.rs
@@ -118,3 +118,17 @@
         }
     });
 }
+
+#[test]
+fn a_response_that_was_started_stays_started_while_it_is_resumed() {
+    let mut attempts = Attempts::new(RetryPolicy::ResumableStream, MAX_SENDS);
+    attempts.begin_send();
+    attempts.record_response_started();
+    attempts.begin_send();
+    assert_eq!(attempts.progress(), Progress::Responding);
+    attempts.record_not_run();
+    assert_eq!(attempts.progress(), Progress::Responding);
+    attempts.begin_send();
+    attempts.record_not_sent();
+    assert_eq!(attempts.progress(), Progress::Responding);
+}
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -167,9 +167,9 @@
 }
 
 /// How a server's part of a stream has ended.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct StreamEnd {
-    /// How the server indicates the end of the body.
+    /// How the server indicates the end of the body; `none` without a response.
     pub framing: &'static str,
     /// Complete events that it sent.
     pub events: u64,
@@ -177,6 +177,12 @@
     pub unfinished_bytes: usize,
 }
 
+impl Default for StreamEnd {
+    fn default() -> StreamEnd {
+        StreamEnd { framing: "none", events: 0, unfinished_bytes: 0 }
+    }
+}
+
 impl StreamEnd {
     /// Where an incomplete stream has ended, for metrics.
     pub fn place(&self) -> &'static str {
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -8,7 +8,7 @@
 use super::exchange::{SendError, ServerResponse};
 use super::migration::Continuation;
 use super::outcome::Refusal;
-use super::relay::{self, EventIntervals, FirstEventRecorder, RelayError, StreamState};
+use super::relay::{self, EventIntervals, FirstEventRecorder, RelayError, StreamEnd, StreamState};
 use super::{ConnectionAction, ForwardedRequest};
 use crate::clock;
 use crate::dialect::RunCopy;
@@ -121,7 +121,8 @@
             Err(error) => {
                 server.record_failure(clock::now());
                 self.record_lost_connection(server, error.source());
-                return SendOutcome::Failed(error);
+                stream.end = StreamEnd::default();
+                return Self::failed(error, stream);
             }
         };
         self.traffic
@@ -210,15 +211,16 @@
                 server.record_failure(clock::now());
                 self.record_lost_connection(server, &error);
                 self.traffic.metrics.record_stream_end(stream.end.framing, stream.end.place());
-                if stream.head_sent {
-                    SendOutcome::StreamInterrupted
-                } else {
-                    SendOutcome::Failed(SendError::ConnectionLost(error))
-                }
+                Self::failed(SendError::ConnectionLost(error), stream)
             }
         }
     }
 
+    /// The outcome if the server did not complete its response.
+    fn failed(error: SendError, stream: &StreamState) -> SendOutcome {
+        if stream.head_sent { SendOutcome::StreamInterrupted } else { SendOutcome::Failed(error) }
+    }
+
     async fn relay_response(
         &self,
         server: &Rc<Server>,
