A stream whose run may have been stopped is not complete

A run that is moved is stopped, and its server closes the stream without an end. If the call that stops it had no answer, a 5xx or no copy, the node treated the run as not moved, and the close as the end of a stream that ends with its connection.

Cause: three outcomes (continued, not stopped, perhaps stopped) were one optional value. They are an enum now, and an answer that does not tell what the server did is no longer 'not moved'.

--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -124,6 +124,8 @@
     NoRoom(Option<String>),
     /// The server is not running the request, or is already migrating it; the status code.
     NotMoved(u16),
+    /// The response does not tell what the server has done; the status code.
+    Unknown(u16),
 }
 
 /// Load that a server reports with a response.
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -127,6 +127,7 @@
             RunMigrationResponse::Copied(_) => "moved",
             RunMigrationResponse::NoRoom(_) => "no room",
             RunMigrationResponse::NotMoved(_) => "not moved",
+            RunMigrationResponse::Unknown(_) => "unknown",
         };
         self.traffic.metrics.run_migrations.get_or_create(&StateLabels { state: outcome }).inc();
         info!("[forward] run migration ended", kv: {
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -36,6 +36,16 @@
     pub(super) copy: RunCopy,
 }
 
+/// What a migration means for a stream whose connection has ended.
+pub(super) enum MigrationEnd {
+    /// The run was stopped and continues on another server.
+    Continued(Continuation),
+    /// The run was not stopped, so its server has ended the stream.
+    NotStopped,
+    /// The run may have been stopped, so that its stream may have ended early.
+    MayBeStopped,
+}
+
 /// Why a run should be migrated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MigrationReason {
@@ -54,15 +64,15 @@
     }
 }
 
-type MigrationFuture<'a> = Pin<Box<dyn Future<Output = Option<Continuation>> + 'a>>;
+type MigrationFuture<'a> = Pin<Box<dyn Future<Output = MigrationEnd> + 'a>>;
 
 enum MigrationState<'a> {
     /// No migration has started; the next check is due at this time.
     Idle(BootInstant),
     /// The run is being migrated.
     InProgress(MigrationFuture<'a>),
-    /// The migration has ended; without a continuation the run stays at its server.
-    Finished(Option<Continuation>),
+    /// The migration has ended.
+    Finished(MigrationEnd),
 }
 
 /// The migration of the run of one stream, if there is one.
@@ -108,13 +118,12 @@
         response.read_more().await
     }
 
-    /// How the stream continues after its connection has ended; `None` if the run was not
-    /// migrated.
-    pub(super) async fn into_continuation(self) -> Option<Continuation> {
+    /// What the migration means for the stream, after its connection has ended.
+    pub(super) async fn finish(self) -> MigrationEnd {
         match self.state {
-            MigrationState::Idle(_) => None,
+            MigrationState::Idle(_) => MigrationEnd::NotStopped,
             MigrationState::InProgress(future) => future.await,
-            MigrationState::Finished(continuation) => continuation,
+            MigrationState::Finished(end) => end,
         }
     }
 }
@@ -169,21 +178,27 @@
         source: &Rc<Server>,
         target: Rc<Server>,
         reason: MigrationReason,
-    ) -> Option<Continuation> {
+    ) -> MigrationEnd {
         let target_id = target.record().incarnation.clone();
         let _slot = self.traffic.loads.add_in_flight(&target_id, PendingPrefill::default());
-        let RunMigrationResponse::Copied(_) = self.copy_run(source, &target, false).await? else {
-            return None;
+        let first_copy = self.copy_run(source, &target, false).await;
+        let Some(RunMigrationResponse::Copied(_)) = first_copy else {
+            return MigrationEnd::NotStopped;
+        };
+        let Some(moved) = self.copy_run(source, &target, true).await else {
+            return MigrationEnd::MayBeStopped;
         };
-        let moved = self.copy_run(source, &target, true).await?;
         self.log_migration(&source.record().incarnation, &target_id, reason.name(), &moved);
         let (server, handle) = match moved {
             RunMigrationResponse::Copied(handle) => (target, handle),
-            RunMigrationResponse::NoRoom(handle) => (source.clone(), handle?),
-            RunMigrationResponse::NotMoved(_) => return None,
+            RunMigrationResponse::NoRoom(Some(handle)) => (source.clone(), handle),
+            RunMigrationResponse::NotMoved(_) => return MigrationEnd::NotStopped,
+            RunMigrationResponse::NoRoom(None) | RunMigrationResponse::Unknown(_) => {
+                return MigrationEnd::MayBeStopped;
+            }
         };
         let copy = RunCopy { source: source.record().address, handle };
-        Some(Continuation { server, copy })
+        MigrationEnd::Continued(Continuation { server, copy })
     }
 
     /// Copies the memory of the run, and stops the run if `stop_run` is set. `None` if the call
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -11,7 +11,7 @@
 
 use super::encode::{self, BodyFraming};
 use super::exchange::{ServerResponse, invalid_data};
-use super::migration::{Continuation, Migration};
+use super::migration::{Continuation, Migration, MigrationEnd};
 use super::{ConnectionAction, ForwardedRequest};
 use crate::clock;
 use crate::http::connection::write_all;
@@ -268,12 +268,14 @@
         }
         let more = migration.read_more(&mut response).await;
         if !matches!(more, Ok(true)) {
-            // The source closes the connection of a migrated run, whatever the framing.
-            if let Some(continuation) = migration.into_continuation().await {
-                return Err(RelayError::Migrated(continuation));
-            }
+            // The source closes the connection of a stopped run, whatever the framing.
+            let may_be_stopped = match migration.finish().await {
+                MigrationEnd::Continued(next) => return Err(RelayError::Migrated(next)),
+                MigrationEnd::MayBeStopped => true,
+                MigrationEnd::NotStopped => false,
+            };
             more.map_err(RelayError::Server)?;
-            if !response.ends_with_connection() {
+            if may_be_stopped || !response.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
             return end_stream(request, response, state, splitter, out, &server.pool).await;
