A stream that a killed server closes between two events is not complete

The third hypothesis: a process that is killed closes its connections cleanly, and usually between two events, as events are written whole. A stream that ends with its connection then does not differ from a complete one.

What the node can know: the server's address refuses connections right after. After such a stream ended, one connection is opened to the server; if it is refused, the stream has been broken off. The connection is kept for the next request, which would have had to open one. Not done for a server that is leaving, which may end in good order, nor where connections are accepted and closed, as by a server with too many.

--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -18,7 +18,6 @@
 use crate::http::events::EventSplitter;
 use crate::http::head::Framing;
 use crate::load::InFlightGuard;
-use crate::pool::Pool;
 use crate::servers::Server;
 
 /// Largest body that is read completely before it is relayed, in bytes.
@@ -254,7 +253,7 @@
         }
         relay_blocks(request, &response, state, recorder, &mut splitter, &mut out);
         if response.decoder.is_done() {
-            return end_stream(request, response, state, splitter, out, &server.pool).await;
+            return end_stream(request, response, state, splitter, out, server).await;
         }
         if !out.is_empty() {
             write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
@@ -278,7 +277,7 @@
             if may_be_stopped || !response.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
-            return end_stream(request, response, state, splitter, out, &server.pool).await;
+            return end_stream(request, response, state, splitter, out, server).await;
         }
     }
 }
@@ -329,15 +328,17 @@
     state: &mut StreamState,
     mut splitter: EventSplitter,
     mut out: Vec<u8>,
-    pool: &Pool,
+    server: &Server,
 ) -> Result<ConnectionAction, RelayError> {
     let ended_with_connection = response.decoder.ends_with_connection();
-    // A server that ends before its first event has closed the connection, and said nothing.
-    let is_empty = ended_with_connection && state.end.events == 0;
-    if splitter.is_inside_event() || is_empty {
-        if !out.is_empty() {
-            write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
-        }
+    let is_inside_event = splitter.is_inside_event();
+    if (is_inside_event || ended_with_connection) && !out.is_empty() {
+        write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
+        out.clear();
+    }
+    let has_no_end = ended_with_connection
+        && (state.end.events == 0 || request.has_ended_with_connection(server).await);
+    if is_inside_event || has_no_end {
         return Err(RelayError::Server(match ended_with_connection {
             true => io::ErrorKind::UnexpectedEof.into(),
             false => invalid_data(),
@@ -346,7 +347,7 @@
     let (framing, keep) = start_response(request, &response, state, &mut out);
     push_body(framing, &splitter.take_rest(), &mut out);
     push_body_end(framing, &mut out);
-    response.release_connection(pool);
+    response.release_connection(&server.pool);
     Ok(request.end_body(framing, &out, keep).await)
 }
 
