Soak: servers end streams with the connection and break some off; postmortem

The stand-in's servers ended every stream with a last chunk, so the soak could not show what the incident was. Half of the streams end with their connection now; one in six breaks off inside an event and must never look complete.

--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -84,7 +84,10 @@
 
     /// The requests that nodes had to answer.
     pub(super) fn owed(&self) -> impl Iterator<Item = &RequestRecord> {
-        let stayed = self.requests.iter().filter(|request| request.ended != Ended::Left);
+        let stayed = self
+            .requests
+            .iter()
+            .filter(|request| request.ended != Ended::Left && request.kind != Kind::BrokenStream);
         stayed.filter(|request| self.is_owed(request))
     }
 
@@ -134,8 +137,8 @@
 
 fn at_most_once(history: &History) -> Vec<Violation> {
     let runs = runs_by_id(history);
-    let once =
-        history.requests.iter().filter(|request| matches!(request.kind, Kind::Once | Kind::Stream));
+    let is_once = |kind: Kind| matches!(kind, Kind::Once | Kind::Stream | Kind::BrokenStream);
+    let once = history.requests.iter().filter(|request| is_once(request.kind));
     let doubled = once.filter_map(|request| {
         let count = *runs.get(request.id.as_str())?;
         (count > 1).then(|| violation("at most once", format!("{request:?} ran {count} times")))
@@ -214,6 +217,7 @@
     for stop in &history.stops {
         let cut = history.requests.iter().filter(|request| {
             request.node == stop.node
+                && request.kind != Kind::BrokenStream
                 && matches!(request.ended, Ended::Cut | Ended::Failed(_))
                 && request.sent < stop.ended
                 && request.done >= stop.at
--- a/crates/cometmoor-lab/src/soak/clients.rs
+++ b/crates/cometmoor-lab/src/soak/clients.rs
@@ -34,6 +34,8 @@
 const PROBE_EACH: Duration = Duration::from_millis(250);
 /// Most events that a stream asks for: it ends well within the grace.
 const MOST_EVENTS: u64 = 20;
+/// One in so many streams is broken off by its server.
+const BROKEN_STREAMS: u32 = 6;
 
 /// The clients of a run.
 pub struct Clients {
@@ -214,7 +216,10 @@
         1 => (Kind::Safe, format!("/safe/{count}")),
         _ => {
             let events = random.random_range(1..=MOST_EVENTS);
-            (Kind::Stream, format!("/stream/events-{events}"))
+            match random.random_ratio(1, BROKEN_STREAMS) {
+                true => (Kind::BrokenStream, format!("/stream/broken-{events}")),
+                false => (Kind::Stream, format!("/stream/events-{events}")),
+            }
         }
     }
 }
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -16,6 +16,8 @@
     Safe,
     /// Its answer is a stream; it may run once.
     Stream,
+    /// The same, and its server breaks it off inside an event.
+    BrokenStream,
     /// It asks for the route that a version of the configuration brought.
     Probe(u64),
 }
