Log the software version of servers, and the attempt that a client takes up

Streams went on at another software version. No line named the version of a server that a request went to or a run moved between, nor whether a client took a stream up, and which; so continuations within an answer, moves of runs and takings-up by clients could not be told apart.

'sent' and 'stream interrupted' have software and resumes, 'run migration ended' both versions; cometmoor_software_versions counts them by service. What is sent is unchanged.

--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -65,6 +65,34 @@
     pub declares_tokens: bool,
     /// Parts of the prompt in order.
     pub parts: Vec<PromptPart>,
+    /// What the client says of the stream that it takes up.
+    pub resumption: Resumption,
+}
+
+/// What a client says of a stream that it takes up after a broken attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Resumption {
+    /// It takes up none.
+    #[default]
+    None,
+    /// It has events, and does not name the attempt that brought the first one.
+    Unnamed,
+    /// The identifier of the attempt that brought its first event.
+    Of(String),
+    /// The attempt is named more than once, or the name is empty or too long.
+    Malformed,
+}
+
+impl Resumption {
+    /// Value of log lines.
+    pub fn name(&self) -> &str {
+        match self {
+            Resumption::None => "-",
+            Resumption::Unnamed => "unnamed",
+            Resumption::Of(attempt) => attempt,
+            Resumption::Malformed => "malformed",
+        }
+    }
 }
 
 impl RequestMetadata {
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::gateway::signals::Hold;
 use spdlog::{info, warn};
 
@@ -14,7 +15,7 @@
 use crate::pool::PooledConnection;
 
 impl ForwardedRequest<'_> {
-    pub(super) fn log_sent(&self, server: &str, connection: &PooledConnection) {
+    pub(super) fn log_sent(&self, server: &ServerRecord, connection: &PooledConnection) {
         if connection.via.is_some() {
             self.traffic.metrics.sends_via_peers.inc();
         }
@@ -29,7 +30,9 @@
             tenant = self.tenant_label(),
             tokens = self.metadata.tokens().unwrap_or_default(),
             model = self.metadata.model.as_ref().map_or("-", |model| &*model.model),
-            server,
+            server = &*server.incarnation,
+            software = &*server.software,
+            resumes = self.metadata.resumption.name(),
             reused = connection.reused,
             via = connection.via.map_or_else(|| "-".to_owned(), |peer| peer.to_string()),
             sends = self.attempts.get().sends(),
@@ -96,14 +99,16 @@
     }
 
     /// Logs a stream whose server did not complete it, of which the client has a part.
-    pub(super) fn log_stream_interrupted(&self, server: &str, stream: &StreamState) {
+    pub(super) fn log_stream_interrupted(&self, server: &ServerRecord, stream: &StreamState) {
         let end = &stream.end;
         warn!("[forward] stream interrupted", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
             route = &*self.route.name,
             step = "stream",
-            server,
+            server = &*server.incarnation,
+            software = &*server.software,
+            resumes = self.metadata.resumption.name(),
             reason = "the stream ended early",
             framing = end.framing,
             events = end.events,
@@ -118,8 +123,8 @@
     /// Logs and counts a run that was stopped to continue on another server, by the result.
     pub(super) fn log_migration(
         &self,
-        from: &str,
-        to: &str,
+        from: &ServerRecord,
+        to: &ServerRecord,
         reason: &str,
         answer: &RunMigrationResponse,
     ) {
@@ -134,8 +139,10 @@
             request = &*self.metadata.id,
             route = &*self.route.name,
             model = self.metadata.model.as_ref().map_or("-", |model| &*model.model),
-            from,
-            to,
+            from = &*from.incarnation,
+            from_software = &*from.software,
+            to = &*to.incarnation,
+            to_software = &*to.software,
             reason,
             outcome,
             age_millis = clock::elapsed(self.received_at).as_millis() as u64,
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -188,7 +188,7 @@
         let Some(moved) = self.copy_run(source, &target, true).await else {
             return MigrationEnd::MayBeStopped;
         };
-        self.log_migration(&source.record().incarnation, &target_id, reason.name(), &moved);
+        self.log_migration(&source.record(), &target.record(), reason.name(), &moved);
         let (server, handle) = match moved {
             RunMigrationResponse::Copied(handle) => (target, handle),
             RunMigrationResponse::NoRoom(Some(handle)) => (source.clone(), handle),
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -331,7 +331,7 @@
         server: &Server,
         stream: &StreamState,
     ) -> bool {
-        self.log_stream_interrupted(&server.record().incarnation, stream);
+        self.log_stream_interrupted(&server.record(), stream);
         let may_resume = self.may_retry(service, server, SendFailure::StreamInterrupted).await;
         if !may_resume {
             self.record_end("cut", "stream", "the stream broke off");
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -104,7 +104,7 @@
         };
         record_attempt(Attempts::begin_send);
         self.current_server.replace(Some(record.incarnation.clone()));
-        self.log_sent(&record.incarnation, &connection);
+        self.log_sent(&record, &connection);
         let exchange =
             self.exchange(server, &record, connection, stream.last_event.as_deref(), copy);
         let begun_at = clock::now();
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -54,6 +54,13 @@
     pub state: &'static str,
 }
 
+/// Label of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// Label of a copy of the store's items.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CopyLabels {
@@ -154,6 +161,8 @@
     pub nodes: Gauge,
     /// Servers by state: `ready` or `draining`.
     pub servers: Family<StateLabels, Gauge>,
+    /// Software versions of the servers of a service.
+    pub software_versions: Family<ServiceLabels, Gauge>,
     /// Servers that are not reached directly, by state: `cut` if a peer reaches them, else
     /// `unreached`.
     pub unlinked_servers: Family<StateLabels, Gauge>,
@@ -213,6 +222,7 @@
             is_leader: Gauge::default(),
             nodes: Gauge::default(),
             servers: Family::default(),
+            software_versions: Family::default(),
             unlinked_servers: Family::default(),
             brittle_services: Gauge::default(),
             brittle_rejections: Counter::default(),
@@ -286,6 +296,8 @@
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        let versions = self.software_versions.clone();
+        registry.register("software_versions", "Software versions of a service", versions);
         let unlinked = self.unlinked_servers.clone();
         registry.register("unlinked_servers", "Servers not reached directly", unlinked);
         let rejections = self.brittle_rejections.clone();
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! A gateway node: starts its threads, waits for a stop signal and shuts down gracefully.
 
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
@@ -10,6 +11,8 @@
 use actix::Addr;
 use cometmoor_core::gateway::registry::ServerState;
 use cometmoor_core::gateway::store_position::StorePosition;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use spdlog::{error, info, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -27,9 +30,9 @@
 use crate::http_server::{SimpleResponse, serve};
 use crate::links::LinkBoard;
 use crate::load::LoadBoard;
-use crate::metrics::{CopyLabels, Metrics, StateLabels};
+use crate::metrics::{CopyLabels, Metrics, ServiceLabels, StateLabels};
 use crate::peer::{StorePrefix, lease_from_renewal_path};
-use crate::published::{Board, Phase, ShutdownTimes};
+use crate::published::{Board, FleetSnapshot, Phase, ShutdownTimes};
 use crate::quarantine::QuarantineBoard;
 use crate::quota::QuotaLimiter;
 use crate::settings::{GatewaySettings, SettingsError};
@@ -314,6 +317,7 @@
         let servers = |state| metrics.servers.get_or_create(&StateLabels { state });
         servers("draining").set(draining as i64);
         servers("ready").set((fleet.servers.len() - draining) as i64);
+        update_software_versions(&metrics.software_versions, &fleet);
         let (quarantined, suspects) = quarantine.counts();
         let quarantine_gauge = |state| metrics.quarantine.get_or_create(&StateLabels { state });
         quarantine_gauge("quarantined").set(quarantined as i64);
@@ -335,6 +339,18 @@
     })
 }
 
+fn update_software_versions(gauges: &Family<ServiceLabels, Gauge>, fleet: &FleetSnapshot) {
+    let mut versions: HashMap<&str, HashSet<&str>> = HashMap::new();
+    for server in &fleet.servers {
+        versions.entry(&server.service).or_default().insert(&server.software);
+    }
+    gauges.clear();
+    for (service, versions) in versions {
+        let labels = ServiceLabels { service: service.to_owned() };
+        gauges.get_or_create(&labels).set(versions.len() as i64);
+    }
+}
+
 fn directory_handler(
     settings: &GatewaySettings,
     board: &Arc<Board>,
