Soak: a reset on a way is a reset, not a clean close

A stream that ends with its connection between two events cannot be told from a complete one then, and no server had ended.

The proxy resets both sides now, also when it reads a reset.

--- a/crates/cometmoor-lab/src/soak/proxy.rs
+++ b/crates/cometmoor-lab/src/soak/proxy.rs
@@ -1,12 +1,13 @@
 //! A way over loopback that can be slowed, silenced, cut and reset.
 
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, Shutdown, SocketAddrV4};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use bytes::BytesMut;
+use cometmoor_gateway::http::connection::{read_some, write_all};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -14,8 +15,6 @@
 
 /// What each piece waits on a slow way.
 const SLOW: Duration = Duration::from_millis(150);
-/// Bytes that are passed on at once.
-const PIECE: usize = 16 << 10;
 
 /// What passes now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -115,13 +114,15 @@
     let _ = (from.set_nodelay(true), to.set_nodelay(true));
     let link = Rc::new(Link::default());
     state.links.borrow_mut().push(Rc::downgrade(&link));
-    let (from_read, from_write) = from.into_split();
-    let (to_read, to_write) = to.into_split();
-    let there = pass(from_read, to_write, Direction::There, &state, &link);
-    let back = pass(to_read, from_write, Direction::Back, &state, &link);
-    tokio::select! {
-        () = async { tokio::join!(there, back); } => {}
-        () = until_reset(&link) => {}
+    let there = pass(&from, &to, Direction::There, &state, &link);
+    let back = pass(&to, &from, Direction::Back, &state, &link);
+    let is_reset = tokio::select! {
+        ended = async { tokio::try_join!(there, back) } => ended.is_err(),
+        () = until_reset(&link) => true,
+    };
+    if is_reset {
+        // Closed without this, a response that ends with its connection would look complete.
+        let _ = (from.set_zero_linger(), to.set_zero_linger());
     }
 }
 
@@ -135,23 +136,24 @@
     }
 }
 
+/// Passes bytes on until the sender closes the connection; an error if it is reset.
 async fn pass(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &TcpStream,
+    to: &TcpStream,
     direction: Direction,
     state: &State,
     link: &Link,
-) {
-    let mut piece = vec![0; PIECE];
+) -> std::io::Result<()> {
+    let mut buffer = BytesMut::new();
     loop {
-        let read = from.read(&mut piece).await;
+        buffer.clear();
+        let read = read_some(from, &mut buffer).await;
         wait_for_passage(direction, state, link).await;
-        let Ok(length @ 1..) = read else { break };
-        if to.write_all(&piece[..length]).await.is_err() {
-            break;
+        if read? == 0 {
+            return SockRef::from(to).shutdown(Shutdown::Write);
         }
+        write_all(to, &buffer).await?;
     }
-    let _ = to.shutdown().await;
 }
 
 /// Waits while nothing passes; for ever where the connection has gone silent.
