A stream goes on within an answer only at its software version

Seen: streams held events of servers of two software versions in one answer; what two versions write does not fit together.

Cause: the server that goes on with a broken stream, and the one that takes a running stream over with its memory, were chosen like the first one. Class: all servers of a service were assumed to be alike.

Change: the version that a server's entry names when its first bytes are sent to the client belongs to the stream. Retries and moves of runs consider only servers of that version; where none takes work the stream is cut at once instead of waiting for one. Until its first bytes the version is free.

--- a/crates/cometmoor-core/src/gateway/registry.rs
+++ b/crates/cometmoor-core/src/gateway/registry.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
 /// Whether a server accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -33,6 +36,22 @@
     }
 }
 
+/// Identifies a software version of a service. What two versions write to a stream does not fit
+/// together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SoftwareHash(pub u64);
+
+impl SoftwareHash {
+    /// Hashes the names of the service and of the version.
+    pub fn of(service: &str, version: &str) -> SoftwareHash {
+        let mut hash = Xxh3::new();
+        hash.update(service.as_bytes());
+        hash.update(&[0]);
+        hash.update(version.as_bytes());
+        SoftwareHash(hash.digest())
+    }
+}
+
 /// One incarnation of a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerRecord {
@@ -82,6 +101,11 @@
 }
 
 impl ServerRecord {
+    /// Identifies the version of its software.
+    pub fn software_hash(&self) -> SoftwareHash {
+        SoftwareHash::of(&self.service, &self.software)
+    }
+
     /// Whether this record is of a later process than `other`. If either does not report the
     /// start time of its process, `was_created_later` decides: whether this record was created
     /// after the other one.
--- a/crates/cometmoor-gateway/src/forward/migration.rs
+++ b/crates/cometmoor-gateway/src/forward/migration.rs
@@ -144,11 +144,12 @@
         withdrawn.then_some(MigrationReason::ModelWithdrawn)
     }
 
-    /// Selects the server that takes over the run, among those that are believed to hold its
-    /// model and to have a free slot.
+    /// Selects the server that takes over the run, among those of the same software version that
+    /// are believed to hold its model and to have a free slot.
     fn migration_target(&self, source: &Server, now: BootInstant) -> Option<Rc<Server>> {
         let fleet = self.traffic.board.fleet.load();
         let service = source.record().service.clone();
+        let software = source.record().software_hash();
         let configuration = fleet.configuration.as_ref()?;
         let profile = configuration.services.get(&service)?.engine.as_ref()?;
         if !profile.supports_run_migration {
@@ -157,8 +158,9 @@
         let placement = self.traffic.board.placement.load();
         let mut table = self.traffic.servers.borrow_mut();
         table.update(&fleet);
-        let eligible =
-            self.eligible_servers(table.of_service(&service), &placement, now).filter(|server| {
+        let eligible = self
+            .eligible_servers(table.of_service(&service), Some(software), &placement, now)
+            .filter(|server| {
                 !server.is_backing_off(now)
                     && self.traffic.signals.limit(server.hash()).is_none()
                     && self.traffic.signals.hold(server.hash(), now).is_none()
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -25,6 +25,8 @@
     NoAdapter,
     /// The service has no server that accepts requests.
     NoServer,
+    /// No server of the software version that began the stream accepts requests.
+    NoVersion,
     /// None of the servers that could run it was reached, directly or through a peer.
     NotReached,
     /// Every server is expected to respond too late.
@@ -63,6 +65,7 @@
             Refusal::NoModel => "no server holds the model",
             Refusal::NoAdapter => "no server holds the adapter",
             Refusal::NoServer => "no server takes work",
+            Refusal::NoVersion => "no server of the stream's software version takes work",
             Refusal::NotReached => "no server was reached",
             Refusal::Overloaded => "every server would answer too late",
             Refusal::ServersOnHold => "every server rests or is at its limit",
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cometmoor_core::gateway::attempts::Attempts;
+use cometmoor_core::gateway::registry::SoftwareHash;
 use cometmoor_core::time::BootInstant;
 use socket2::SockRef;
 
@@ -158,6 +159,9 @@
     pub head_sent: bool,
     /// Identifier of the last complete event that was sent to the client.
     pub last_event: Option<String>,
+    /// The software version that began the stream, the only one that may go on with it; `None`
+    /// until something of it was sent to the client.
+    pub software: Option<SoftwareHash>,
     /// Intervals between its events.
     pub intervals: EventIntervals,
     /// How the last server's part of it has ended.
@@ -243,6 +247,7 @@
     recorder: &mut FirstEventRecorder<'_>,
     server: &Rc<Server>,
 ) -> Result<ConnectionAction, RelayError> {
+    let software = server.record().software_hash();
     let mut migration = Migration::new(request, server);
     let mut splitter = EventSplitter::default();
     let mut out = Vec::new();
@@ -252,6 +257,9 @@
             splitter.push(&piece);
         }
         relay_blocks(request, &response, state, recorder, &mut splitter, &mut out);
+        if state.head_sent {
+            state.software.get_or_insert(software);
+        }
         if response.decoder.is_done() {
             return end_stream(request, response, state, splitter, out, server).await;
         }
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::admission::{QUEUE_POLL_INTERVAL, can_answer_in_time, max_queue_wait};
+use cometmoor_core::gateway::registry::SoftwareHash;
 use cometmoor_core::gateway::selection::{Candidate, CostModel, RequestProfile, select};
 use cometmoor_core::gateway::signals::Hold;
 use cometmoor_core::time::BootInstant;
@@ -88,7 +89,7 @@
                 Selection::OnHold { recheck_after, .. } => {
                     clock::now() + recheck_after > wait_until
                 }
-                Selection::Unreachable(_) => true,
+                Selection::Unreachable(_) | Selection::Unavailable(Refusal::NoVersion) => true,
                 Selection::Overloaded(_) | Selection::Unavailable(_) => false,
             };
             if let Selection::Unavailable(Refusal::NoAdapter) = selection {
@@ -124,7 +125,7 @@
         let now = clock::now();
         let placement = self.traffic.board.placement.load();
         let mut eligible: Vec<&Rc<Server>> = self
-            .eligible_servers(table.of_service(service), &placement, now)
+            .eligible_servers(table.of_service(service), stream.software, &placement, now)
             .filter(|server| !tried.contains(&server.record().incarnation))
             .collect();
         let mut holds = Vec::new();
@@ -161,6 +162,7 @@
         ) else {
             return Selection::Unavailable(self.unavailable_reason(
                 table.of_service(service),
+                stream.software,
                 &placement,
                 now,
             ));
@@ -220,13 +222,20 @@
     fn unavailable_reason(
         &self,
         servers: &[Rc<Server>],
+        software: Option<SoftwareHash>,
         placement: &PlacementView,
         now: BootInstant,
     ) -> Refusal {
+        let servers: Vec<&Rc<Server>> =
+            servers.iter().filter(|server| runs_software(server, software)).collect();
+        let accepts_requests = |server: &&Rc<Server>| server.accepts_requests();
+        if software.is_some() && !servers.iter().any(accepts_requests) {
+            return Refusal::NoVersion;
+        }
         let Some(model) = &self.metadata.model else { return Refusal::NoServer };
         let base = ModelName { model: model.model.clone(), adapter: None };
         let holds =
-            |server: &Rc<Server>| server.accepts_requests() && server.holds(&base, placement, now);
+            |server: &&Rc<Server>| server.accepts_requests() && server.holds(&base, placement, now);
         match servers.iter().any(holds) {
             true if model.adapter.is_some() => Refusal::NoAdapter,
             true => Refusal::ServerRefused,
@@ -234,15 +243,19 @@
         }
     }
 
-    /// Servers that accept requests and are believed to hold the requested model and adapter.
+    /// Servers that accept requests, run the software version if one is required, and are believed
+    /// to hold the requested model and adapter.
     pub(super) fn eligible_servers<'t>(
         &self,
         servers: &'t [Rc<Server>],
+        software: Option<SoftwareHash>,
         placement: &PlacementView,
         now: BootInstant,
     ) -> impl Iterator<Item = &'t Rc<Server>> {
         let eligible = move |server: &&Rc<Server>| {
-            server.accepts_requests() && self.is_eligible(server, placement, now)
+            server.accepts_requests()
+                && runs_software(server, software)
+                && self.is_eligible(server, placement, now)
         };
         servers.iter().filter(eligible)
     }
@@ -332,3 +345,8 @@
         hash.digest()
     }
 }
+
+/// Whether a server runs the software version, if one is required.
+fn runs_software(server: &Server, software: Option<SoftwareHash>) -> bool {
+    software.is_none_or(|required| server.record().software_hash() == required)
+}
