A stream that a client takes up goes on only at its software version

Seen: clients that took streams up at another node received events of another software version (12 of 24 with two versions, 22 of 24 taken up again and again, 11 of 24 at a new node); a stream whose version had ended went on anywhere.

Cause: the version that began a stream was known to nobody once its attempt had ended. Class: state of a request that outlives the node's view of it.

Change: before a client receives anything of a stream, its node records the version under the attempt's name and the tenant, and sends that to three other nodes chosen by rendezvous hashing (40 bytes each, no store call). A node that gets a stream to go on with has its own record, or asks those nodes, and again through others if it knows few. Without a record the version is known only where the service has had one for as long as a client may return. What nobody knows, and what has no server left, is rejected at once as not run; a name that is given twice, empty or too long with 400. A node that stops hands its records over. Streams that are taken up are not refused early: they were admitted once. On a route with several services the stream goes back to its own.

Weighed: asking all nodes (350 at 5 returns a second each); heartbeats (up to 350 ms late, a client is back in 10 ms); a version that follows from the name by a rule (guesses where shares shift or a version ends).

--- a/crates/cometmoor-core/src/gateway/configuration.rs
+++ b/crates/cometmoor-core/src/gateway/configuration.rs
@@ -207,6 +207,11 @@
 }
 
 impl GatewayConfiguration {
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(Arc::as_ref)
+    }
+
     /// Builds a configuration without tenants.
     pub fn new(
         version: u64,
--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -21,4 +21,5 @@
 pub mod signals;
 pub mod staleness;
 pub mod store_position;
+pub mod stream_origins;
 pub mod tenants;
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -19,6 +19,7 @@
 use cometmoor_core::gateway::restored_registry::ServersByIncarnation;
 use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
+use cometmoor_core::gateway::stream_origins::{VersionHistory, return_time};
 use cometmoor_core::time::{BootInstant, Timestamp};
 use spdlog::{error, info, warn};
 
@@ -74,6 +75,7 @@
     lost_version: Option<u64>,
     entries: ServerEntries,
     servers: ServersByIncarnation,
+    versions: VersionHistory,
     remote_load_updated: Timestamp,
     servers_fetched: Option<Timestamp>,
     peers: Membership,
@@ -101,6 +103,7 @@
         let staleness = settings.staleness_limits();
         let proof_limits = settings.proof_limits();
         let heartbeat = settings.server_heartbeat();
+        let history_begins_at = (!context.settings.fresh_fleet).then(clock::now);
         FleetState {
             context,
             staleness,
@@ -115,6 +118,7 @@
             lost_version: None,
             entries: ServerEntries::new(heartbeat),
             servers: HashMap::new(),
+            versions: VersionHistory::new(history_begins_at),
             remote_load_updated: Timestamp(0),
             servers_fetched: None,
             peers,
@@ -216,6 +220,9 @@
     fn publish(&mut self) {
         let now = self.now();
         self.generation += 1;
+        let return_time = return_time(self.configuration.get().map(Arc::as_ref));
+        let servers = self.servers.values().map(|entry| &*entry.record);
+        self.versions.record(servers, return_time, clock::now());
         let copy = &self.copies[&StorePrefix::Configuration];
         let snapshot = FleetSnapshot {
             generation: self.generation,
@@ -226,6 +233,7 @@
             is_known_behind: copy.is_known_behind(),
             ignored_entries: self.entries.ignored_count(),
             servers: self.servers.values().map(|entry| self.with_own_state(entry)).collect(),
+            versions: self.versions.clone(),
             nodes: self.client_endpoints(),
             configuration_confirmed: copy.confirmed,
             servers_confirmed: self.copies[&StorePrefix::Servers].confirmed,
--- a/crates/cometmoor-gateway/src/control_traffic.rs
+++ b/crates/cometmoor-gateway/src/control_traffic.rs
@@ -19,6 +19,8 @@
     Proof,
     /// Messages about allowances that nodes lend one another.
     Quota,
+    /// Records of, and questions for, the software versions that began streams.
+    StreamOrigin,
     /// A copy of the configuration that is sent to a peer.
     ConfigurationCopy,
     /// A copy of the servers' registry entries that is sent to a peer.
@@ -34,12 +36,13 @@
 }
 
 impl TrafficKind {
-    const ALL: [TrafficKind; 11] = [
+    const ALL: [TrafficKind; 12] = [
         TrafficKind::Heartbeat,
         TrafficKind::ZoneDigest,
         TrafficKind::FleetDigest,
         TrafficKind::Proof,
         TrafficKind::Quota,
+        TrafficKind::StreamOrigin,
         TrafficKind::ConfigurationCopy,
         TrafficKind::ServersCopy,
         TrafficKind::StoreRead,
@@ -56,6 +59,7 @@
             TrafficKind::FleetDigest => "fleet_digest",
             TrafficKind::Proof => "proof",
             TrafficKind::Quota => "quota",
+            TrafficKind::StreamOrigin => "stream_origin",
             TrafficKind::ConfigurationCopy => "configuration_copy",
             TrafficKind::ServersCopy => "servers_copy",
             TrafficKind::StoreRead => "store_read",
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod permit;
 mod relay;
+mod resumption;
 mod send;
 mod server_selection;
 mod tenant;
@@ -179,12 +180,18 @@
         if let Err((refusal, retry_after)) = self.acquire_quota().await {
             return self.refuse(refusal, retry_after).await;
         }
+        let resumed = match self.find_resumed_stream(service).await {
+            Ok(resumed) => resumed,
+            Err(error) => return self.reject_resumption(error).await,
+        };
+        let software = resumed.as_ref().map(|stream| stream.software);
+        let service = resumed.as_ref().map_or(service, |stream| &*stream.service);
         let now = self.traffic.now();
         self.traffic.with_retry_budget(service, |budget| budget.record_request(now));
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut unreachable = 0;
         let mut on_hold = 0;
-        let mut stream = StreamState::default();
+        let mut stream = StreamState::new(software);
         let mut last_error = None;
         let mut continuation: Option<Continuation> = None;
         loop {
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// No server of the software version that began the stream accepts requests.
     NoVersion,
+    /// No node knows the software version that began the stream.
+    UnknownVersion,
     /// None of the servers that could run it was reached, directly or through a peer.
     NotReached,
     /// Every server is expected to respond too late.
@@ -54,6 +56,7 @@
     pub fn step(self) -> &'static str {
         match self {
             Refusal::KeyRevoked | Refusal::KeyUndecided => "key",
+            Refusal::UnknownVersion | Refusal::NoVersion => "resumption",
             Refusal::OverLimit | Refusal::LimitUndecided => "quota",
             _ => "queue",
         }
@@ -66,6 +69,7 @@
             Refusal::NoAdapter => "no server holds the adapter",
             Refusal::NoServer => "no server takes work",
             Refusal::NoVersion => "no server of the stream's software version takes work",
+            Refusal::UnknownVersion => "no node knows the software version of the stream",
             Refusal::NotReached => "no server was reached",
             Refusal::Overloaded => "every server would answer too late",
             Refusal::ServersOnHold => "every server rests or is at its limit",
@@ -130,6 +134,11 @@
         LocalResponse { status: 404, outcome: "no_route", retry_after: None, close: false }
     }
 
+    /// 400: the request was read, and a header is malformed; it has not run and will not.
+    pub fn malformed() -> LocalResponse {
+        LocalResponse { status: 400, outcome: "rejected", retry_after: None, close: false }
+    }
+
     /// The request cannot be read; the connection is closed.
     pub fn rejected(status: u16) -> LocalResponse {
         LocalResponse { status, outcome: "rejected", retry_after: None, close: true }
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -160,7 +160,7 @@
     /// Identifier of the last complete event that was sent to the client.
     pub last_event: Option<String>,
     /// The software version that began the stream, the only one that may go on with it; `None`
-    /// until something of it was sent to the client.
+    /// for a new stream until something of it was sent to the client.
     pub software: Option<SoftwareHash>,
     /// Intervals between its events.
     pub intervals: EventIntervals,
@@ -169,6 +169,14 @@
     framing: Option<(BodyFraming, bool)>,
 }
 
+impl StreamState {
+    /// A stream of which this attempt has brought nothing. `software` is the version that began it
+    /// if the client takes it up.
+    pub fn new(software: Option<SoftwareHash>) -> StreamState {
+        StreamState { software, ..StreamState::default() }
+    }
+}
+
 /// How a server's part of a stream has ended.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamEnd {
@@ -256,9 +264,11 @@
         while let Some(piece) = next_piece(&mut response)? {
             splitter.push(&piece);
         }
+        let had_begun = state.head_sent;
         relay_blocks(request, &response, state, recorder, &mut splitter, &mut out);
-        if state.head_sent {
-            state.software.get_or_insert(software);
+        if state.head_sent && !had_begun {
+            state.software = Some(software);
+            request.announce_origin(software);
         }
         if response.decoder.is_done() {
             return end_stream(request, response, state, splitter, out, server).await;
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -176,7 +176,8 @@
             candidates: candidates.len(),
             on_hold: holds.len(),
         });
-        let may_be_late = stream.head_sent || !self.traffic.settings.mechanisms.early_refusal;
+        let may_be_late =
+            stream.software.is_some() || !self.traffic.settings.mechanisms.early_refusal;
         if may_be_late || can_answer_in_time(expected, self.route.objective, self.time_left()) {
             let server = servers[choice.index].clone();
             return Selection::Server {
--- a/crates/cometmoor-gateway/src/forward/traffic.rs
+++ b/crates/cometmoor-gateway/src/forward/traffic.rs
@@ -22,6 +22,7 @@
 use crate::servers::ServerTable;
 use crate::settings::GatewaySettings;
 use crate::signals::SignalBoard;
+use crate::stream_origins::OriginBoard;
 use crate::tunnel::TunnelClient;
 
 /// State of the traffic thread that its requests share.
@@ -44,6 +45,8 @@
     pub links: LinkBoard,
     /// Limits of tenants and servers.
     pub quota: Rc<QuotaLimiter>,
+    /// The software versions that began streams.
+    pub origins: Rc<OriginBoard>,
     /// The servers in the registry, with this node's connections to them.
     pub servers: Rc<RefCell<ServerTable>>,
     /// Opens connections to them.
@@ -69,6 +72,7 @@
         brittle: BrittleBoard,
         links: LinkBoard,
         quota: Rc<QuotaLimiter>,
+        origins: Rc<OriginBoard>,
         metrics: Arc<Metrics>,
     ) -> TrafficContext {
         let servers = Rc::new(RefCell::new(ServerTable::new(signals.clone())));
@@ -87,6 +91,7 @@
             brittle,
             links,
             quota,
+            origins,
             metrics,
             started_at: clock::now(),
             retry_budgets: RefCell::default(),
--- a/crates/cometmoor-gateway/src/lib.rs
+++ b/crates/cometmoor-gateway/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod signals;
 pub mod store;
 pub mod store_era;
+pub mod stream_origins;
 pub mod tunnel;
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -135,6 +135,11 @@
     /// Runs that were stopped to be migrated to another server, by result.
     pub run_migrations: Family<StateLabels, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
+    /// Streams that clients took up, by how the software version was learned, or why it was not:
+    /// `unknown`, `ended` or `malformed`.
+    pub resumptions: Family<StateLabels, Counter>,
+    /// Streams of which this node has recorded the software version.
+    pub stream_origins: Gauge,
     /// Time that a request waited in the queue for a server.
     pub queue_time: Histogram,
     /// Time until a connection to a server was available, or could not be established.
@@ -209,6 +214,8 @@
             signaling_servers: Family::default(),
             run_migrations: Family::default(),
             stream_ends: Family::default(),
+            resumptions: Family::default(),
+            stream_origins: Gauge::default(),
             queue_time: histogram(),
             connect_time: histogram(),
             time_to_first_byte: histogram(),
@@ -250,6 +257,8 @@
         registry.register("run_moves", "Runs moved to other servers", self.run_migrations.clone());
         let ends = self.stream_ends.clone();
         registry.register("stream_ends", "Servers' parts of streams by how they ended", ends);
+        let resumptions = self.resumptions.clone();
+        registry.register("resumptions", "Streams that clients took up", resumptions);
         let crashes = self.server_crashes.clone();
         registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
@@ -290,6 +299,7 @@
             ("brittle_services", "Services with brittle servers", &self.brittle_services),
             ("isolated", "Whether this node has lost its links to servers", &self.is_isolated),
             ("open_tunnels", "Connections to servers for peers", &self.open_tunnels),
+            ("stream_origins", "Streams whose software version is known", &self.stream_origins),
             ("ignored_entries", "Entries that name no server to use", &self.ignored_entries),
             ("dropped_log_lines", "Log lines that were dropped", &self.dropped_lines),
         ];
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -38,6 +38,7 @@
 use crate::settings::{GatewaySettings, SettingsError};
 use crate::signals::SignalBoard;
 use crate::store::{Store, StoreLease};
+use crate::stream_origins::OriginBoard;
 use crate::tunnel;
 
 /// Maximum number of connections that wait to be accepted, per listener.
@@ -209,9 +210,16 @@
                 return;
             }
         };
+        let origins = match OriginBoard::start(&settings, board.clone(), metrics.clone()) {
+            Ok(origins) => origins,
+            Err(source) => {
+                error!("[streams] cannot listen on the address", kv: { reason = source.to_string() });
+                return;
+            }
+        };
         let settings = Rc::new(settings);
         let traffic =
-            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, brittle, links, quota, metrics));
+            Rc::new(TrafficContext::new(settings, dialect, board, loads, quarantine, signals, brittle, links, quota, origins, metrics));
         actix_rt::spawn(close_idle_connections(traffic.clone()));
         match tunnel_listener.map(TcpListener::from_std) {
             Some(Ok(listener)) => {
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -10,6 +10,7 @@
 use cometmoor_core::gateway::proof::ProofLimits;
 use cometmoor_core::gateway::registry::ServerRecord;
 use cometmoor_core::gateway::signals::IncarnationHash;
+use cometmoor_core::gateway::stream_origins::VersionHistory;
 use cometmoor_core::keys::KeyFreshness;
 use cometmoor_core::time::BootInstant;
 use tokio::sync::Notify;
@@ -71,6 +72,8 @@
     pub ignored_entries: usize,
     /// Servers in the registry.
     pub servers: Vec<Arc<ServerRecord>>,
+    /// The software versions that services have had recently.
+    pub versions: VersionHistory,
     /// Nodes that accept requests, including this one.
     pub nodes: Vec<NodeEndpoint>,
     /// When the store or a peer last confirmed the configuration; `None` if never.
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -51,6 +51,10 @@
     /// served by none.
     #[serde(default)]
     pub tunnel_address: Option<SocketAddrV4>,
+    /// UDP address for messages about streams that clients may take up at another node. The port is
+    /// the same on all nodes. Without it this node knows only the streams that it has served itself.
+    #[serde(default)]
+    pub stream_address: Option<SocketAddrV4>,
     /// Address of the metrics endpoint; without it there is no such endpoint.
     #[serde(default)]
     pub metrics_address: Option<SocketAddrV4>,
