Soak: servers of two software versions, and clients that take streams up

Half of the servers run another version. Three clients ask for streams that their servers break off inside an event where they begin, and take them up, up to three times, at any node. Checked over all attempts: events follow one another and are of one version. Each check has a test that plants its violation.

--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -38,10 +38,11 @@
 
 /// All broken promises.
 pub fn check(history: &History) -> Vec<Violation> {
-    let checks: [fn(&History) -> Vec<Violation>; 12] = [
+    let checks: [fn(&History) -> Vec<Violation>; 13] = [
         at_most_once,
         not_run_is_true,
         whole_and_own,
+        streams_keep_their_version,
         leaving_gets_nothing,
         in_force_in_time,
         never_back,
@@ -87,7 +88,7 @@
         let stayed = self
             .requests
             .iter()
-            .filter(|request| request.ended != Ended::Left && request.kind != Kind::BrokenStream);
+            .filter(|request| request.ended != Ended::Left && !request.kind.is_broken_off());
         stayed.filter(|request| self.is_owed(request))
     }
 
@@ -164,6 +165,26 @@
         .collect()
 }
 
+/// A stream's events follow one another, over all attempts, and are of one software version.
+fn streams_keep_their_version(history: &History) -> Vec<Violation> {
+    let mut broken = Vec::new();
+    for stream in &history.streams {
+        let numbers = stream.events.iter().map(|(number, _)| *number);
+        let is_sequence = numbers.eq(1..=stream.events.len() as u64);
+        let is_whole = stream.events.len() as u64 == stream.whole;
+        if !is_sequence || (stream.is_complete && !is_whole) {
+            broken.push(violation("each caller its own whole answer", format!("{stream:?}")));
+        }
+        let mut versions = stream.events.iter().map(|(_, version)| version);
+        let first = versions.next();
+        if versions.any(|version| Some(version) != first) {
+            let promise = "a stream goes on only at its software version";
+            broken.push(violation(promise, format!("{stream:?}")));
+        }
+    }
+    broken
+}
+
 fn leaving_gets_nothing(history: &History) -> Vec<Violation> {
     let requests = history.requests_by_id();
     let mut broken = Vec::new();
@@ -217,7 +238,7 @@
     for stop in &history.stops {
         let cut = history.requests.iter().filter(|request| {
             request.node == stop.node
-                && request.kind != Kind::BrokenStream
+                && !request.kind.is_broken_off()
                 && matches!(request.ended, Ended::Cut | Ended::Failed(_))
                 && request.sent < stop.ended
                 && request.done >= stop.at
--- a/crates/cometmoor-lab/src/soak/clients.rs
+++ b/crates/cometmoor-lab/src/soak/clients.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cometmoor_platform_stand_in::caller::{Call, Caller, ask_directory};
+use cometmoor_gateway::http::events::EventSplitter;
+use cometmoor_platform_stand_in::caller::{Call, Caller, TakenUp, ask_directory, judge};
+use cometmoor_platform_stand_in::http::Received;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::history::{Kind, RequestRecord};
+use super::history::{Ended, Kind, RequestRecord, StreamRecord};
 use super::system::SoakSystem;
 use super::tenants::{Credential, DESK, LAUNDRY, LIBRARY, MONITOR, UNKNOWN_KEY};
 
@@ -30,6 +32,11 @@
 /// Clients that leave before their answer has come, and how soon.
 const LEAVING_CLIENTS: u64 = 3;
 const LEAVES_AFTER_MILLIS: std::ops::Range<u64> = 5..150;
+/// Clients that take streams up again, and how soon after one was broken off.
+const RESUMING_CLIENTS: u64 = 3;
+const RESUMES_AFTER_MILLIS: std::ops::Range<u64> = 0..400;
+/// Attempts of such a client at one stream.
+const RESUMING_ATTEMPTS: usize = 4;
 /// Time between two probes of a node.
 const PROBE_EACH: Duration = Duration::from_millis(250);
 /// Most events that a stream asks for: it ends well within the grace.
@@ -73,6 +80,10 @@
     for number in first..first + LEAVING_CLIENTS {
         tasks.push(actix_rt::spawn(client(number).send_and_leave()));
     }
+    let first = first + LEAVING_CLIENTS;
+    for number in first..first + RESUMING_CLIENTS {
+        tasks.push(actix_rt::spawn(client(number).send_and_resume()));
+    }
     for node in 0..system.node_count() {
         tasks.push(actix_rt::spawn(probe(system.clone(), stopping.clone(), node)));
     }
@@ -189,6 +200,67 @@
         }
     }
 
+    /// Streams that servers break off, which the client takes up at any node.
+    async fn send_and_resume(mut self) {
+        while !self.stopping.get() {
+            let pause = self.random.random_range(0..MOST_PAUSE_MILLIS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let broken = self.random.random_range(1..MOST_EVENTS / 2);
+            let whole = broken + self.random.random_range(1..MOST_EVENTS / 2);
+            let path = format!("/resume/resume-{broken}-{whole}");
+            let mut stream = StreamRecord { whole, ..StreamRecord::default() };
+            let mut first: Option<String> = None;
+            for _ in 0..RESUMING_ATTEMPTS {
+                let attempt = self.take_up(&path, &mut stream, first.as_deref()).await;
+                if first.is_none() && !stream.events.is_empty() {
+                    first = attempt;
+                }
+                if stream.is_complete {
+                    break;
+                }
+                let pause = self.random.random_range(RESUMES_AFTER_MILLIS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+            }
+            self.system.note_stream(stream);
+        }
+    }
+
+    /// Sends one attempt at a stream, of which `first` brought the first event; returns its
+    /// identifier.
+    async fn take_up(
+        &mut self,
+        path: &str,
+        stream: &mut StreamRecord,
+        first: Option<&str>,
+    ) -> Option<String> {
+        let address = self.directory.pick(&self.system, &mut self.random).await?;
+        let node = self.system.node_at(address)?;
+        let id = format!("c{}-{}", self.number, self.count);
+        self.count += 1;
+        let last_event = stream.events.last().map_or(0, |(number, _)| *number);
+        let takes_up = first.map(|attempt| TakenUp { attempt, last_event });
+        let credential = Credential::Key(self.system.tenants().key_of(DESK));
+        let key = self.system.tenants().keys[self.system.tenants().key_of(DESK)].text.clone();
+        let call = Call { path, id: &id, key: Some(&key), claims: None, takes_up };
+        let sent = self.system.elapsed();
+        let received = Caller::default().receive(address, call).await;
+        let done = self.system.elapsed();
+        stream.attempts.push(id.clone());
+        let ended = match &received {
+            Ok(received) if received.status() == 200 => {
+                stream.events.extend(events_by_version(received));
+                stream.is_complete = received.whole;
+                if received.whole { Ended::Whole } else { Ended::Cut }
+            }
+            Ok(received) => judge(received, path, &id),
+            Err(ended) => ended.clone(),
+        };
+        let kind = Kind::ResumableStream;
+        let record = RequestRecord { id: id.clone(), kind, credential, node, sent, done, ended };
+        self.system.note_request(record);
+        Some(id)
+    }
+
     async fn send(&mut self, kind: Kind, path: &str, credential: Credential) {
         self.send_within(kind, path, credential, None).await;
     }
@@ -210,6 +282,19 @@
     }
 }
 
+/// Numbers of the complete events that were received, and the versions that made them.
+fn events_by_version(received: &Received) -> Vec<(u64, String)> {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&received.body);
+    let mut events = Vec::new();
+    while let Some(block) = splitter.next_block() {
+        let text = String::from_utf8_lossy(&block.bytes);
+        let version = text.trim().rsplit(' ').next().unwrap_or_default().to_owned();
+        events.extend(block.id().and_then(|id| id.parse().ok()).map(|number| (number, version)));
+    }
+    events
+}
+
 fn draw_request(random: &mut ChaCha8Rng, count: u64) -> (Kind, String) {
     match random.random_range(0..3) {
         0 => (Kind::Once, format!("/once/{count}")),
@@ -266,7 +351,7 @@
         Credential::Missing | Credential::Public => None,
     };
     // Whatever a client says of tenants is dropped.
-    let call = Call { path, id: &id, key: text.as_deref(), claims: Some(LAUNDRY) };
+    let call = Call { path, id: &id, key: text.as_deref(), claims: Some(LAUNDRY), takes_up: None };
     let sent = system.elapsed();
     let ended = match leaves_after {
         Some(after) => caller.call_and_leave(address, call, after).await,
--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! What each fault does to the system.
 
+use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
 use cometmoor_platform_stand_in::fleet::{
@@ -230,7 +231,7 @@
         let workers = self.inner.workers.borrow();
         old.way.lead_to(workers[other.number].address);
         self.inner.fleet.unregister(&old.id);
-        self.inner.fleet.register_at(&other.id, OTHER_SERVICE, old.way.address, "ready");
+        self.register(&other, OTHER_SERVICE, old.way.address, "ready");
         self.inner.history.borrow_mut().of_other_service.push(other.number);
         self.note_leaving(&old);
     }
@@ -245,17 +246,23 @@
         let number = self.inner.workers.borrow().len();
         let id = format!("i-{number}");
         let host = self.inner.fleet.host(SERVER_HOST);
-        let worker = Worker::start(host, &id, WORK).await;
+        let worker = Worker::start(host, &id, software_of(number), WORK).await;
         let way = Way::open(host, worker.address).await;
         let way = way.map_err(|error| format!("way to a server: {error}"))?;
         for links in &self.links_of_nodes() {
             links.add(self.inner.fleet.host(LINK_HOST), way.address).await;
         }
-        self.inner.fleet.register_at(&id, service, way.address, "ready");
+        let software = software_of(number);
+        self.inner.fleet.register_version_at(&id, service, way.address, "ready", software);
         self.inner.workers.borrow_mut().push(worker);
         Ok(ServerPlace { id, number, way })
     }
 
+    fn register(&self, server: &ServerPlace, service: &str, address: SocketAddrV4, state: &str) {
+        let software = software_of(server.number);
+        self.inner.fleet.register_version_at(&server.id, service, address, state, software);
+    }
+
     fn links_of_nodes(&self) -> Vec<NodeLinks> {
         self.inner.nodes.borrow().iter().map(|node| node.links.clone()).collect()
     }
@@ -266,7 +273,7 @@
         let old = std::mem::replace(&mut self.inner.places.borrow_mut()[place], new);
         match says_so {
             true => {
-                self.inner.fleet.register_at(&old.id, SERVICE, old.way.address, "draining");
+                self.register(&old, SERVICE, old.way.address, "draining");
             }
             false => self.inner.fleet.unregister(&old.id),
         }
@@ -295,7 +302,7 @@
         let system = self.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(entry_after).await;
-            system.inner.fleet.register_at(&old.id, SERVICE, old.way.address, "draining");
+            system.register(&old, SERVICE, old.way.address, "draining");
             system.note_leaving(&old);
         });
     }
@@ -304,7 +311,10 @@
     pub(super) fn configure(&self) {
         let version = self.inner.version.get() + 1;
         let own = (1..=version).map(|version| safe_route(&format!("v{version}")));
-        let lasting = [once_route("once"), safe_route("safe"), stream_route("stream")];
+        let mut resume = stream_route("resume");
+        resume["resumable"] = json!(true);
+        resume["attempts"] = json!(2);
+        let lasting = [once_route("once"), safe_route("safe"), stream_route("stream"), resume];
         let open = public_route(once_route("open"));
         let routes: Vec<Value> = own.chain(lasting).chain([open]).collect();
         let tenants = self.inner.tenants.borrow().configuration();
@@ -330,3 +340,8 @@
         self.inner.flood_until.set(self.elapsed() + lasts);
     }
 }
+
+/// Software version of a server, by its place among all that ever were.
+fn software_of(number: usize) -> &'static str {
+    if number.is_multiple_of(2) { "v1" } else { "v2" }
+}
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -18,10 +18,19 @@
     Stream,
     /// The same, and its server breaks it off inside an event.
     BrokenStream,
+    /// Its answer is a stream that may be resumed; its server breaks it off where it begins.
+    ResumableStream,
     /// It asks for the route that a version of the configuration brought.
     Probe(u64),
 }
 
+impl Kind {
+    /// Whether its server breaks the answer off.
+    pub fn is_broken_off(self) -> bool {
+        matches!(self, Kind::BrokenStream | Kind::ResumableStream)
+    }
+}
+
 /// A request, as its client saw it.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
@@ -41,6 +50,19 @@
     pub ended: Ended,
 }
 
+/// A stream of which a client has received parts in several attempts.
+#[derive(Clone, Debug, Default)]
+pub struct StreamRecord {
+    /// Identifiers of the attempts, in order.
+    pub attempts: Vec<String>,
+    /// Numbers of its events and the software versions that made them, in order.
+    pub events: Vec<(u64, String)>,
+    /// Events of the whole stream.
+    pub whole: u64,
+    /// Whether the last attempt looked complete.
+    pub is_complete: bool,
+}
+
 /// The begin of work on a request at a server.
 #[derive(Clone, Debug)]
 pub struct RunRecord {
@@ -126,6 +148,8 @@
 pub struct History {
     /// Requests.
     pub requests: Vec<RequestRecord>,
+    /// Streams that clients took up after broken attempts.
+    pub streams: Vec<StreamRecord>,
     /// Runs.
     pub runs: Vec<RunRecord>,
     /// Requests that reached servers, by server and then in order.
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -16,7 +16,7 @@
 use super::SoakRun;
 use super::faults::SERVICE;
 use super::history::{
-    ArrivalRecord, Disturbance, History, PlannedStop, RequestRecord, RunRecord, Whom,
+    ArrivalRecord, Disturbance, History, PlannedStop, RequestRecord, RunRecord, StreamRecord, Whom,
 };
 use super::processes::NodeProcess;
 use super::proxy::Way;
@@ -191,6 +191,11 @@
         self.inner.history.borrow_mut().requests.push(request);
     }
 
+    /// Notes a stream that a client has stopped to take up.
+    pub fn note_stream(&self, stream: StreamRecord) {
+        self.inner.history.borrow_mut().streams.push(stream);
+    }
+
     /// Plays the faults at their times; they overlap.
     pub async fn play(&self, planned: &[Planned]) {
         for Planned { at, fault } in planned {
--- a/crates/cometmoor-lab/tests/soak_checks.rs
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -7,7 +7,7 @@
 use cometmoor_lab::soak::command::parse_seeds;
 use cometmoor_lab::soak::history::{
     ArrivalRecord, Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Says,
-    ServerCut, StoreOutage, Whom,
+    ServerCut, StoreOutage, StreamRecord, Whom,
 };
 use cometmoor_lab::soak::schedule::draw;
 use cometmoor_lab::soak::tenants::{Credential, KeyRecord, LAUNDRY, LIBRARY, LimitRecord};
@@ -324,3 +324,28 @@
     assert_eq!(parse_seeds("3..9"), Some((3, 9)));
     assert_eq!(parse_seeds("9..3"), None);
 }
+
+fn stream(events: &[(u64, &str)], whole: u64, is_complete: bool) -> StreamRecord {
+    let events = events.iter().map(|(number, version)| (*number, (*version).to_owned()));
+    StreamRecord { attempts: Vec::new(), events: events.collect(), whole, is_complete }
+}
+
+#[test]
+fn a_stream_of_two_software_versions_is_reported() {
+    let mut history = calm();
+    history.streams.push(stream(&[(1, "v1"), (2, "v1")], 3, false));
+    assert_eq!(promises(&history), Vec::<&str>::new());
+    history.streams.push(stream(&[(1, "v1"), (2, "v2")], 2, true));
+    assert_eq!(promises(&history), ["a stream goes on only at its software version"]);
+}
+
+#[test]
+fn a_stream_that_lacks_or_repeats_an_event_is_reported() {
+    for (events, is_complete) in
+        [(&[(1, "v1")][..], true), (&[(1, "v1"), (1, "v1")], false), (&[(2, "v1")], false)]
+    {
+        let mut history = calm();
+        history.streams.push(stream(events, 2, is_complete));
+        assert_eq!(promises(&history), ["each caller its own whole answer"], "{events:?}");
+    }
+}
