A cut-off node serves responses that end with their connection

Change: the node asks the peer, on a new connection, whether the server has closed the tunnel cleanly and runs on. No word, no complete response.

--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -53,6 +53,14 @@
 /// that waits for the verdict waits longer than this.
 const PEER_VERDICT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Connections that are opened to a server which has closed one cleanly, if it closes them, too.
+const MAX_CLOSE_PROBES: u32 = 2;
+/// Timeout of each of them.
+const CLOSE_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a new connection must stay open: a process that ends may still accept one while
+/// its sockets are closed one after the other.
+pub const PROBE_OPEN_TIME: Duration = Duration::from_millis(30);
+
 /// Opens connections to servers.
 pub struct Connector {
     links: LinkBoard,
@@ -360,6 +368,28 @@
         });
     }
 
+    /// Whether a server has ended right after it closed a connection cleanly: a process that is
+    /// killed closes its connections like one that has completed a response. One that is leaving
+    /// completes its responses before it ends. An open connection is kept for the next request.
+    pub async fn has_ended(&self, server: &Server) -> bool {
+        if !server.accepts_requests() {
+            return false;
+        }
+        for _ in 0..MAX_CLOSE_PROBES {
+            match connect(server.record().address, CLOSE_PROBE_TIMEOUT).await {
+                Ok(stream) => {
+                    clock::sleep(PROBE_OPEN_TIME).await;
+                    if server.pool.release_if_open(stream, None) {
+                        return false;
+                    }
+                }
+                Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            }
+        }
+        // It accepts connections and closes them, like one with too many.
+        false
+    }
+
     /// Whether a server that refuses a direct connection has ended, as far as peers tell: they are
     /// refused, too. Without a peer that tells, a server of a node that reaches others has ended.
     pub async fn has_server_ended(
@@ -410,6 +440,16 @@
         LinkObserver { connector: connector.clone(), server: server.clone(), via }
     }
 
+    /// Whether the server has closed the connection, which was read to its end, and runs on. Through
+    /// a peer that is for the peer to say.
+    pub async fn has_server_closed(&self, stream: &TcpStream) -> bool {
+        match (self.via, stream.local_addr()) {
+            (None, _) => !self.connector.has_ended(&self.server).await,
+            (Some(peer), Ok(own)) => self.connector.tunnels.has_server_closed(peer, own).await,
+            (Some(_), Err(_)) => false,
+        }
+    }
+
     /// Records that bytes have come.
     pub fn note_heard(&self) {
         if self.via.is_none() {
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -16,7 +16,7 @@
 
 use super::ForwardedRequest;
 use crate::clock;
-use crate::connector::Connector;
+use crate::connector::{Connector, PROBE_OPEN_TIME};
 use crate::http::connection::connect;
 use crate::links::LinkBoard;
 use crate::load::server_key;
@@ -31,16 +31,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two of these attempts.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a new connection must stay open: a crashing process may still accept one
-/// while its sockets are closed one after the other.
-const PROBE_OPEN_TIME: Duration = Duration::from_millis(30);
 /// The same if the verdict decides whether a request is quarantined: the process may also be
 /// descheduled while its sockets are closed.
 const DECISIVE_PROBE_OPEN_TIME: Duration = Duration::from_millis(100);
-/// Connections that are opened to a server which has closed one cleanly, if it closes them, too.
-const MAX_CLOSE_PROBES: u32 = 2;
-/// Timeout of each of them.
-const CLOSE_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Longest time that a retry waits for a crash check; an address that refuses connections does
 /// so within a millisecond.
 const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
@@ -74,28 +67,6 @@
         }
     }
 
-    /// Whether the server has ended right after it closed a connection cleanly: a process that is
-    /// killed closes its connections like one that has completed a response. One that is leaving
-    /// completes its responses before it ends. An open connection is kept for the next request.
-    pub(super) async fn has_ended_with_connection(&self, server: &Server) -> bool {
-        if !server.accepts_requests() {
-            return false;
-        }
-        for _ in 0..MAX_CLOSE_PROBES {
-            match connect(server.record().address, CLOSE_PROBE_TIMEOUT).await {
-                Ok(stream) => {
-                    clock::sleep(PROBE_OPEN_TIME).await;
-                    if server.pool.release_if_open(stream, None) {
-                        return false;
-                    }
-                }
-                Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
-            }
-        }
-        // It accepts connections and closes them, like one with too many.
-        false
-    }
-
     /// Waits briefly until it is known whether the server has crashed. A request that is retried
     /// earlier could crash the next server before it is blamed for this one.
     pub(super) async fn wait_for_crash_check(&self, server: &Server) {
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -81,10 +81,19 @@
         Ok(has_read)
     }
 
-    /// Whether the end of the connection is the end of the response. Through a peer it is not: the
-    /// peer may have ended.
-    pub fn ends_with_connection(&self) -> bool {
-        self.decoder.ends_with_connection() && self.link.via.is_none()
+    /// Whether the end of the connection, which was read, is the end of the response. Through a peer
+    /// it is that only if the server has closed the connection, and not the peer.
+    pub async fn ends_with_connection(&self) -> bool {
+        let is_direct = self.link.via.is_none();
+        self.decoder.ends_with_connection() && (is_direct || self.has_server_closed().await)
+    }
+
+    /// Whether the server has closed the connection, which was read to its end, and runs on.
+    pub async fn has_server_closed(&self) -> bool {
+        match &self.stream {
+            Some(stream) => self.link.has_server_closed(stream).await,
+            None => false,
+        }
     }
 
     /// Returns the connection to the pool if another request may use it.
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -60,7 +60,7 @@
             return Ok(BufferedBody { bytes, is_complete: false });
         }
         if !response.read_more().await? {
-            let is_complete = response.ends_with_connection();
+            let is_complete = response.ends_with_connection().await;
             return if is_complete {
                 Ok(BufferedBody { bytes, is_complete })
             } else {
@@ -98,7 +98,7 @@
         }
         match response.read_more().await {
             Ok(true) => {}
-            Ok(false) if response.ends_with_connection() => {
+            Ok(false) if response.ends_with_connection().await => {
                 push_body_end(framing, &mut bytes);
                 return request.end_body(framing, &bytes, keep).await;
             }
@@ -292,7 +292,7 @@
                 MigrationEnd::NotStopped => false,
             };
             more.map_err(RelayError::Server)?;
-            if may_be_stopped || !response.ends_with_connection() {
+            if may_be_stopped || !response.decoder.ends_with_connection() {
                 return Err(RelayError::Server(io::ErrorKind::UnexpectedEof.into()));
             }
             return end_stream(request, response, state, splitter, out, server).await;
@@ -354,8 +354,8 @@
         write_all(request.client, &out).await.map_err(|_| RelayError::Client)?;
         out.clear();
     }
-    let has_no_end = ended_with_connection
-        && (state.end.events == 0 || request.has_ended_with_connection(server).await);
+    let has_no_end =
+        ended_with_connection && (state.end.events == 0 || !response.has_server_closed().await);
     if is_inside_event || has_no_end {
         return Err(RelayError::Server(match ended_with_connection {
             true => io::ErrorKind::UnexpectedEof.into(),
--- a/crates/cometmoor-gateway/src/tunnel/client.rs
+++ b/crates/cometmoor-gateway/src/tunnel/client.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::server::REFUSED_STATUS;
-use super::{METHOD, PATH, TUNNEL_ID, Tunnel, TunnelError};
+use super::{END_METHOD, END_PATH, METHOD, PATH, TUNNEL_ID, Tunnel, TunnelError};
 use crate::clock;
 use crate::http::connection::{read_some, set_socket_options, write_all};
 use crate::http::head::parse_response_head;
@@ -29,6 +29,8 @@
 const PEER_BACKOFF: Duration = Duration::from_secs(1);
 /// Time without an answer of a peer after which another one is asked, too.
 const PEER_HEDGE_DELAY: Duration = Duration::from_millis(50);
+/// Timeout for learning how a tunnel has ended.
+const END_TIMEOUT: Duration = Duration::from_millis(400);
 /// Peers that are asked for one tunnel.
 const MAX_PEERS: usize = 4;
 const MAX_HEAD_BYTES: usize = 4 << 10;
@@ -96,6 +98,17 @@
         }
     }
 
+    /// Whether a tunnel through a peer, opened from this node's address `own`, has ended because the
+    /// server closed its connection and runs on.
+    pub async fn has_server_closed(&self, peer: SocketAddrV4, own: SocketAddr) -> bool {
+        let question = async {
+            let stream = self.connect(peer).await?;
+            let head = format!("{END_METHOD} {END_PATH}{own} HTTP/1.1\r\nHost: {peer}\r\n\r\n");
+            read_status(&stream, &head).await
+        };
+        matches!(clock::timeout(END_TIMEOUT, question).await, Ok(Ok(200)))
+    }
+
     /// Stops asking a peer for a while.
     pub fn back_off(&self, peer: SocketAddrV4) {
         self.backoffs.borrow_mut().insert(peer, clock::now() + PEER_BACKOFF);
@@ -167,22 +180,23 @@
         let head = format!(
             "{METHOD} {PATH}{incarnation} HTTP/1.1\r\nHost: {peer}\r\n{TUNNEL_ID}: {node}-{number}\r\n\r\n"
         );
-        write_all(stream, head.as_bytes()).await?;
-        let mut buffer = BytesMut::new();
-        loop {
-            if read_some(stream, &mut buffer).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            let head = parse_response_head(&mut buffer, MAX_HEAD_BYTES, true);
-            if let Some(head) = head.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))? {
-                // Servers send nothing before a request.
-                let is_clean = buffer.is_empty();
-                return if is_clean {
-                    Ok(head.status)
-                } else {
-                    Err(io::ErrorKind::InvalidData.into())
-                };
-            }
+        read_status(stream, &head).await
+    }
+}
+
+/// Sends a request to a peer and reads the status of the response.
+async fn read_status(stream: &TcpStream, request: &str) -> io::Result<u16> {
+    write_all(stream, request.as_bytes()).await?;
+    let mut buffer = BytesMut::new();
+    loop {
+        if read_some(stream, &mut buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let head = parse_response_head(&mut buffer, MAX_HEAD_BYTES, true);
+        if let Some(head) = head.map_err(|_| io::Error::from(io::ErrorKind::InvalidData))? {
+            // Servers send nothing before a request.
+            let is_clean = buffer.is_empty();
+            return if is_clean { Ok(head.status) } else { Err(io::ErrorKind::InvalidData.into()) };
         }
     }
 }
--- a/crates/cometmoor-gateway/src/tunnel/mod.rs
+++ b/crates/cometmoor-gateway/src/tunnel/mod.rs
@@ -7,8 +7,8 @@
 //! connection to the server: bytes written to it may have reached the server.
 //!
 //! The end of a tunnel tells less than that of a connection: a peer that is killed closes it like a
-//! server that has finished. A response that is delimited by the end of its connection is therefore
-//! never complete over a tunnel.
+//! server that has finished. Where the end of the connection is the end of a response, the node asks
+//! the peer how the tunnel has ended; without its word the response is not complete.
 
 mod client;
 mod server;
@@ -24,6 +24,10 @@
 const METHOD: &str = "CONNECT";
 /// Path prefix of the request for a tunnel; the server's incarnation follows.
 const PATH: &str = "/tunnel/";
+/// Method and path prefix of the question how a tunnel has ended; the address from which it was opened
+/// follows.
+const END_METHOD: &str = "GET";
+const END_PATH: &str = "/tunnel-end/";
 /// Header with the identifier of a tunnel, which is in the log lines of both nodes.
 const TUNNEL_ID: &str = "tunnel-id";
 
