Read again: streams in a module of their own, 'resume' throughout; unnamed streams at a restarted node

relay.rs held bodies and event streams: the streams are stream.rs now. The usual word replaces 'take up' in code, log lines and metrics' help.

Found while reading: a client that names no attempt was rejected at a node that had just restarted, also where the service has one version only, as the node asked nobody.

--- a/crates/cometmoor-core/src/gateway/stream_origins.rs
+++ b/crates/cometmoor-core/src/gateway/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Which software version began a stream that a client takes up after a broken attempt.
+//! Which software version began a stream that a client resumes after a broken attempt.
 //!
 //! The node that serves the first attempt records the version, and so do a few others, chosen by a
 //! hash of the attempt's name, so that any node finds them. A version that no node has recorded is
--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -65,14 +65,14 @@
     pub declares_tokens: bool,
     /// Parts of the prompt in order.
     pub parts: Vec<PromptPart>,
-    /// What the client says of the stream that it takes up.
+    /// The stream that the client resumes.
     pub resumption: Resumption,
 }
 
-/// What a client says of a stream that it takes up after a broken attempt.
+/// The stream that a client resumes after a broken attempt, as the client names it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Resumption {
-    /// It takes up none.
+    /// The request is for a new stream.
     #[default]
     None,
     /// It has events, and does not name the attempt that brought the first one.
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -8,7 +8,7 @@
 
 use super::ForwardedRequest;
 use super::outcome::Refusal;
-use super::relay::StreamState;
+use super::stream::StreamState;
 use crate::clock;
 use crate::dialect::RunMigrationResponse;
 use crate::metrics::StateLabels;
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod resumption;
 mod send;
 mod server_selection;
+mod stream;
 mod tenant;
 mod traffic;
 
@@ -36,9 +37,9 @@
 use self::migration::Continuation;
 use self::outcome::Refusal;
 pub use self::outcome::{ConnectionAction, LocalResponse};
-use self::relay::StreamState;
 use self::send::SendOutcome;
 use self::server_selection::{Estimate, Selection};
+use self::stream::StreamState;
 pub use self::tenant::{Admitted, check_access};
 pub use self::traffic::TrafficContext;
 use crate::clock;
--- a/crates/cometmoor-gateway/src/forward/resumption.rs
+++ b/crates/cometmoor-gateway/src/forward/resumption.rs
@@ -1,5 +1,5 @@
-//! Streams that clients take up after a broken attempt: they go on only at the software version
-//! that began them.
+//! Streams that clients resume after a broken attempt: they go on only at the software version that
+//! began them.
 
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 /// Retry delay if no node knows the version.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Where a stream that a client takes up goes on.
+/// Where a stream that a client resumes goes on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct ResumedStream {
     /// The service whose software began it.
@@ -33,7 +33,7 @@
     pub(super) software: SoftwareHash,
 }
 
-/// Why a stream cannot be taken up.
+/// Why a stream cannot be resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResumptionError {
     /// The client does not name one attempt.
@@ -43,7 +43,7 @@
 }
 
 impl ForwardedRequest<'_> {
-    /// Finds the version at which a stream that the client takes up goes on; `None` for a new
+    /// Finds the version at which a stream that the client resumes goes on; `None` for a new
     /// stream.
     pub(super) async fn find_resumed_stream(
         &self,
@@ -56,21 +56,20 @@
         }
         let started = clock::now();
         let origins = &self.traffic.origins;
-        let origin = match resumption {
-            Resumption::Of(_) => match self.stream_key() {
-                Some(key) => origins.find(key, ServiceHash::of(service)).await,
-                None => Origin::Unknown { unanswered: 0 },
-            },
-            Resumption::Malformed => {
-                self.log_resumption("malformed", None, started);
-                return Err(ResumptionError::Malformed);
-            }
-            Resumption::None | Resumption::Unnamed => {
-                match origins.only_version(ServiceHash::of(service)) {
-                    Some(software) => Origin::Known(software, OriginSource::OnlyVersion),
-                    None => Origin::Unknown { unanswered: 0 },
-                }
-            }
+        if *resumption == Resumption::Malformed {
+            self.log_resumption("malformed", None, started);
+            return Err(ResumptionError::Malformed);
+        }
+        let hash = ServiceHash::of(service);
+        let known = match resumption {
+            Resumption::Of(_) => None,
+            _ => origins.only_version(hash),
+        };
+        let origin = match (known, self.stream_key()) {
+            (Some(software), _) => Origin::Known(software, OriginSource::OnlyVersion),
+            // Without a name nobody has a record, but peers may know that there is one version only.
+            (None, Some(key)) => origins.find(key, hash).await,
+            (None, None) => Origin::Unknown { unanswered: 0 },
         };
         match origin {
             Origin::Known(software, source) => match self.service_with(software) {
@@ -95,7 +94,7 @@
         }
     }
 
-    /// Responds to a client that cannot take up its stream.
+    /// Responds to a client that cannot resume its stream.
     pub(super) async fn reject_resumption(&self, error: ResumptionError) -> ConnectionAction {
         match error {
             ResumptionError::Refused(refusal, retry_after) => {
@@ -162,7 +161,7 @@
             let mut servers = fleet.servers.iter();
             servers.find(|server| server.software_hash() == stream.software)
         });
-        info!("[forward] a client takes up a stream", kv: {
+        info!("[forward] a client resumes a stream", kv: {
             request = &*self.metadata.id,
             resumes = self.metadata.resumption.name(),
             route = &*self.route.name,
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -8,7 +8,10 @@
 use super::exchange::{SendError, ServerResponse};
 use super::migration::Continuation;
 use super::outcome::Refusal;
-use super::relay::{self, EventIntervals, FirstEventRecorder, RelayError, StreamEnd, StreamState};
+use super::relay;
+use super::stream::{
+    EventIntervals, FirstEventRecorder, RelayError, StreamEnd, StreamState, relay_events,
+};
 use super::{ConnectionAction, ForwardedRequest};
 use crate::clock;
 use crate::dialect::RunCopy;
@@ -186,7 +189,7 @@
         recorder: &mut FirstEventRecorder<'_>,
     ) -> SendOutcome {
         let has_announced_end = !response.decoder.ends_with_connection();
-        match relay::relay_events(self, response, stream, recorder, server).await {
+        match relay_events(self, response, stream, recorder, server).await {
             Ok(action) => {
                 if has_announced_end {
                     self.record_complete_response();
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -13,7 +13,7 @@
 
 use super::ForwardedRequest;
 use super::outcome::Refusal;
-use super::relay::StreamState;
+use super::stream::StreamState;
 use crate::clock;
 use crate::dialect::ModelName;
 use crate::load::{model_key, server_key};
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -135,7 +135,7 @@
     /// Runs that were stopped to be migrated to another server, by result.
     pub run_migrations: Family<StateLabels, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
-    /// Streams that clients took up, by how the software version was learned, or why it was not:
+    /// Streams that clients resumed, by how the software version was learned, or why it was not:
     /// `unknown`, `ended` or `malformed`.
     pub resumptions: Family<StateLabels, Counter>,
     /// Streams of which this node has recorded the software version.
@@ -258,7 +258,7 @@
         let ends = self.stream_ends.clone();
         registry.register("stream_ends", "Servers' parts of streams by how they ended", ends);
         let resumptions = self.resumptions.clone();
-        registry.register("resumptions", "Streams that clients took up", resumptions);
+        registry.register("resumptions", "Streams that clients resumed", resumptions);
         let crashes = self.server_crashes.clone();
         registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -51,7 +51,7 @@
     /// served by none.
     #[serde(default)]
     pub tunnel_address: Option<SocketAddrV4>,
-    /// UDP address for messages about streams that clients may take up at another node. The port is
+    /// UDP address for messages about streams that clients may resume at another node. The port is
     /// the same on all nodes. Without it this node knows only the streams that it has served itself.
     #[serde(default)]
     pub stream_address: Option<SocketAddrV4>,
--- a/crates/cometmoor-gateway/src/stream_origins.rs
+++ b/crates/cometmoor-gateway/src/stream_origins.rs
@@ -1,5 +1,5 @@
 //! Records which software version began a stream, here and at a few other nodes, and asks them when
-//! a client takes a stream up. Runs on the traffic thread, over UDP.
+//! a client resumes a stream. Runs on the traffic thread, over UDP.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -46,7 +46,7 @@
 enum Message {
     /// Origins that the recipient is to record.
     Record(Vec<(StreamKey, SoftwareHash)>),
-    /// Asks for the origin of a stream that a client takes up at a service.
+    /// Asks for the origin of a stream that a client resumes at a service.
     Query { number: u32, key: StreamKey, service: ServiceHash },
     /// Asks for the same, also those that the recipient takes for the holders of the origin: it may
     /// know more nodes.
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Finds the version that began a stream which a client takes up at a service.
+    /// Finds the version that began a stream which a client resumes at a service.
     pub async fn find(&self, key: StreamKey, service: ServiceHash) -> Origin {
         if let Some(software) = self.origins.borrow().get(key, clock::now()) {
             return Origin::Known(software, OriginSource::Own);
--- a/crates/cometmoor-gateway/src/tunnel/server.rs
+++ b/crates/cometmoor-gateway/src/tunnel/server.rs
@@ -111,7 +111,7 @@
     }
     let Ok(Ok(head)) = clock::timeout(HEAD_TIMEOUT, read_head(peer)).await else { return };
     if head.method == END_METHOD {
-        return tell_end(peer, &head, traffic, clean_ends).await;
+        return answer_end_query(peer, &head, traffic, clean_ends).await;
     }
     clean_ends.forget(from);
     let result = open(&head, traffic).await;
@@ -129,7 +129,7 @@
 }
 
 /// Answers whether the server has closed a tunnel cleanly, and runs on.
-async fn tell_end(
+async fn answer_end_query(
     peer: &TcpStream,
     head: &RequestHead,
     traffic: &TrafficContext,
--- a/crates/cometmoor-lab/src/soak/clients.rs
+++ b/crates/cometmoor-lab/src/soak/clients.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cometmoor_gateway::http::events::EventSplitter;
-use cometmoor_platform_stand_in::caller::{Call, Caller, TakenUp, ask_directory, judge};
+use cometmoor_platform_stand_in::caller::{Call, Caller, ResumedStream, ask_directory, judge};
 use cometmoor_platform_stand_in::http::Received;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -32,7 +32,7 @@
 /// Clients that leave before their answer has come, and how soon.
 const LEAVING_CLIENTS: u64 = 3;
 const LEAVES_AFTER_MILLIS: std::ops::Range<u64> = 5..150;
-/// Clients that take streams up again, and how soon after one was broken off.
+/// Clients that resume streams, and how soon after one was broken off.
 const RESUMING_CLIENTS: u64 = 3;
 const RESUMES_AFTER_MILLIS: std::ops::Range<u64> = 0..400;
 /// Attempts of such a client at one stream.
@@ -200,7 +200,7 @@
         }
     }
 
-    /// Streams that servers break off, which the client takes up at any node.
+    /// Streams that servers break off, which the client resumes at any node.
     async fn send_and_resume(mut self) {
         while !self.stopping.get() {
             let pause = self.random.random_range(0..MOST_PAUSE_MILLIS);
@@ -211,7 +211,7 @@
             let mut stream = StreamRecord { whole, ..StreamRecord::default() };
             let mut first: Option<String> = None;
             for _ in 0..RESUMING_ATTEMPTS {
-                let attempt = self.take_up(&path, &mut stream, first.as_deref()).await;
+                let attempt = self.attempt_stream(&path, &mut stream, first.as_deref()).await;
                 if first.is_none() && !stream.events.is_empty() {
                     first = attempt;
                 }
@@ -227,7 +227,7 @@
 
     /// Sends one attempt at a stream, of which `first` brought the first event; returns its
     /// identifier.
-    async fn take_up(
+    async fn attempt_stream(
         &mut self,
         path: &str,
         stream: &mut StreamRecord,
@@ -238,10 +238,10 @@
         let id = format!("c{}-{}", self.number, self.count);
         self.count += 1;
         let last_event = stream.events.last().map_or(0, |(number, _)| *number);
-        let takes_up = first.map(|attempt| TakenUp { attempt, last_event });
+        let resumes = first.map(|attempt| ResumedStream { attempt, last_event });
         let credential = Credential::Key(self.system.tenants().key_of(DESK));
         let key = self.system.tenants().keys[self.system.tenants().key_of(DESK)].text.clone();
-        let call = Call { path, id: &id, key: Some(&key), claims: None, takes_up };
+        let call = Call { path, id: &id, key: Some(&key), claims: None, resumes };
         let sent = self.system.elapsed();
         let received = Caller::default().receive(address, call).await;
         let done = self.system.elapsed();
@@ -351,7 +351,7 @@
         Credential::Missing | Credential::Public => None,
     };
     // Whatever a client says of tenants is dropped.
-    let call = Call { path, id: &id, key: text.as_deref(), claims: Some(LAUNDRY), takes_up: None };
+    let call = Call { path, id: &id, key: text.as_deref(), claims: Some(LAUNDRY), resumes: None };
     let sent = system.elapsed();
     let ended = match leaves_after {
         Some(after) => caller.call_and_leave(address, call, after).await,
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -148,7 +148,7 @@
 pub struct History {
     /// Requests.
     pub requests: Vec<RequestRecord>,
-    /// Streams that clients took up after broken attempts.
+    /// Streams that clients resumed after broken attempts.
     pub streams: Vec<StreamRecord>,
     /// Runs.
     pub runs: Vec<RunRecord>,
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -191,7 +191,7 @@
         self.inner.history.borrow_mut().requests.push(request);
     }
 
-    /// Notes a stream that a client has stopped to take up.
+    /// Notes a stream that a client has stopped to resume.
     pub fn note_stream(&self, stream: StreamRecord) {
         self.inner.history.borrow_mut().streams.push(stream);
     }
