--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -371,7 +371,7 @@
     /// Whether a server has ended right after it closed a connection cleanly: a process that is
     /// killed closes its connections like one that has completed a response. One that is leaving
     /// completes its responses before it ends. An open connection is kept for the next request.
-    pub async fn has_ended(&self, server: &Server) -> bool {
+    pub async fn has_ended_after_close(&self, server: &Server) -> bool {
         if !server.accepts_requests() {
             return false;
         }
@@ -444,7 +444,7 @@
     /// a peer that is for the peer to say.
     pub async fn has_server_closed(&self, stream: &TcpStream) -> bool {
         match (self.via, stream.local_addr()) {
-            (None, _) => !self.connector.has_ended(&self.server).await,
+            (None, _) => !self.connector.has_ended_after_close(&self.server).await,
             (Some(peer), Ok(own)) => self.connector.tunnels.has_server_closed(peer, own).await,
             (Some(_), Err(_)) => false,
         }
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -125,7 +125,7 @@
                 server.record_failure(clock::now());
                 self.record_lost_connection(server, error.source());
                 stream.end = StreamEnd::default();
-                return Self::failed(error, stream);
+                return Self::failure_outcome(error, stream);
             }
         };
         self.traffic
@@ -214,13 +214,13 @@
                 server.record_failure(clock::now());
                 self.record_lost_connection(server, &error);
                 self.traffic.metrics.record_stream_end(stream.end.framing, stream.end.place());
-                Self::failed(SendError::ConnectionLost(error), stream)
+                Self::failure_outcome(SendError::ConnectionLost(error), stream)
             }
         }
     }
 
     /// The outcome if the server did not complete its response.
-    fn failed(error: SendError, stream: &StreamState) -> SendOutcome {
+    fn failure_outcome(error: SendError, stream: &StreamState) -> SendOutcome {
         if stream.head_sent { SendOutcome::StreamInterrupted } else { SendOutcome::Failed(error) }
     }
 
