--- a/crates/cometmoor-core/src/gateway/stream_origins.rs
+++ b/crates/cometmoor-core/src/gateway/stream_origins.rs
@@ -209,7 +209,7 @@
 }
 
 /// A question for the origin of a stream to several nodes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct OriginQuery {
     unanswered: Vec<SocketAddrV4>,
     recorded: Option<SoftwareHash>,
@@ -217,11 +217,6 @@
 }
 
 impl OriginQuery {
-    /// A question that nobody was asked.
-    pub fn new() -> OriginQuery {
-        OriginQuery { unanswered: Vec::new(), recorded: None, only_versions: Vec::new() }
-    }
-
     /// Records that nodes are asked.
     pub fn ask(&mut self, nodes: &[SocketAddrV4]) {
         self.unanswered.extend_from_slice(nodes);
@@ -250,9 +245,3 @@
         rest.iter().all(|other| other == first).then_some(*first)
     }
 }
-
-impl Default for OriginQuery {
-    fn default() -> OriginQuery {
-        OriginQuery::new()
-    }
-}
--- a/crates/cometmoor-core/tests/gateway_stream_origins.rs
+++ b/crates/cometmoor-core/tests/gateway_stream_origins.rs
@@ -159,7 +159,7 @@
 fn peers_that_know_different_single_versions_tell_none() {
     let asked = nodes(3);
     let vouches = |name| OriginAnswer { recorded: None, only_version: Some(version(name)) };
-    let mut query = OriginQuery::new();
+    let mut query = OriginQuery::default();
     query.ask(&asked);
     query.answer(asked[0], vouches("v1"));
     assert_eq!((query.only_version(), query.unanswered().len()), (Some(version("v1")), 2));
--- a/crates/cometmoor-gateway/src/forward/resumption.rs
+++ b/crates/cometmoor-gateway/src/forward/resumption.rs
@@ -6,6 +6,7 @@
 use cometmoor_core::gateway::configuration::RetryPolicy;
 use cometmoor_core::gateway::registry::SoftwareHash;
 use cometmoor_core::gateway::stream_origins::{ServiceHash, StreamKey};
+use cometmoor_core::time::BootInstant;
 use spdlog::info;
 
 use super::outcome::{LocalResponse, Refusal};
@@ -55,23 +56,11 @@
             return Ok(None);
         }
         let started = clock::now();
-        let origins = &self.traffic.origins;
         if *resumption == Resumption::Malformed {
             self.log_resumption("malformed", None, started);
             return Err(ResumptionError::Malformed);
         }
-        let hash = ServiceHash::of(service);
-        let known = match resumption {
-            Resumption::Of(_) => None,
-            _ => origins.only_version(hash),
-        };
-        let origin = match (known, self.stream_key()) {
-            (Some(software), _) => Origin::Known(software, OriginSource::OnlyVersion),
-            // Without a name nobody has a record, but peers may know that there is one version only.
-            (None, Some(key)) => origins.find(key, hash).await,
-            (None, None) => Origin::Unknown { unanswered: 0 },
-        };
-        match origin {
+        match self.find_origin(ServiceHash::of(service)).await {
             Origin::Known(software, source) => match self.service_with(software) {
                 Some(stream) => {
                     self.log_resumption(source.name(), Some(&stream), started);
@@ -94,6 +83,20 @@
         }
     }
 
+    /// Finds the version that began the stream, which the client may have named or not.
+    async fn find_origin(&self, service: ServiceHash) -> Origin {
+        let origins = &self.traffic.origins;
+        let is_unnamed = self.metadata.resumption == Resumption::Unnamed;
+        if is_unnamed && let Some(software) = origins.only_version(service) {
+            return Origin::Known(software, OriginSource::OnlyVersion);
+        }
+        match self.stream_key() {
+            // Nobody has a record of an unnamed one, but peers may know that there is one version only.
+            Some(key) => origins.find(key, service).await,
+            None => Origin::Unknown { unanswered: 0 },
+        }
+    }
+
     /// Responds to a client that cannot resume its stream.
     pub(super) async fn reject_resumption(&self, error: ResumptionError) -> ConnectionAction {
         match error {
@@ -149,7 +152,7 @@
         &self,
         source: &'static str,
         stream: Option<&ResumedStream>,
-        started: cometmoor_core::time::BootInstant,
+        started: BootInstant,
     ) {
         let labels = StateLabels { state: source };
         self.traffic.metrics.resumptions.get_or_create(&labels).inc();
--- a/crates/cometmoor-gateway/src/stream_origins.rs
+++ b/crates/cometmoor-gateway/src/stream_origins.rs
@@ -200,7 +200,7 @@
         let (sender, mut answers) = mpsc::unbounded_channel();
         self.queries.borrow_mut().insert(number, sender);
         let _guard = QueryGuard { queries: &self.queries, number };
-        let mut query = OriginQuery::new();
+        let mut query = OriginQuery::default();
         for (round, timeout) in ANSWER_TIMEOUTS.into_iter().enumerate() {
             match round {
                 0 => query.ask(first),
--- a/crates/cometmoor-lab/src/soak/clients.rs
+++ b/crates/cometmoor-lab/src/soak/clients.rs
@@ -239,8 +239,9 @@
         self.count += 1;
         let last_event = stream.events.last().map_or(0, |(number, _)| *number);
         let resumes = first.map(|attempt| ResumedStream { attempt, last_event });
-        let credential = Credential::Key(self.system.tenants().key_of(DESK));
-        let key = self.system.tenants().keys[self.system.tenants().key_of(DESK)].text.clone();
+        let place = self.system.tenants().key_of(DESK);
+        let credential = Credential::Key(place);
+        let key = self.system.tenants().keys[place].text.clone();
         let call = Call { path, id: &id, key: Some(&key), claims: None, resumes };
         let sent = self.system.elapsed();
         let received = Caller::default().receive(address, call).await;
--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -252,10 +252,10 @@
         for links in &self.links_of_nodes() {
             links.add(self.inner.fleet.host(LINK_HOST), way.address).await;
         }
-        let software = software_of(number);
-        self.inner.fleet.register_version_at(&id, service, way.address, "ready", software);
         self.inner.workers.borrow_mut().push(worker);
-        Ok(ServerPlace { id, number, way })
+        let server = ServerPlace { id, number, way };
+        self.register(&server, service, server.way.address, "ready");
+        Ok(server)
     }
 
     fn register(&self, server: &ServerPlace, service: &str, address: SocketAddrV4, state: &str) {
