Log the parts of prompts that requests at a crash share

Cause looked for: 107 requests were blamed for 16 crashes, each once, and no line told what they had in common. Lines on requests and on crashes name the parts of the prompt but the last one.

--- a/crates/cometmoor-gateway/src/dialect.rs
+++ b/crates/cometmoor-gateway/src/dialect.rs
@@ -101,6 +101,12 @@
     pub fn tokens(&self) -> Option<u64> {
         self.declares_tokens.then(|| self.prompt_tokens.saturating_add(self.output_tokens))
     }
+
+    /// The parts of the prompt that other requests may share: all but the last one, which is the
+    /// request's own.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
 }
 
 /// Metadata that the gateway sends to a server with a request.
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -49,8 +49,11 @@
             return;
         }
         self.traffic.quarantine.begin_crash_check(self.content);
-        let request =
-            InterruptedRequest { content: self.content, request_id: self.metadata.id.clone() };
+        let request = InterruptedRequest {
+            content: self.content,
+            parts: self.shared_parts_label(),
+            request_id: self.metadata.id.clone(),
+        };
         let is_first = server.record_interrupted(request);
         if is_first {
             let check = CrashCheck {
@@ -156,15 +159,16 @@
     fn blame(&self, interrupted: &InterruptedRequest) {
         let incarnation = &*self.server.record().incarnation;
         let (request, content) = (&*interrupted.request_id, interrupted.content.to_string());
+        let parts = &*interrupted.parts;
         match self.quarantine.note_crash(interrupted.content, server_key(incarnation)) {
             CrashVerdict::Cleared => {
-                info!("[quarantine] a server crashed; the request is cleared as other servers answer it", kv: { request, content, server = incarnation });
+                info!("[quarantine] a server crashed; the request is cleared as other servers answer it", kv: { request, content, parts, server = incarnation });
             }
             CrashVerdict::Suspect(crashes) => {
-                warn!("[quarantine] a server crashed while the request was in flight", kv: { request, content, server = incarnation, crashes });
+                warn!("[quarantine] a server crashed while the request was in flight", kv: { request, content, parts, server = incarnation, crashes });
             }
             CrashVerdict::Quarantined => {
-                warn!("[quarantine] the request is quarantined", kv: { request, content, server = incarnation, source = "own" });
+                warn!("[quarantine] the request is quarantined", kv: { request, content, parts, server = incarnation, source = "own" });
             }
         }
     }
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -16,7 +16,17 @@
 use crate::pool::PooledConnection;
 use crate::servers::Server;
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 impl ForwardedRequest<'_> {
+    /// The parts of the prompt that other requests may share, in hexadecimal, for log lines.
+    pub(super) fn shared_parts_label(&self) -> String {
+        let parts = self.metadata.shared_parts().iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        if parts.is_empty() { "-".to_owned() } else { parts.join(",") }
+    }
+
     /// Counts a send that begins a run, by the server's speed and whether it delays streams.
     pub(super) fn count_send(&self, server: &Server) {
         let speed = SpeedClass::of(self.traffic.speeds.speed(server.hash()));
@@ -36,6 +46,7 @@
         info!("[forward] sent", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
+            parts = self.shared_parts_label(),
             route = &*self.route.name,
             tenant = self.tenant_label(),
             tokens = self.metadata.tokens().unwrap_or_default(),
@@ -116,6 +127,7 @@
         warn!("[forward] stream interrupted", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
+            parts = self.shared_parts_label(),
             route = &*self.route.name,
             step = "stream",
             server = &*server.incarnation,
@@ -183,6 +195,7 @@
         warn!("[forward] refused", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
+            parts = self.shared_parts_label(),
             route = &*self.route.name,
             tenant = self.tenant_label(),
             tokens = self.metadata.tokens().unwrap_or_default(),
@@ -208,6 +221,7 @@
         warn!("[forward] {what}", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
+            parts = self.shared_parts_label(),
             route = &*self.route.name,
             step,
             server,
--- a/crates/cometmoor-gateway/src/forward/server_selection.rs
+++ b/crates/cometmoor-gateway/src/forward/server_selection.rs
@@ -306,7 +306,7 @@
         is_large_fleet: bool,
     ) -> RequestProfile {
         let shared = match self.traffic.settings.mechanisms.prompt_affinity {
-            true => self.shared_prefix().iter().map(|part| part.tokens).sum(),
+            true => self.metadata.shared_parts().iter().map(|part| part.tokens).sum(),
             false => 0,
         };
         let event_interval_limit = match self.traffic.settings.mechanisms.pause_protection {
@@ -325,7 +325,7 @@
     /// Tokens of the prompt that the selected server is assumed to have cached.
     pub(super) fn assumed_cached_tokens(&self) -> u64 {
         match self.estimate.get().assumes_cached {
-            true => self.shared_prefix().iter().map(|part| part.tokens).sum(),
+            true => self.metadata.shared_parts().iter().map(|part| part.tokens).sum(),
             false => 0,
         }
     }
@@ -352,14 +352,6 @@
         self.traffic.latencies.borrow().prefill_time(&model.model, tokens)
     }
 
-    /// The leading parts of the prompt, without the last one, which is the request's own.
-    fn shared_prefix(&self) -> &[crate::dialect::PromptPart] {
-        match self.metadata.parts.split_last() {
-            Some((_, shared)) => shared,
-            None => &[],
-        }
-    }
-
     pub(super) fn candidate(&self, server: &Server, now: BootInstant) -> Candidate {
         let record = server.record();
         let own = self.traffic.loads.server_load(&record.incarnation);
@@ -394,7 +386,7 @@
         };
         hash.update(model.model.as_bytes());
         hash.update(model.adapter.as_deref().unwrap_or_default().as_bytes());
-        for part in self.shared_prefix() {
+        for part in self.metadata.shared_parts() {
             hash.update(&part.id.to_le_bytes());
         }
         hash.digest()
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -84,6 +84,8 @@
 pub struct InterruptedRequest {
     /// Fingerprint of its content.
     pub content: Fingerprint,
+    /// The parts of its prompt that other requests may share, as in log lines.
+    pub parts: String,
     /// Identifier of the attempt.
     pub request_id: String,
 }
