Quarantine parts of prompts that crash servers

What callers saw: drafts and summaries failed for half a minute while one part of prompts, in requests of which no two were alike, crashed one server after the other. Cause: a crash was blamed on the fingerprint of a whole request. What all of these requests shared was decoded and never blamed. Change: every part of a prompt but the last one is a suspect of a crash, unless the server had sent two events of the answer. An answer anywhere clears a part. The part present at most of the crashes that no known part explains is quarantined: after three if it was never answered and stands alone, after five if it was answered before or always came with another, after six where most crashes happened without it. Nodes send each other crashes with their suspects, answers and quarantined parts in a message of its own, which older nodes drop. The leader sends one request after two minutes to find out whether a verdict still holds. Ruled out: crashes not noticed (each was within 150 ms), nodes' own retries (all sends=1).

--- a/crates/cometmoor-core/src/gateway/quarantine.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/contents.rs
@@ -1,4 +1,4 @@
-//! Quarantine for requests that crash the servers that process them (queries of death).
+//! Quarantine for requests that crash the servers that process them.
 //!
 //! When a server crashes, every request in flight on it is a suspect, because nothing shows
 //! which one caused the crash. Content that was in flight during the crashes of
@@ -19,17 +19,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{
+    IncarnationKey, QUARANTINE_LIFETIME, QuarantineStatus, RECORD_RETENTION, REPORT_REPEATS,
+};
 use crate::time::Timestamp;
 
 /// Number of server crashes after which content is quarantined. With two, a client that
 /// retries once and is in flight during two unrelated crashes would be refused; each crash
 /// above that costs another server.
 pub const CRASH_LIMIT: usize = 3;
-/// Time for which content stays quarantined after its last crash. A client that still sends
-/// it afterwards crashes one more server.
-pub const QUARANTINE_LIFETIME: Duration = Duration::from_secs(600);
-/// Time for which records of suspects and of formerly quarantined content are kept.
-const RECORD_RETENTION: Duration = Duration::from_secs(1200);
 /// Time for which it is kept that a suspect was cleared, so that older reports of other nodes
 /// do not make it a suspect again.
 const CLEARED_RETENTION: Duration = Duration::from_secs(60);
@@ -44,10 +42,7 @@
 const MAX_RECORDS: usize = 4096;
 /// Maximum number of reports in one message, which take at most 1.2 KB.
 const MAX_REPORTS_PER_MESSAGE: usize = 40;
-/// Number of messages that carry a record after it has changed. One datagram in twenty may
-/// be lost, and hubs forward the reports they receive.
-const REPORT_REPEATS: u32 = 12;
-/// The same for content with a single crash. Nearly all of it was only in flight beside the
+/// Number of messages that carry content with a single crash. Nearly all of it was only in flight beside the
 /// request that caused the crash, and a third of a large fleet's servers may crash at once.
 const FIRST_CRASH_REPORT_REPEATS: u32 = 4;
 
@@ -61,9 +56,6 @@
     }
 }
 
-/// Key that identifies one incarnation of a server.
-pub type IncarnationKey = u32;
-
 /// A node's report on content that was in flight during crashes. Ages are in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
@@ -78,15 +70,6 @@
     pub cleared: Option<u32>,
 }
 
-/// Whether content may be sent to servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QuarantineStatus {
-    /// The content is not quarantined. It may still be a suspect.
-    Allowed,
-    /// The content must not be sent to any server for the given remaining time.
-    Quarantined(Duration),
-}
-
 /// Consequence of a server crash for content that was in flight on the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
--- a/crates/cometmoor-gateway/src/control/fleet/messages.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/messages.rs
@@ -142,6 +142,7 @@
                 self.handle_digest(digest, context, Membership::receive_fleet_digest);
             }
             PeerMessage::Brittle(report) => self.context.brittle.merge(&report),
+            PeerMessage::CrashingParts(report) => self.context.quarantine.parts.merge(&report),
             PeerMessage::WaitReport(report) => self.handle_wait_report(report),
             PeerMessage::LoadNotice(notice) => self.handle_load_notice(notice),
             PeerMessage::ServerSpeeds(report) => {
@@ -191,6 +192,7 @@
         self.request_planning(has_waiting_requests);
         if change != PeerChange::None {
             self.context.quarantine.report_again();
+            self.context.quarantine.parts.report_again();
             self.context.signals.report_again();
             info!("[peers] a node is {phase:?}", kv: { node });
             self.publish();
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -41,7 +41,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 use crate::membership::{
     CopyVersions, Heartbeat, Membership, Message, OutgoingMessage, PeerPhase, Placement,
-    speed_messages,
+    speed_messages, to_all_recipients,
 };
 use crate::peer::StorePrefix;
 use crate::published::{FleetSnapshot, NodeEndpoint, Phase, PlacementView, ShutdownTimes};
@@ -357,7 +357,12 @@
         self.demand.receive(&heartbeat, now);
         self.request_planning(!heartbeat.awaited_models.is_empty());
         let mut outgoing = self.peers.outgoing(&heartbeat, now);
-        outgoing.extend(self.brittle_report(&outgoing));
+        let brittle = self.context.brittle.report().map(Message::Brittle);
+        let parts = self.context.quarantine.parts.next_report().map(Message::CrashingParts);
+        let reports = brittle.into_iter().chain(parts);
+        let reports: Vec<OutgoingMessage> =
+            reports.map(|report| to_all_recipients(report, &outgoing)).collect();
+        outgoing.extend(reports);
         if heartbeat.loads.is_some()
             && !outgoing.is_empty()
             && let Some(report) = self.context.speeds.next_report()
@@ -371,15 +376,6 @@
         outgoing
     }
 
-    /// What is known of brittle servers, for the recipients of the other messages.
-    fn brittle_report(&self, others: &[OutgoingMessage]) -> Option<OutgoingMessage> {
-        let report = self.context.brittle.report()?;
-        let targets: BTreeSet<SocketAddrV4> =
-            others.iter().flat_map(|other| &other.targets).copied().collect();
-        let targets = targets.into_iter().collect();
-        Some(OutgoingMessage { message: Message::Brittle(report), targets })
-    }
-
     fn recent_demand(&self) -> Vec<(ModelKey, ModelDemand)> {
         self.context.loads.recent_demand(clock::now())
     }
--- a/crates/cometmoor-gateway/src/control/heartbeat.rs
+++ b/crates/cometmoor-gateway/src/control/heartbeat.rs
@@ -56,6 +56,7 @@
         Message::Heartbeat(_)
         | Message::HeartbeatToHub(..)
         | Message::Brittle(_)
+        | Message::CrashingParts(_)
         | Message::WaitReport(_)
         | Message::LoadNotice(_) => TrafficKind::Heartbeat,
         Message::ServerSpeeds(_) => TrafficKind::ServerSpeeds,
--- a/crates/cometmoor-gateway/src/explain.rs
+++ b/crates/cometmoor-gateway/src/explain.rs
@@ -27,8 +27,8 @@
 type NodeState = HashMap<String, KnownState>;
 
 /// Returns the log lines of the request in the order of time. Each is followed by the state that
-/// its node knew then: the last lines about the configuration, the store, the server concerned and
-/// the signals of that server. Lines of other formats are skipped, and text before the first brace
+/// its node knew then: the last lines about the configuration, the store, the server concerned,
+/// the signals of that server, and the part of its prompt for which it was refused. Lines of other formats are skipped, and text before the first brace
 /// of a line is ignored.
 pub fn explain(id: &str, text: &str) -> Vec<String> {
     let mut lines: Vec<Line> = text.lines().filter_map(parse).collect();
@@ -59,6 +59,9 @@
         return None;
     }
     let component = line.payload.split(']').next()?.trim_start_matches('[');
+    if let Some(part) = line.kv.get("part").and_then(Value::as_str) {
+        return Some(part_subject(part));
+    }
     if let Some(server) = line.kv.get("server").and_then(Value::as_str) {
         return Some(if component == "signals" {
             signals_subject(server)
@@ -74,6 +77,11 @@
     format!("signals {server}")
 }
 
+/// Subject of the lines about a part of prompts.
+fn part_subject(part: &str) -> String {
+    format!("part {part}")
+}
+
 /// Subject of all other lines about a server.
 fn server_subject(server: &str) -> String {
     format!("server {server}")
@@ -94,6 +102,7 @@
     let mut subjects = vec!["configuration".to_owned(), "store".to_owned()];
     subjects.extend(server.map(server_subject));
     subjects.extend(server.map(signals_subject));
+    subjects.extend(line.kv.get("part").and_then(Value::as_str).map(part_subject));
     subjects
         .into_iter()
         .filter_map(|subject| {
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -10,19 +10,20 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::links::Path;
-use cometmoor_core::gateway::quarantine::{CrashVerdict, Fingerprint};
+use cometmoor_core::gateway::quarantine::{CrashVerdict, Fingerprint, PartId, QuarantineStatus};
 use cometmoor_core::time::BootInstant;
 use spdlog::{info, warn};
 
 use super::ForwardedRequest;
+use super::outcome::Refusal;
 use crate::clock;
 use crate::connector::{Connector, PROBE_OPEN_TIME};
 use crate::http::connection::connect;
 use crate::links::LinkBoard;
-use crate::load::server_key;
+use crate::load::{ServerKey, server_key};
 use crate::metrics::Metrics;
 use crate::published::Board;
-use crate::quarantine::QuarantineBoard;
+use crate::quarantine::{QuarantineBoard, parts_label};
 use crate::servers::{InterruptedRequest, Server};
 
 /// Connection attempts to a server that neither accepts nor refuses them in time.
@@ -41,17 +42,34 @@
 /// time of several probes.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(250);
 
+/// Events of a stream from which on its server has not crashed when it began to answer: the first
+/// one may be sent before the server crashes.
+pub(super) const MIN_EVENTS_OF_BEGUN_ANSWER: u64 = 2;
+
 impl ForwardedRequest<'_> {
-    /// Records that the connection to a server ended before its response did, and starts to
-    /// check whether the server has crashed. A draining server is expected to end.
-    pub(super) fn record_lost_connection(&self, server: &Rc<Server>, error: &io::Error) {
+    /// Records that the connection to a server ended before its response did, after a number of
+    /// complete events, and starts to check whether the server has crashed. A draining server is
+    /// expected to end.
+    pub(super) fn record_lost_connection(
+        &self,
+        server: &Rc<Server>,
+        error: &io::Error,
+        events: u64,
+    ) {
         if !is_end_of_connection(error) || !server.accepts_requests() {
             return;
         }
+        self.is_trial.set(false);
         self.traffic.quarantine.begin_crash_check(self.content);
+        let has_begun = events >= MIN_EVENTS_OF_BEGUN_ANSWER;
+        if !has_begun {
+            let key = server_key(&server.record().incarnation);
+            self.traffic.quarantine.parts.begin_crash_check(key, &self.parts);
+        }
         let request = InterruptedRequest {
             content: self.content,
-            parts: self.shared_parts_label(),
+            parts: self.parts.clone(),
+            has_begun,
             request_id: self.metadata.id.clone(),
         };
         let is_first = server.record_interrupted(request);
@@ -81,11 +99,39 @@
     pub(super) async fn wait_for_verdict(&self) {
         let _ = clock::timeout(
             MAX_VERDICT_WAIT,
-            self.traffic.quarantine.wait_for_decision(self.content),
+            self.traffic.quarantine.wait_for_decision(self.content, &self.parts),
         )
         .await;
     }
 
+    /// Why the request must not be sent to any server now, and when it may be; `None` if it may be
+    /// sent. The leading node sends a request at times to find out whether its parts still crash
+    /// servers.
+    pub(super) fn quarantine_refusal(&self) -> Option<(Refusal, Duration)> {
+        let quarantine = &self.traffic.quarantine;
+        if let QuarantineStatus::Quarantined(left) = quarantine.status(self.content) {
+            return Some((Refusal::Quarantined, left));
+        }
+        let QuarantineStatus::Quarantined(left) = quarantine.parts.status(&self.parts) else {
+            return None;
+        };
+        if !self.is_trial.get() && self.traffic.board.fleet.load().leads {
+            self.is_trial.set(quarantine.parts.begin_trial(&self.parts, &self.metadata.id));
+        }
+        (!self.is_trial.get()).then_some((Refusal::PartQuarantined, left))
+    }
+
+    /// Whether the request must not be sent to any server.
+    pub(super) fn is_quarantined(&self) -> bool {
+        self.quarantine_refusal().is_some()
+    }
+
+    /// Records that a server has answered the request, or goes on after it has begun to: none of
+    /// the parts of its prompt crashes servers.
+    pub(super) fn record_harmless_parts(&self) {
+        self.traffic.quarantine.parts.note_answer(&self.parts);
+    }
+
     /// Records a complete response whose end was given by its framing, which clears the request
     /// of suspicion.
     pub(super) fn record_complete_response(&self) {
@@ -118,9 +164,11 @@
         if has_crashed {
             self.metrics.server_crashes.inc();
             interrupted.iter().for_each(|request| self.blame(request));
+            self.blame_parts(&interrupted);
             self.board.heartbeat_wanted.notify_one();
         }
         interrupted.iter().for_each(|request| self.quarantine.end_crash_check(request.content));
+        self.quarantine.parts.end_crash_check(self.server_key());
         self.server.record_probe();
     }
 
@@ -150,16 +198,39 @@
     }
 
     fn probe_open_time(&self) -> Duration {
-        match self.quarantine.is_decision_pending(self.content) {
-            true => DECISIVE_PROBE_OPEN_TIME,
-            false => PROBE_OPEN_TIME,
+        let is_decisive = self.quarantine.is_decision_pending(self.content)
+            || self.quarantine.parts.is_check_decisive(self.server_key());
+        if is_decisive { DECISIVE_PROBE_OPEN_TIME } else { PROBE_OPEN_TIME }
+    }
+
+    fn server_key(&self) -> ServerKey {
+        server_key(&self.server.record().incarnation)
+    }
+
+    /// Blames the parts of the prompts of requests whose responses had not begun.
+    fn blame_parts(&self, interrupted: &[InterruptedRequest]) {
+        if interrupted.iter().all(|request| request.parts.is_empty()) {
+            return;
         }
+        let not_begun = interrupted.iter().filter(|request| !request.has_begun);
+        let parts: Vec<PartId> =
+            not_begun.clone().flat_map(|one| one.parts.iter().copied()).collect();
+        let key = self.server_key();
+        let summary = self.quarantine.parts.note_crash(key, &parts, self.started_at);
+        warn!("[quarantine] a server crashed", kv: {
+            server = &*self.server.record().incarnation,
+            key = format!("{key:08x}"),
+            requests = interrupted.len() as u64,
+            begun = (interrupted.len() - not_begun.count()) as u64,
+            suspects = parts_label(&summary.suspects),
+            answered = parts_label(&summary.answered),
+        });
     }
 
     fn blame(&self, interrupted: &InterruptedRequest) {
         let incarnation = &*self.server.record().incarnation;
         let (request, content) = (&*interrupted.request_id, interrupted.content.to_string());
-        let parts = &*interrupted.parts;
+        let parts = parts_label(&interrupted.parts);
         match self.quarantine.note_crash(interrupted.content, server_key(incarnation)) {
             CrashVerdict::Cleared => {
                 info!("[quarantine] a server crashed; the request is cleared as other servers answer it", kv: { request, content, parts, server = incarnation });
--- a/crates/cometmoor-gateway/src/forward/logging.rs
+++ b/crates/cometmoor-gateway/src/forward/logging.rs
@@ -14,19 +14,10 @@
 use crate::dialect::RunMigrationResponse;
 use crate::metrics::StateLabels;
 use crate::pool::PooledConnection;
+use crate::quarantine::parts_label;
 use crate::servers::Server;
 
-/// Maximum number of parts of a prompt in a log line.
-const MAX_LOGGED_PARTS: usize = 16;
-
 impl ForwardedRequest<'_> {
-    /// The parts of the prompt that other requests may share, in hexadecimal, for log lines.
-    pub(super) fn shared_parts_label(&self) -> String {
-        let parts = self.metadata.shared_parts().iter().take(MAX_LOGGED_PARTS);
-        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
-        if parts.is_empty() { "-".to_owned() } else { parts.join(",") }
-    }
-
     /// Counts a send that begins a run, by the server's speed and whether it delays streams.
     pub(super) fn count_send(&self, server: &Server) {
         let speed = SpeedClass::of(self.traffic.speeds.speed(server.hash()));
@@ -46,7 +37,7 @@
         info!("[forward] sent", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
-            parts = self.shared_parts_label(),
+            parts = parts_label(&self.parts),
             route = &*self.route.name,
             tenant = self.tenant_label(),
             tokens = self.metadata.tokens().unwrap_or_default(),
@@ -127,7 +118,7 @@
         warn!("[forward] stream interrupted", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
-            parts = self.shared_parts_label(),
+            parts = parts_label(&self.parts),
             route = &*self.route.name,
             step = "stream",
             server = &*server.incarnation,
@@ -192,15 +183,18 @@
         let fleet = self.traffic.board.fleet.load();
         let version = fleet.configuration.as_ref().map_or(0, |known| known.version);
         let estimate = self.estimate.get();
+        let part = self.traffic.quarantine.parts.quarantined_of(&self.parts);
+        let part = part.filter(|_| refusal == Refusal::PartQuarantined);
         warn!("[forward] refused", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
-            parts = self.shared_parts_label(),
+            parts = parts_label(&self.parts),
             route = &*self.route.name,
             tenant = self.tenant_label(),
             tokens = self.metadata.tokens().unwrap_or_default(),
             step = refusal.step(),
             reason,
+            part = part.map_or_else(|| "-".to_owned(), |part| part.to_string()),
             sends = self.attempts.get().sends(),
             age_millis = clock::elapsed(self.received_at).as_millis() as u64,
             model = self.metadata.model.as_ref().map_or("-", |model| &*model.model),
@@ -221,7 +215,7 @@
         warn!("[forward] {what}", kv: {
             request = &*self.metadata.id,
             content = self.content.to_string(),
-            parts = self.shared_parts_label(),
+            parts = parts_label(&self.parts),
             route = &*self.route.name,
             step,
             server,
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod traffic;
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,7 +31,7 @@
 use cometmoor_core::gateway::admission::{DEFAULT_RETRY_AFTER, cap_retry_after, retry_after_queue};
 use cometmoor_core::gateway::attempts::{Attempts, Progress, SendFailure};
 use cometmoor_core::gateway::configuration::Route;
-use cometmoor_core::gateway::quarantine::{Fingerprint, QuarantineStatus};
+use cometmoor_core::gateway::quarantine::{Fingerprint, MAX_PARTS_PER_REQUEST, PartId};
 use cometmoor_core::gateway::tenants::Tenant;
 use cometmoor_core::time::BootInstant;
 use spdlog::info;
@@ -68,6 +69,17 @@
 /// up, before the request is refused.
 const MAX_ON_HOLD: usize = 8;
 
+/// The parts of a prompt that other requests may share, without duplicates.
+fn shared_parts(metadata: &RequestMetadata) -> Rc<[PartId]> {
+    let mut parts: Vec<PartId> = Vec::new();
+    for part in metadata.shared_parts().iter().map(|part| PartId(part.id)) {
+        if parts.len() < MAX_PARTS_PER_REQUEST && !parts.contains(&part) {
+            parts.push(part);
+        }
+    }
+    parts.into()
+}
+
 /// A client's request that is being forwarded.
 pub struct ForwardedRequest<'a> {
     /// State that the requests share.
@@ -82,6 +94,10 @@
     pub metadata: RequestMetadata,
     /// Identifies the request when it is retried, whatever its attempt identifier.
     pub content: Fingerprint,
+    /// The parts of its prompt that other requests may share, without duplicates.
+    pub parts: Rc<[PartId]>,
+    /// Whether it is sent to find out whether its quarantined parts still crash servers.
+    is_trial: Cell<bool>,
     /// The route that it matched.
     pub route: Arc<Route>,
     /// The tenant of the request, by the configuration that its key was last checked against.
@@ -134,8 +150,10 @@
             client,
             head,
             body,
-            metadata,
             content: fingerprint(head, body),
+            parts: shared_parts(&metadata),
+            is_trial: Cell::new(false),
+            metadata,
             route,
             tenant: RefCell::new(tenant),
             charged_tenant: RefCell::default(),
@@ -221,12 +239,8 @@
                 continue;
             }
             self.wait_for_verdict().await;
-            if let QuarantineStatus::Quarantined(left) =
-                self.traffic.quarantine.status(self.content)
-            {
-                return self
-                    .finish_without_server(last_error, &stream, Refusal::Quarantined, left)
-                    .await;
+            if let Some((refusal, left)) = self.quarantine_refusal() {
+                return self.finish_without_server(last_error, &stream, refusal, left).await;
             }
             let server = match self.wait_for_server(service, &tried, &stream).await {
                 Selection::Server { server, .. } => server,
@@ -379,8 +393,7 @@
         if matches!(failure, SendFailure::ConnectionLost | SendFailure::StreamInterrupted) {
             self.wait_for_crash_check(server).await;
         }
-        let is_quarantined = self.traffic.quarantine.is_quarantined(self.content);
-        let is_allowed = !is_quarantined && self.traffic.try_retry(service);
+        let is_allowed = !self.is_quarantined() && self.traffic.try_retry(service);
         if is_allowed {
             self.traffic.metrics.retries.inc();
         }
@@ -434,7 +447,7 @@
         self.release_reservation();
         let after = match refusal {
             // An earlier retry would be refused again.
-            Refusal::Quarantined => retry_after,
+            Refusal::Quarantined | Refusal::PartQuarantined => retry_after,
             _ => {
                 let spread = self.spread_retry_after(refusal, retry_after);
                 cap_retry_after(spread, self.client_time_left())
--- a/crates/cometmoor-gateway/src/forward/outcome.rs
+++ b/crates/cometmoor-gateway/src/forward/outcome.rs
@@ -43,6 +43,8 @@
     DeadlineExceeded,
     /// It was in flight while several servers crashed.
     Quarantined,
+    /// A part of its prompt was in flight while several servers crashed.
+    PartQuarantined,
     /// Its key was revoked while it waited.
     KeyRevoked,
     /// The node's copy of the keys is too old to decide whether its key is still valid.
@@ -93,6 +95,7 @@
             Refusal::ServerRefused => "the server refused it",
             Refusal::DeadlineExceeded => "the time was over",
             Refusal::Quarantined => "servers have crashed under it",
+            Refusal::PartQuarantined => "servers have crashed under a part of its prompt",
             Refusal::KeyRevoked => "its key was taken away",
             Refusal::OverLimit => "it lies beyond the tenant's limit",
             Refusal::LimitUndecided => "no node lends for the tenant",
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -82,8 +82,7 @@
             },
         };
         // Both may have changed while waiting for the connection or the permit.
-        let is_quarantined = self.traffic.quarantine.is_quarantined(self.content);
-        if !server.accepts_requests() || is_quarantined {
+        if !server.accepts_requests() || self.is_quarantined() {
             return SendOutcome::Unreachable;
         }
         self.check_deadline().await;
@@ -128,7 +127,7 @@
             }
             Err(error) => {
                 server.record_failure(clock::now());
-                self.record_lost_connection(server, error.source());
+                self.record_lost_connection(server, error.source(), 0);
                 stream.end = StreamEnd::default();
                 return Self::failure_outcome(error, stream);
             }
@@ -214,6 +213,7 @@
                 if has_announced_end {
                     self.record_complete_response();
                 }
+                self.record_harmless_parts();
                 server.record_success(clock::now());
                 self.record_stream_duration(&stream.intervals);
                 if is_new {
@@ -235,7 +235,7 @@
             Err(RelayError::Migrated(continuation)) => SendOutcome::Migrated(continuation),
             Err(RelayError::Server(error)) => {
                 server.record_failure(clock::now());
-                self.record_lost_connection(server, &error);
+                self.record_lost_connection(server, &error, stream.end.events);
                 self.traffic.metrics.record_stream_end(stream.end.framing, stream.end.place());
                 Self::failure_outcome(SendError::ConnectionLost(error), stream)
             }
@@ -262,7 +262,7 @@
             Ok(buffered) => buffered,
             Err(error) => {
                 server.record_failure(clock::now());
-                self.record_lost_connection(server, &error);
+                self.record_lost_connection(server, &error, 0);
                 return SendOutcome::Failed(SendError::ConnectionLost(error));
             }
         };
@@ -276,6 +276,9 @@
             server.record_success(clock::now());
             if has_announced_end {
                 self.record_complete_response();
+                if status < 300 {
+                    self.record_harmless_parts();
+                }
             }
             self.log_completed(&server.record().incarnation, status);
             return SendOutcome::Finished(self.relay_buffered(response, buffered.bytes).await);
--- a/crates/cometmoor-gateway/src/forward/stream.rs
+++ b/crates/cometmoor-gateway/src/forward/stream.rs
@@ -10,6 +10,7 @@
 use cometmoor_core::gateway::server_speed::{IntervalEstimator, Speed};
 use cometmoor_core::time::BootInstant;
 
+use super::crash_check::MIN_EVENTS_OF_BEGUN_ANSWER;
 use super::encode::{self, BodyFraming};
 use super::exchange::{ServerResponse, invalid_data};
 use super::migration::{Continuation, Migration, MigrationEnd};
@@ -218,6 +219,9 @@
         new_bytes.extend_from_slice(&block.bytes);
     }
     state.end.unfinished_bytes = splitter.pending_bytes();
+    if (events_before..state.end.events).contains(&(MIN_EVENTS_OF_BEGUN_ANSWER - 1)) {
+        request.record_harmless_parts();
+    }
     if state.end.events > events_before {
         if let Some(interval) = state.intervals.record(request.received_at, clock::now()) {
             let metrics = &request.traffic.metrics;
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -34,6 +34,13 @@
     pub targets: Vec<SocketAddrV4>,
 }
 
+/// A message for all recipients of the others.
+pub fn to_all_recipients(message: Message, others: &[OutgoingMessage]) -> OutgoingMessage {
+    let targets: BTreeSet<SocketAddrV4> =
+        others.iter().flat_map(|other| &other.targets).copied().collect();
+    OutgoingMessage { message, targets: targets.into_iter().collect() }
+}
+
 impl Membership {
     /// The messages that this node has to send now, given its own heartbeat.
     pub fn outgoing(&mut self, own: &Heartbeat, now: Timestamp) -> Vec<OutgoingMessage> {
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use cometmoor_core::gateway::brittle::BrittleReport;
-use cometmoor_core::gateway::quarantine::SuspectReport;
+use cometmoor_core::gateway::quarantine::{PartReport, SuspectReport};
 use cometmoor_core::gateway::server_speed::SpeedReport;
 use cometmoor_core::gateway::signals::SignalReport;
 use cometmoor_core::gateway::store_position::{StoreEra, StorePosition};
@@ -268,6 +268,9 @@
     /// What a node has learned of the servers' speeds, for the recipients of its other messages.
     /// Nodes that do not know this message drop it.
     ServerSpeeds(SpeedReport),
+    /// What a node knows of parts of prompts that may crash servers, for the recipients of its other
+    /// messages. Nodes that do not know this message drop it.
+    CrashingParts(PartReport),
 }
 
 impl Message {
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -26,7 +26,7 @@
 use cometmoor_core::gateway::server_speed::ReportRole;
 use cometmoor_core::time::Timestamp;
 
-pub use self::hubs::OutgoingMessage;
+pub use self::hubs::{OutgoingMessage, to_all_recipients};
 use self::leader_announcement::LeaderAnnouncement;
 pub use self::load_notices::{LoadNotice, LoadNotices, WaitReport};
 pub use self::message::{
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -184,9 +184,11 @@
     sends: Family<SendLabels, Counter>,
     /// Servers that crashed while they processed requests of this node.
     pub server_crashes: Counter,
-    /// Request contents that were in progress at crashes of servers, by state: `quarantined` or
-    /// `suspect`.
+    /// Request contents and parts of prompts that were in progress at crashes of servers, by state:
+    /// `quarantined`, `suspect`, `quarantined_part` or `suspect_part`.
     pub quarantine: Family<StateLabels, Gauge>,
+    /// Parts of prompts that were answered after they had been quarantined.
+    pub part_releases: Counter,
     signal_changes: Family<SignalLabels, Counter>,
     /// Sends that were held back because of a server's signals, by the kind of hold.
     pub held_back: Family<StateLabels, Counter>,
@@ -291,6 +293,7 @@
             sends: Family::default(),
             server_crashes: Counter::default(),
             quarantine: Family::default(),
+            part_releases: Counter::default(),
             signal_changes: Family::default(),
             held_back: Family::default(),
             signaling_servers: Family::default(),
@@ -356,7 +359,9 @@
         let crashes = self.server_crashes.clone();
         registry.register("server_crashes", "Servers that crashed under requests", crashes);
         let quarantine = self.quarantine.clone();
-        registry.register("quarantine", "Contents that were present at crashes", quarantine);
+        registry.register("quarantine", "Contents and parts present at crashes", quarantine);
+        let releases = self.part_releases.clone();
+        registry.register("part_releases", "Quarantined parts that were answered", releases);
         let changes = self.signal_changes.clone();
         registry.register("signal_changes", "Changes of what servers report", changes);
         let held_back = self.held_back.clone();
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -33,7 +33,7 @@
 use crate::metrics::{CopyLabels, Metrics, ServiceLabels, StateLabels};
 use crate::peer::{StorePrefix, lease_from_renewal_path};
 use crate::published::{Board, FleetSnapshot, Phase, ShutdownTimes};
-use crate::quarantine::QuarantineBoard;
+use crate::quarantine::{PartBoard, QuarantineBoard};
 use crate::quota::QuotaLimiter;
 use crate::server_speeds::SpeedBoard;
 use crate::settings::{GatewaySettings, SettingsError};
@@ -138,7 +138,7 @@
             dialect,
             board: board.clone(),
             loads: loads.clone(),
-            quarantine: QuarantineBoard::default(),
+            quarantine: QuarantineBoard::new(PartBoard::new(metrics.part_releases.clone())),
             signals: SignalBoard::new(metrics.clone()),
             brittle: BrittleBoard::default(),
             speeds: SpeedBoard::new(settings.mechanisms.server_speeds),
@@ -337,6 +337,9 @@
         let quarantine_gauge = |state| metrics.quarantine.get_or_create(&StateLabels { state });
         quarantine_gauge("quarantined").set(quarantined as i64);
         quarantine_gauge("suspect").set(suspects as i64);
+        let (quarantined, suspects) = quarantine.parts.counts();
+        quarantine_gauge("quarantined_part").set(quarantined as i64);
+        quarantine_gauge("suspect_part").set(suspects as i64);
         let counts = signals.counts();
         let signaling = |state| metrics.signaling_servers.get_or_create(&StateLabels { state });
         signaling("limited").set(counts.limited as i64);
--- a/crates/cometmoor-gateway/src/quarantine.rs
+++ b/crates/cometmoor-gateway/src/quarantine/mod.rs
@@ -1,28 +1,44 @@
-//! The node's quarantine of requests that crash servers, shared by its threads.
+//! The node's quarantine of requests that crash servers, and of parts of prompts that do, shared by
+//! its threads.
 //!
 //! The decisions are those of [`Quarantine`] in the core; this module adds the lock, the clock,
 //! the notification of decisions and the log lines.
 
+mod parts;
+
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use cometmoor_core::gateway::quarantine::{
-    CrashVerdict, Fingerprint, IncarnationKey, Quarantine, QuarantineStatus, SuspectReport,
+    CrashVerdict, Fingerprint, IncarnationKey, PartId, Quarantine, QuarantineStatus, SuspectReport,
 };
 use cometmoor_core::time::Timestamp;
 use spdlog::{info, warn};
 use tokio::sync::Notify;
 
+pub use self::parts::{PartBoard, parts_label};
 use crate::clock;
 
+/// Pause between two looks at whether a decision on parts has been made: it may depend on reports
+/// of other nodes.
+const PART_DECISION_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Handle of the quarantine. It is shared by the traffic thread, which observes crashes of
 /// servers, and the control thread, which learns of others from other nodes and from the store.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineBoard {
     quarantine: Arc<Mutex<Quarantine>>,
     check_ended: Arc<Notify>,
+    /// The quarantine of parts of prompts.
+    pub parts: PartBoard,
 }
 
 impl QuarantineBoard {
+    /// An empty quarantine with this one of parts.
+    pub fn new(parts: PartBoard) -> QuarantineBoard {
+        QuarantineBoard { parts, ..QuarantineBoard::default() }
+    }
+
     fn with<Output>(&self, run: impl FnOnce(&mut Quarantine, Timestamp) -> Output) -> Output {
         let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
         run(&mut quarantine, clock::timestamp())
@@ -63,9 +79,12 @@
         self.with(|quarantine, _| quarantine.is_decision_pending(content))
     }
 
-    /// Waits until the pending crash checks can no longer bring content to the crash limit, so
-    /// that it is decided whether it is quarantined.
-    pub async fn wait_for_decision(&self, content: Fingerprint) {
+    /// Waits until the pending crash checks can no longer bring content or one of its parts to the
+    /// crash limit, so that it is decided whether it is quarantined.
+    pub async fn wait_for_decision(&self, content: Fingerprint, parts: &[PartId]) {
+        while self.parts.is_decision_pending(parts) {
+            clock::sleep(PART_DECISION_INTERVAL).await;
+        }
         loop {
             let ended = self.check_ended.notified();
             if !self.is_decision_pending(content) {
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cometmoor_core::gateway::quarantine::Fingerprint;
+use cometmoor_core::gateway::quarantine::{Fingerprint, PartId};
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
 use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::time::BootInstant;
@@ -84,8 +84,10 @@
 pub struct InterruptedRequest {
     /// Fingerprint of its content.
     pub content: Fingerprint,
-    /// The parts of its prompt that other requests may share, as in log lines.
-    pub parts: String,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Rc<[PartId]>,
+    /// Whether the server had sent so much of the response that it had not crashed when it began.
+    pub has_begun: bool,
     /// Identifier of the attempt.
     pub request_id: String,
 }
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -7,14 +7,14 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use cometmoor_core::gateway::quarantine::Quarantine;
+use cometmoor_core::gateway::quarantine::{PartQuarantine, Quarantine};
 use cometmoor_core::gateway::server_speed::SpeedTable;
 use cometmoor_core::gateway::signals::SignalTable;
 use cometmoor_core::time::{BootInstant, Timestamp};
 use cometmoor_gateway::load::{ModelDemand, PendingPrefill, ServerLoad, model_key};
 use cometmoor_gateway::membership::{
     CopyVersions, Heartbeat, Member, Membership, Message, PeerChange, PeerPhase, Placement,
-    speed_messages,
+    speed_messages, to_all_recipients,
 };
 
 /// Uptime of the machines when the simulation starts.
@@ -46,6 +46,8 @@
     pub membership: Membership,
     /// Its records of requests that crash servers.
     pub quarantine: Quarantine,
+    /// Its records of parts of prompts that may crash servers.
+    pub parts: PartQuarantine,
     /// Its records of the state that servers report about themselves.
     pub signals: SignalTable,
     /// Its observations of the servers' speeds.
@@ -63,6 +65,8 @@
     pub sent: usize,
     /// Part of them in reports of the servers' speeds.
     pub sent_speeds: usize,
+    /// Part of them in reports of parts that may crash servers.
+    pub sent_parts: usize,
 }
 
 impl Node {
@@ -73,9 +77,10 @@
     }
 
     /// Repeats earlier reports for a node that is new.
-    fn handle_change(&mut self, change: PeerChange) {
+    fn handle_change(&mut self, change: PeerChange, now: Timestamp) {
         if change != PeerChange::None {
             self.quarantine.report_again();
+            self.parts.report_again(now);
             self.signals.report_again();
         }
     }
@@ -166,6 +171,7 @@
             let node = Node {
                 membership,
                 quarantine: Quarantine::default(),
+                parts: PartQuarantine::default(),
                 signals: SignalTable::default(),
                 speeds: SpeedTable::new(u64::from(own.ip().to_bits())),
                 extra_uptime: EXTRA_UPTIME * u32::from(own.ip().octets()[3]),
@@ -176,6 +182,7 @@
                 backlog: 0,
                 sent: 0,
                 sent_speeds: 0,
+                sent_parts: 0,
             };
             self.nodes.insert(own, node);
         }
@@ -278,6 +285,11 @@
             node.sent_speeds += bytes.sum::<usize>();
             outgoing.extend(messages);
         }
+        if let Some(report) = node.parts.next_report(now) {
+            let message = to_all_recipients(Message::CrashingParts(report), &outgoing);
+            node.sent_parts += message.targets.len() * message.message.encode().len();
+            outgoing.push(message);
+        }
         for outgoing in outgoing {
             let bytes = outgoing.message.encode();
             for target in outgoing.targets {
@@ -313,13 +325,13 @@
                 node.quarantine.merge(&heartbeat.suspects, now);
                 node.signals.merge(&heartbeat.signals, since_boot(now));
                 let change = node.membership.receive_heartbeat(heartbeat, now);
-                node.handle_change(change);
+                node.handle_change(change, now);
             }
             Message::HeartbeatToHub(heartbeat, request) => {
                 node.quarantine.merge(&heartbeat.suspects, now);
                 node.signals.merge(&heartbeat.signals, since_boot(now));
                 let change = node.membership.receive_digest_request(heartbeat, request, now);
-                node.handle_change(change);
+                node.handle_change(change, now);
             }
             Message::ZoneDigest(digest) => {
                 node.quarantine.merge(&digest.suspects, now);
@@ -331,6 +343,7 @@
                 node.signals.merge(&digest.signals, since_boot(now));
                 node.membership.receive_fleet_digest(digest, now);
             }
+            Message::CrashingParts(report) => node.parts.merge(&report, now),
             Message::ServerSpeeds(report) => {
                 let role = node.membership.report_role();
                 let own_time = node.own_time(now);
