Soak: model servers that crash on a part of prompts

Change: six servers that crash when they begin to answer on a part and start again, clients whose prompts share parts, one client whose prompts have the crashing one, and checks of both rules, each with a test that plants its violation. Runs of these servers count for the other checks, too.

--- a/crates/cometmoor-lab/src/soak/check.rs
+++ b/crates/cometmoor-lab/src/soak/check.rs
@@ -9,7 +9,7 @@
     Disturbance, Ended, History, Kind, RequestRecord, RunRecord, ServerCut, Whom,
 };
 use super::tenants::{Credential, LAUNDRY};
-use super::{signal_checks, tenant_checks};
+use super::{prompt_checks, signal_checks, tenant_checks};
 
 /// Operators' bound on leaving servers and on configurations, in the settings of
 /// every node of a run.
@@ -55,7 +55,7 @@
         cut_nodes_serve,
     ];
     let broken = checks.into_iter().flat_map(|check| check(history));
-    let broken = broken.chain(tenant_checks::check(history));
+    let broken = broken.chain(tenant_checks::check(history)).chain(prompt_checks::check(history));
     broken.chain(signal_checks::check(history)).collect()
 }
 
@@ -89,7 +89,8 @@
         let stayed = self
             .requests
             .iter()
-            .filter(|request| request.ended != Ended::Left && !request.kind.is_broken_off());
+            .filter(|request| request.ended != Ended::Left && !request.kind.is_broken_off())
+            .filter(|request| !request.kind.is_prompt());
         stayed.filter(|request| self.is_owed(request))
     }
 
@@ -139,7 +140,9 @@
 
 fn at_most_once(history: &History) -> Vec<Violation> {
     let runs = runs_by_id(history);
-    let is_once = |kind: Kind| matches!(kind, Kind::Once | Kind::Stream | Kind::BrokenStream);
+    let is_once = |kind: Kind| {
+        kind.is_prompt() || matches!(kind, Kind::Once | Kind::Stream | Kind::BrokenStream)
+    };
     let once = history.requests.iter().filter(|request| is_once(request.kind));
     let doubled = once.filter_map(|request| {
         let count = *runs.get(request.id.as_str())?;
--- a/crates/cometmoor-lab/src/soak/clients.rs
+++ b/crates/cometmoor-lab/src/soak/clients.rs
@@ -14,6 +14,7 @@
 
 use super::engines::adapter_name;
 use super::history::{Ended, Kind, RequestRecord, StreamRecord};
+use super::prompts::CRASHING_PART;
 use super::system::SoakSystem;
 use super::tenants::{Credential, DESK, LAUNDRY, LIBRARY, MONITOR, UNKNOWN_KEY};
 
@@ -41,6 +42,15 @@
 /// Clients that name adapters of models, and the path of their requests.
 const MODEL_CLIENTS: u64 = 2;
 const MODEL_PATH: &str = "/model/adapters";
+/// Clients whose prompts share parts, the number of parts at each of the two places, and the path
+/// of their requests.
+const PROMPT_CLIENTS: u64 = 5;
+const FIRST_PROMPT_PARTS: u32 = 2;
+const PROMPT_PARTS: u32 = 40;
+const PROMPT_PATH: &str = "/prompt/events-8";
+/// When requests with a part that crashes servers begin, and the time between two of them.
+const CRASHING_FROM: Duration = Duration::from_secs(5);
+const CRASHING_EACH: Duration = Duration::from_millis(200);
 /// Time between two probes of a node.
 const PROBE_EACH: Duration = Duration::from_millis(250);
 /// Most events that a stream asks for: it ends well within the grace.
@@ -92,6 +102,11 @@
     for number in first..first + MODEL_CLIENTS {
         tasks.push(actix_rt::spawn(client(number).send_to_models()));
     }
+    let first = first + MODEL_CLIENTS;
+    for number in first..first + PROMPT_CLIENTS {
+        tasks.push(actix_rt::spawn(client(number).send_prompts()));
+    }
+    tasks.push(actix_rt::spawn(client(first + PROMPT_CLIENTS).send_crashing_prompts()));
     for node in 0..system.node_count() {
         tasks.push(actix_rt::spawn(probe(system.clone(), stopping.clone(), node)));
     }
@@ -260,7 +275,15 @@
         let place = self.system.tenants().key_of(DESK);
         let credential = Credential::Key(place);
         let key = self.system.tenants().keys[place].text.clone();
-        let call = Call { path, id: &id, key: Some(&key), claims: None, model: None, resumes };
+        let call = Call {
+            path,
+            id: &id,
+            key: Some(&key),
+            claims: None,
+            model: None,
+            prompt: None,
+            resumes,
+        };
         let sent = self.system.elapsed();
         let received = Caller::default().receive(address, call).await;
         let done = self.system.elapsed();
@@ -297,7 +320,50 @@
         let id = format!("c{}-{}", self.number, self.count);
         self.count += 1;
         let model = path.starts_with(MODEL_PATH).then(|| adapter_name(self.random.random()));
-        let request = Request { kind, path, id, credential, model, leaves_after };
+        let prompt = None;
+        let request = Request { kind, path, id, credential, model, prompt, leaves_after };
+        send(&self.system, &mut self.caller, address, request).await;
+    }
+
+    /// Requests that share parts of their prompts with one another and with those of
+    /// [`Client::send_crashing_prompts`].
+    async fn send_prompts(mut self) {
+        while !self.stopping.get() {
+            let pause = self.random.random_range(0..MOST_PAUSE_MILLIS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let second = format!("b{:x}", self.random.random_range(0..PROMPT_PARTS));
+            self.send_prompt(&second, Kind::Prompt { crashes: false }).await;
+        }
+    }
+
+    /// Requests with a part that crashes the servers.
+    async fn send_crashing_prompts(mut self) {
+        while self.system.elapsed() < CRASHING_FROM && !self.stopping.get() {
+            tokio::time::sleep(CRASHING_EACH).await;
+        }
+        while !self.stopping.get() {
+            tokio::time::sleep(CRASHING_EACH).await;
+            self.send_prompt(CRASHING_PART, Kind::Prompt { crashes: true }).await;
+        }
+    }
+
+    async fn send_prompt(&mut self, second_part: &str, kind: Kind) {
+        let Some(address) = self.directory.pick(&self.system, &mut self.random).await else {
+            return;
+        };
+        let id = format!("c{}-{}", self.number, self.count);
+        self.count += 1;
+        let first = self.random.random_range(0..FIRST_PROMPT_PARTS);
+        let own: u32 = self.random.random();
+        let request = Request {
+            kind,
+            path: PROMPT_PATH,
+            id,
+            credential: Credential::Public,
+            model: None,
+            prompt: Some(format!("a{first:x}:100,{second_part}:100,{own:x}:100")),
+            leaves_after: None,
+        };
         send(&self.system, &mut self.caller, address, request).await;
     }
 }
@@ -342,8 +408,15 @@
         let (path, id) = (format!("/v{version}/{count}"), format!("p{node}-{count}"));
         let address = system.address_of(node);
         let kind = Kind::Probe(version);
-        let request =
-            Request { kind, path: &path, id, credential, model: None, leaves_after: None };
+        let request = Request {
+            kind,
+            path: &path,
+            id,
+            credential,
+            model: None,
+            prompt: None,
+            leaves_after: None,
+        };
         send(&system, &mut caller, address, request).await;
     }
 }
@@ -356,6 +429,8 @@
     credential: Credential,
     /// The model and adapter that it names.
     model: Option<String>,
+    /// The parts of its prompt.
+    prompt: Option<String>,
     /// When its client closes the connection, if it does not wait for the answer.
     leaves_after: Option<Duration>,
 }
@@ -366,7 +441,7 @@
     address: SocketAddrV4,
     request: Request<'_>,
 ) {
-    let Request { kind, path, id, credential, model, leaves_after } = request;
+    let Request { kind, path, id, credential, model, prompt, leaves_after } = request;
     let Some(node) = system.node_at(address) else { return };
     let text = match credential {
         Credential::Key(place) => Some(system.tenants().keys[place].text.clone()),
@@ -374,8 +449,8 @@
         Credential::Missing | Credential::Public => None,
     };
     // Whatever a client says of tenants is dropped.
-    let (key, model) = (text.as_deref(), model.as_deref());
-    let call = Call { path, id: &id, key, claims: Some(LAUNDRY), model, resumes: None };
+    let (key, model, prompt) = (text.as_deref(), model.as_deref(), prompt.as_deref());
+    let call = Call { path, id: &id, key, claims: Some(LAUNDRY), model, prompt, resumes: None };
     let sent = system.elapsed();
     let ended = match leaves_after {
         Some(after) => caller.call_and_leave(address, call, after).await,
--- a/crates/cometmoor-lab/src/soak/faults.rs
+++ b/crates/cometmoor-lab/src/soak/faults.rs
@@ -15,6 +15,7 @@
 
 use super::engines::ENGINE_SERVICE;
 use super::history::{ServerCut, StoreOutage, Whom};
+use super::prompts::PROMPT_SERVICE;
 use super::proxy::Way;
 use super::schedule::{Fault, WayFault};
 use super::system::{LINK_HOST, RESTART_AFTER, START, ServerPlace, SoakSystem, Stopping};
@@ -320,9 +321,13 @@
         let mut model = once_route("model");
         model["service"] = json!(ENGINE_SERVICE);
         let open = public_route(once_route("open"));
-        let routes: Vec<Value> = own.chain(lasting).chain([open, model]).collect();
+        let mut prompt = public_route(stream_route("prompt"));
+        prompt["service"] = json!(PROMPT_SERVICE);
+        let routes: Vec<Value> = own.chain(lasting).chain([open, model, prompt]).collect();
         let tenants = self.inner.tenants.borrow().configuration();
-        let services = json!([services()[0], engine_service(ENGINE_SERVICE)]);
+        let mut prompt_service = services()[0].clone();
+        prompt_service["name"] = json!(PROMPT_SERVICE);
+        let services = json!([services()[0], engine_service(ENGINE_SERVICE), prompt_service]);
         self.inner.fleet.configure_tenants(version, &json!(routes), &services, &tenants);
         self.inner.version.set(version);
         self.inner.history.borrow_mut().configurations.push((version, self.elapsed()));
--- a/crates/cometmoor-lab/src/soak/history.rs
+++ b/crates/cometmoor-lab/src/soak/history.rs
@@ -20,11 +20,21 @@
     BrokenStream,
     /// Its answer is a stream that may be resumed; its server breaks it off where it begins.
     ResumableStream,
+    /// Its answer is a stream, and its prompt shares parts with others.
+    Prompt {
+        /// Whether one of them crashes the servers that begin to answer.
+        crashes: bool,
+    },
     /// It asks for the route that a version of the configuration brought.
     Probe(u64),
 }
 
 impl Kind {
+    /// Whether it is for the servers that some prompts crash.
+    pub fn is_prompt(self) -> bool {
+        matches!(self, Kind::Prompt { .. })
+    }
+
     /// Whether its server breaks the answer off.
     pub fn is_broken_off(self) -> bool {
         matches!(self, Kind::BrokenStream | Kind::ResumableStream)
@@ -91,6 +101,17 @@
     pub says: Says,
 }
 
+/// A request with a prompt that reached a server.
+#[derive(Clone, Debug)]
+pub struct PromptArrivalRecord {
+    /// Identifier of the attempt.
+    pub id: String,
+    /// When.
+    pub at: Duration,
+    /// Whether it crashes the server.
+    pub crashes: bool,
+}
+
 /// A span in which a node is not held to bounds of time, or a server may break
 /// its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,6 +175,10 @@
     pub runs: Vec<RunRecord>,
     /// Requests that reached servers, by server and then in order.
     pub arrivals: Vec<ArrivalRecord>,
+    /// Requests with prompts that reached servers.
+    pub prompt_arrivals: Vec<PromptArrivalRecord>,
+    /// Crashes of servers under such requests, in order.
+    pub prompt_crashes: Vec<Duration>,
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
     /// When the store answered nobody, in order.
--- a/crates/cometmoor-lab/src/soak/mod.rs
+++ b/crates/cometmoor-lab/src/soak/mod.rs
@@ -10,6 +10,8 @@
 mod faults;
 pub mod history;
 pub mod processes;
+mod prompt_checks;
+mod prompts;
 mod proofs;
 pub mod proxy;
 pub mod schedule;
@@ -61,6 +63,8 @@
     pub owed_answered: usize,
     /// Runs with adapters at the model servers.
     pub adapter_runs: usize,
+    /// Crashes of model servers under requests with a certain part in their prompts.
+    pub prompt_crashes: usize,
     /// Promises that were broken.
     pub violations: Vec<Violation>,
 }
@@ -103,6 +107,7 @@
         owed,
         owed_answered,
         adapter_runs: history.runs.iter().filter(|run| run.server >= engines::FIRST_PLACE).count(),
+        prompt_crashes: history.prompt_crashes.len(),
         violations: check(history),
     }
 }
--- a/crates/cometmoor-lab/src/soak/system.rs
+++ b/crates/cometmoor-lab/src/soak/system.rs
@@ -20,6 +20,7 @@
     ArrivalRecord, Disturbance, History, PlannedStop, RequestRecord, RunRecord, StreamRecord, Whom,
 };
 use super::processes::NodeProcess;
+use super::prompts::PromptServers;
 use super::proxy::Way;
 use super::schedule::Planned;
 use super::tenants::{LIMIT_EXCESS, LIMIT_WINDOW, REVOCATION_BOUND, SoakTenants};
@@ -82,6 +83,8 @@
     pub(super) workers: RefCell<Vec<Worker>>,
     /// The model servers.
     pub(super) engines: Engines,
+    /// The model servers that some prompts crash.
+    pub(super) prompt_servers: PromptServers,
     pub(super) version: Cell<u64>,
     pub(super) tenants: RefCell<SoakTenants>,
     /// Until when a tenant sends many times its limit.
@@ -125,6 +128,7 @@
             nodes.push(node);
         }
         let engines = Engines::start(&fleet).await;
+        let prompt_servers = PromptServers::start(&fleet).await;
         let inner = Inner {
             started: Instant::now(),
             fleet,
@@ -133,6 +137,7 @@
             places: RefCell::default(),
             workers: RefCell::default(),
             engines,
+            prompt_servers,
             version: Cell::new(0),
             tenants: RefCell::new(SoakTenants::new()),
             flood_until: Cell::default(),
@@ -239,6 +244,7 @@
             }));
         }
         self.inner.engines.add_to(&mut history, self.inner.started);
+        self.inner.prompt_servers.add_to(&mut history, self.inner.started);
         let tenants = self.inner.tenants.borrow();
         history.keys.clone_from(&tenants.keys);
         history.limits.clone_from(&tenants.limits);
@@ -295,6 +301,7 @@
             self.watch_processes();
             self.keep_copy();
             self.inner.engines.register(&self.inner.fleet);
+            self.inner.prompt_servers.register(&self.inner.fleet);
             tokio::time::sleep(LOOK).await;
         }
     }
--- a/crates/cometmoor-lab/tests/soak.rs
+++ b/crates/cometmoor-lab/tests/soak.rs
@@ -4,11 +4,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use cometmoor_lab::soak::{SoakRun, run};
+use cometmoor_lab::soak::{SoakReport, SoakRun, run};
 
 /// Plays a seed; its logs stay in the folder that the message names if it falls short.
-/// Returns the number of runs with adapters.
-fn check_seed(seed: u64, seconds: u64, nodes: usize) -> usize {
+fn check_seed(seed: u64, seconds: u64, nodes: usize) -> SoakReport {
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let soak = SoakRun {
@@ -27,14 +26,16 @@
         report.faults
     );
     assert!(report.answered > 100, "{report:?}");
+    assert!(report.prompt_crashes > 0, "{report:?}");
     std::fs::remove_dir_all(&folder).unwrap();
-    report.adapter_runs
+    report
 }
 
 #[test]
 fn processes_keep_the_promises_under_drawn_faults() {
     // The faults of a seed may leave the fleet without a leader for most of its time.
-    let adapter_runs: usize = [1, 2].map(|seed| check_seed(seed, 12, 4)).iter().sum();
+    let reports = [1, 2].map(|seed| check_seed(seed, 12, 4));
+    let adapter_runs: usize = reports.iter().map(|report| report.adapter_runs).sum();
     assert!(adapter_runs > 20, "{adapter_runs} runs with adapters");
 }
 
--- a/crates/cometmoor-lab/tests/soak_checks.rs
+++ b/crates/cometmoor-lab/tests/soak_checks.rs
@@ -6,8 +6,8 @@
 use cometmoor_lab::soak::check::check;
 use cometmoor_lab::soak::command::parse_seeds;
 use cometmoor_lab::soak::history::{
-    ArrivalRecord, Disturbance, Ended, History, Kind, PlannedStop, RequestRecord, RunRecord, Says,
-    ServerCut, StoreOutage, StreamRecord, Whom,
+    ArrivalRecord, Disturbance, Ended, History, Kind, PlannedStop, PromptArrivalRecord,
+    RequestRecord, RunRecord, Says, ServerCut, StoreOutage, StreamRecord, Whom,
 };
 use cometmoor_lab::soak::schedule::draw;
 use cometmoor_lab::soak::tenants::{Credential, KeyRecord, LAUNDRY, LIBRARY, LimitRecord};
@@ -355,3 +355,48 @@
         assert_eq!(promises(&history), ["each caller its own whole answer"], "{events:?}");
     }
 }
+
+/// A history in which servers crash under prompts each second from 10 s on, with sound prompts
+/// before and after.
+fn crashing_prompts(crashes: u64) -> History {
+    let mut history = calm();
+    let sound = |number: u64| {
+        let sent = if number < 20 { 10 } else { 400 };
+        request(&format!("s{number}"), Kind::Prompt { crashes: false }, sent, Ended::Whole)
+    };
+    history.requests.extend((0..40).map(sound));
+    for number in 0..crashes {
+        let (id, sent) = (format!("x{number}"), 100 + 10 * number);
+        let failed = Ended::Failed(502);
+        history.requests.push(request(&id, Kind::Prompt { crashes: true }, sent, failed));
+        history.prompt_arrivals.push(PromptArrivalRecord { id, at: seconds(sent), crashes: true });
+        history.prompt_crashes.push(seconds(sent));
+    }
+    history
+}
+
+#[test]
+fn a_crashing_part_that_reaches_servers_after_nodes_must_know_of_it_is_reported() {
+    let late = "a part that crashes servers is kept from them";
+    assert_eq!(promises(&crashing_prompts(9)), Vec::<&str>::new());
+    let mut history = crashing_prompts(13);
+    assert_eq!(promises(&history), [late]);
+    let disturbed = Disturbance { whom: Whom::Node(0), from: seconds(190), until: seconds(230) };
+    history.disturbances.push(disturbed);
+    assert_eq!(promises(&history), Vec::<&str>::new(), "the node may not have heard of it");
+}
+
+#[test]
+fn sound_prompts_that_are_served_less_than_half_as_often_as_before_are_reported() {
+    let unserved = "prompts that share parts with one that crashes servers are served";
+    let mut history = crashing_prompts(5);
+    let after = |request: &&mut RequestRecord| request.sent == seconds(400);
+    let refused = |count: usize, history: &mut History| {
+        let prompts = history.requests.iter_mut().filter(after).take(count);
+        prompts.for_each(|request| request.ended = Ended::NotRun(503));
+    };
+    refused(10, &mut history);
+    assert_eq!(promises(&history), Vec::<&str>::new());
+    refused(11, &mut history);
+    assert_eq!(promises(&history), [unserved]);
+}
