Answers without a length: complete only if the server runs on

What callers saw: an answer that is no stream and ends with its connection looked complete, empty or cut short, where its server had been killed and its connections were closed cleanly. The crash was not noticed either, so that a part which crashes servers that way was found late. Cause: only for streams, and for answers through a peer, the node made sure that the server runs on. Change: it does so for every answer that ends with its connection.

--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -81,11 +81,10 @@
         Ok(has_read)
     }
 
-    /// Whether the end of the connection, which was read, is the end of the response. Through a peer
-    /// it is that only if the server has closed the connection, and not the peer.
+    /// Whether the end of the connection, which was read, is the end of the response: the server has
+    /// closed it, and neither a peer nor the end of the server's process.
     pub async fn ends_with_connection(&self) -> bool {
-        let is_direct = self.link.via.is_none();
-        self.decoder.ends_with_connection() && (is_direct || self.has_server_closed().await)
+        self.decoder.ends_with_connection() && self.has_server_closed().await
     }
 
     /// Whether the server has closed the connection, which was read to its end, and runs on.
