Answers that end with their connections clear a request of suspicion

What callers saw: a sound request that was answered in between was refused for ten minutes after its third crash, if the server's answers end with their connections. Cause: such an answer did not count, since a crashed server could look the same.

--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -132,8 +132,7 @@
         self.traffic.quarantine.parts.note_answer(&self.parts);
     }
 
-    /// Records a complete response whose end was given by its framing, which clears the request
-    /// of suspicion.
+    /// Records a complete response, which clears the request of suspicion.
     pub(super) fn record_complete_response(&self) {
         self.traffic.quarantine.note_answer(self.content);
     }
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -206,13 +206,10 @@
         stream: &mut StreamState,
         recorder: &mut FirstEventRecorder<'_>,
     ) -> SendOutcome {
-        let has_announced_end = !response.decoder.ends_with_connection();
         let is_new = stream.is_new() && self.metadata.resumption == Resumption::None;
         match relay_events(self, response, stream, recorder, server).await {
             Ok(action) => {
-                if has_announced_end {
-                    self.record_complete_response();
-                }
+                self.record_complete_response();
                 self.record_harmless_parts();
                 server.record_success(clock::now());
                 self.record_stream_duration(&stream.intervals);
@@ -270,15 +267,12 @@
             let action = relay::relay_large_body(self, response, buffered.bytes).await;
             return SendOutcome::Finished(action);
         }
-        let has_announced_end = !response.decoder.ends_with_connection();
         let response = response.release_connection(&server.pool);
         if status < 500 {
             server.record_success(clock::now());
-            if has_announced_end {
-                self.record_complete_response();
-                if status < 300 {
-                    self.record_harmless_parts();
-                }
+            self.record_complete_response();
+            if status < 300 {
+                self.record_harmless_parts();
             }
             self.log_completed(&server.record().incarnation, status);
             return SendOutcome::Finished(self.relay_buffered(response, buffered.bytes).await);
