Reject requests that wait for a server once they are quarantined

What callers saw: a request that waited for a server was rejected only when its wait was over, up to 2 s later, though it was known by then that no server may get it. Change: a wait ends when the request or a part of its prompt is quarantined. explain shows what a node knew of the part for which a request was refused.

--- a/crates/cometmoor-gateway/src/explain.rs
+++ b/crates/cometmoor-gateway/src/explain.rs
@@ -27,9 +27,9 @@
 type NodeState = HashMap<String, KnownState>;
 
 /// Returns the log lines of the request in the order of time. Each is followed by the state that
-/// its node knew then: the last lines about the configuration, the store, the server concerned,
-/// the signals of that server, and the part of its prompt for which it was refused. Lines of other formats are skipped, and text before the first brace
-/// of a line is ignored.
+/// its node knew then: the last lines about the configuration, the store, the server concerned, the
+/// signals of that server, and the part of its prompt for which it was refused. Lines of other
+/// formats are skipped, and text before the first brace of a line is ignored.
 pub fn explain(id: &str, text: &str) -> Vec<String> {
     let mut lines: Vec<Line> = text.lines().filter_map(parse).collect();
     lines.sort_by_key(|line| line.timestamp);
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -41,7 +41,8 @@
 /// Longest time that a request which may have crashed three servers waits for the verdict: the
 /// time of several probes.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(250);
-
+/// Pause between two looks at whether a request that waits for a server is quarantined by now.
+const QUARANTINE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Events of a stream from which on its server has not crashed when it began to answer: the first
 /// one may be sent before the server crashes.
 pub(super) const MIN_EVENTS_OF_BEGUN_ANSWER: u64 = 2;
@@ -126,6 +127,13 @@
         self.quarantine_refusal().is_some()
     }
 
+    /// Waits until the request must not be sent to any server.
+    pub(super) async fn wait_for_quarantine(&self) {
+        while !self.is_quarantined() {
+            clock::sleep(QUARANTINE_POLL_INTERVAL).await;
+        }
+    }
+
     /// Records that a server has answered the request, or goes on after it has begun to: none of
     /// the parts of its prompt crashes servers.
     pub(super) fn record_harmless_parts(&self) {
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -242,7 +242,12 @@
             if let Some((refusal, left)) = self.quarantine_refusal() {
                 return self.finish_without_server(last_error, &stream, refusal, left).await;
             }
-            let server = match self.wait_for_server(service, &tried, &stream).await {
+            let selection = tokio::select! {
+                biased;
+                selection = self.wait_for_server(service, &tried, &stream) => selection,
+                () = self.wait_for_quarantine() => continue,
+            };
+            let server = match selection {
                 Selection::Server { server, .. } => server,
                 Selection::Overloaded(expected) => {
                     let after = retry_after_queue(expected, self.route.objective);
--- a/crates/cometmoor-gateway/tests/explain.rs
+++ b/crates/cometmoor-gateway/tests/explain.rs
@@ -29,3 +29,18 @@
     assert_eq!(history, expected);
     assert!(explain("unknown", LINES).is_empty());
 }
+
+const PART_LINES: &str = r#"
+{"level":"warn","timestamp":1000,"logger":"node-1","payload":"[quarantine] a part of prompts is quarantined","kv":{"part":"dead","crashes":3,"keys":"00000001,00000002,00000003","source":"own"},"tid":1}
+{"level":"warn","timestamp":1100,"logger":"node-1","payload":"[quarantine] a part of prompts is quarantined","kv":{"part":"beef","source":"peer"},"tid":1}
+{"level":"warn","timestamp":1500,"logger":"node-1","payload":"[forward] refused","kv":{"request":"abc","part":"dead"},"tid":2}
+"#;
+
+#[test]
+fn a_refused_request_is_followed_by_the_quarantine_of_its_part() {
+    let expected = [
+        "1500 node-1 [forward] refused part=dead request=abc",
+        "    known for 500 ms: 1000 node-1 [quarantine] a part of prompts is quarantined crashes=3 keys=00000001,00000002,00000003 part=dead source=own",
+    ];
+    assert_eq!(explain("abc", PART_LINES), expected);
+}
