Empty answers that end with their connections prove nothing of a request

An answer of which only the head had come passed for complete and cleared the part. Cause: a server whose process is descheduled while it crashes accepts the node's probe for longer than 30 ms. Change: where no byte of the body has come, the probe must stay open for 100 ms before the answer passes for complete, and the answer clears neither the request nor the parts of its prompt.

--- a/crates/cometmoor-gateway/src/connector.rs
+++ b/crates/cometmoor-gateway/src/connector.rs
@@ -60,6 +60,9 @@
 /// Time for which a new connection must stay open: a process that ends may still accept one while
 /// its sockets are closed one after the other.
 pub const PROBE_OPEN_TIME: Duration = Duration::from_millis(30);
+/// The same where more depends on it: the process may also be descheduled while its sockets are
+/// closed.
+pub const DECISIVE_PROBE_OPEN_TIME: Duration = Duration::from_millis(100);
 
 /// Opens connections to servers.
 pub struct Connector {
@@ -370,15 +373,16 @@
 
     /// Whether a server has ended right after it closed a connection cleanly: a process that is
     /// killed closes its connections like one that has completed a response. One that is leaving
-    /// completes its responses before it ends. An open connection is kept for the next request.
-    pub async fn has_ended_after_close(&self, server: &Server) -> bool {
+    /// completes its responses before it ends. A connection that stays open for `open_time` is kept
+    /// for the next request.
+    pub async fn has_ended_after_close(&self, server: &Server, open_time: Duration) -> bool {
         if !server.accepts_requests() {
             return false;
         }
         for _ in 0..MAX_CLOSE_PROBES {
             match connect(server.record().address, CLOSE_PROBE_TIMEOUT).await {
                 Ok(stream) => {
-                    clock::sleep(PROBE_OPEN_TIME).await;
+                    clock::sleep(open_time).await;
                     if server.pool.release_if_open(stream, None) {
                         return false;
                     }
@@ -442,9 +446,9 @@
 
     /// Whether the server has closed the connection, which was read to its end, and runs on. Through
     /// a peer that is for the peer to say.
-    pub async fn has_server_closed(&self, stream: &TcpStream) -> bool {
+    pub async fn has_server_closed(&self, stream: &TcpStream, open_time: Duration) -> bool {
         match (self.via, stream.local_addr()) {
-            (None, _) => !self.connector.has_ended_after_close(&self.server).await,
+            (None, _) => !self.connector.has_ended_after_close(&self.server, open_time).await,
             (Some(peer), Ok(own)) => self.connector.tunnels.has_server_closed(peer, own).await,
             (Some(_), Err(_)) => false,
         }
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -17,7 +17,7 @@
 use super::ForwardedRequest;
 use super::outcome::Refusal;
 use crate::clock;
-use crate::connector::{Connector, PROBE_OPEN_TIME};
+use crate::connector::{Connector, DECISIVE_PROBE_OPEN_TIME, PROBE_OPEN_TIME};
 use crate::http::connection::connect;
 use crate::links::LinkBoard;
 use crate::load::{ServerKey, server_key};
@@ -32,9 +32,6 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two of these attempts.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
-/// The same if the verdict decides whether a request is quarantined: the process may also be
-/// descheduled while its sockets are closed.
-const DECISIVE_PROBE_OPEN_TIME: Duration = Duration::from_millis(100);
 /// Longest time that a retry waits for a crash check; an address that refuses connections does
 /// so within a millisecond.
 const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
--- a/crates/cometmoor-gateway/src/forward/exchange.rs
+++ b/crates/cometmoor-gateway/src/forward/exchange.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use cometmoor_core::gateway::registry::ServerRecord;
@@ -13,7 +14,7 @@
 
 use super::{ForwardedRequest, encode};
 use crate::clock;
-use crate::connector::LinkObserver;
+use crate::connector::{DECISIVE_PROBE_OPEN_TIME, LinkObserver, PROBE_OPEN_TIME};
 use crate::dialect::{RunCopy, SendMetadata};
 use crate::http::body::BodyDecoder;
 use crate::http::connection::read_some;
@@ -82,15 +83,21 @@
     }
 
     /// Whether the end of the connection, which was read, is the end of the response: the server has
-    /// closed it, and neither a peer nor the end of the server's process.
-    pub async fn ends_with_connection(&self) -> bool {
-        self.decoder.ends_with_connection() && self.has_server_closed().await
+    /// closed it, and neither a peer nor the end of the server's process. A server that crashes when
+    /// it begins to write has sent no byte of the body.
+    pub async fn ends_with_connection(&self, body_bytes: usize) -> bool {
+        let open_time = if body_bytes > 0 { PROBE_OPEN_TIME } else { DECISIVE_PROBE_OPEN_TIME };
+        self.decoder.ends_with_connection() && self.has_closed(open_time).await
     }
 
     /// Whether the server has closed the connection, which was read to its end, and runs on.
     pub async fn has_server_closed(&self) -> bool {
+        self.has_closed(PROBE_OPEN_TIME).await
+    }
+
+    async fn has_closed(&self, open_time: Duration) -> bool {
         match &self.stream {
-            Some(stream) => self.link.has_server_closed(stream).await,
+            Some(stream) => self.link.has_server_closed(stream, open_time).await,
             None => false,
         }
     }
--- a/crates/cometmoor-gateway/src/forward/relay.rs
+++ b/crates/cometmoor-gateway/src/forward/relay.rs
@@ -39,7 +39,7 @@
             return Ok(BufferedBody { bytes, is_complete: false });
         }
         if !response.read_more().await? {
-            let is_complete = response.ends_with_connection().await;
+            let is_complete = response.ends_with_connection(bytes.len()).await;
             return if is_complete {
                 Ok(BufferedBody { bytes, is_complete })
             } else {
@@ -77,7 +77,7 @@
         }
         match response.read_more().await {
             Ok(true) => {}
-            Ok(false) if response.ends_with_connection().await => {
+            Ok(false) if response.ends_with_connection(MAX_BUFFERED_BYTES).await => {
                 push_body_end(framing, &mut bytes);
                 return request.end_body(framing, &bytes, keep).await;
             }
--- a/crates/cometmoor-gateway/src/forward/send.rs
+++ b/crates/cometmoor-gateway/src/forward/send.rs
@@ -267,11 +267,15 @@
             let action = relay::relay_large_body(self, response, buffered.bytes).await;
             return SendOutcome::Finished(action);
         }
+        // Beside load, a server that crashes when it begins to write may pass for one that runs on.
+        let has_proven_end = !response.decoder.ends_with_connection() || !buffered.bytes.is_empty();
         let response = response.release_connection(&server.pool);
         if status < 500 {
             server.record_success(clock::now());
-            self.record_complete_response();
-            if status < 300 {
+            if has_proven_end {
+                self.record_complete_response();
+            }
+            if has_proven_end && status < 300 {
                 self.record_harmless_parts();
             }
             self.log_completed(&server.record().incarnation, status);
--- a/crates/cometmoor-gateway/src/tunnel/server.rs
+++ b/crates/cometmoor-gateway/src/tunnel/server.rs
@@ -15,6 +15,7 @@
 
 use super::{END_METHOD, END_PATH, METHOD, PATH, TUNNEL_ID};
 use crate::clock;
+use crate::connector::PROBE_OPEN_TIME;
 use crate::forward::TrafficContext;
 use crate::http::connection::{connect, read_some, set_socket_options, write_all};
 use crate::http::head::{RequestHead, parse_request_head};
@@ -137,7 +138,7 @@
 ) {
     let tunnel = head.path().strip_prefix(END_PATH).and_then(|from| from.parse().ok());
     let is_clean = match tunnel.and_then(|from| clean_ends.take(from)) {
-        Some(server) => !traffic.connector.has_ended_after_close(&server).await,
+        Some(server) => !traffic.connector.has_ended_after_close(&server, PROBE_OPEN_TIME).await,
         None => false,
     };
     let status = if is_clean { 200 } else { UNKNOWN_END_STATUS };
--- a/crates/cometmoor-lab/src/soak/prompts.rs
+++ b/crates/cometmoor-lab/src/soak/prompts.rs
@@ -44,7 +44,8 @@
                 event_interval: Duration::from_millis(20),
                 end: ends[number % ends.len()],
                 crashing_part: CRASHING_PART.to_owned(),
-                crash_sign: [CrashSign::HeadAndClose, CrashSign::Reset][number / 2 % 2],
+                crash_sign: [CrashSign::HeadAndClose(Duration::ZERO), CrashSign::Reset]
+                    [number / 2 % 2],
                 away: AWAY,
             };
             servers.push(PromptServer::start(fleet.host(FIRST_HOST + number as u8), serving).await);
