--- a/crates/cometmoor-core/src/gateway/quarantine/evidence.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/evidence.rs
@@ -118,8 +118,11 @@
     ) {
         self.add(server, suspects, at, now);
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.server == server) {
-            let own = suspects.iter().filter(|part| crash.suspects.contains(part));
-            crash.own_suspects.extend(own);
+            for part in suspects {
+                if crash.suspects.contains(part) && !crash.own_suspects.contains(part) {
+                    crash.own_suspects.push(*part);
+                }
+            }
         }
     }
 
--- a/crates/cometmoor-core/src/gateway/quarantine/part_exchange.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/part_exchange.rs
@@ -16,6 +16,10 @@
 /// Age up to which crashes are reported again to a node that has joined.
 const REPORTED_AGAIN_AGE: Duration = Duration::from_secs(30);
 
+fn age_millis(at: Timestamp, now: Timestamp) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
 impl PartQuarantine {
     /// Merges another node's report.
     pub fn merge(&mut self, report: &PartReport, now: Timestamp) {
@@ -29,7 +33,7 @@
         for (part, age) in report.quarantined.iter().take(MAX_PARTS_PER_REPORT) {
             self.merge_quarantined(*part, at(*age), now);
         }
-        self.decide(now);
+        self.judge(now);
     }
 
     fn merge_crash(&mut self, crash: &ReportedCrash, at: Timestamp, now: Timestamp) {
@@ -61,43 +65,56 @@
         }
     }
 
-    /// The report for the next message to other nodes; `None` if nothing has changed lately.
+    /// The report for the next message to other nodes; `None` if nothing has changed lately. What
+    /// has no room is reported in the next message.
     pub fn next_report(&mut self, now: Timestamp) -> Option<PartReport> {
-        self.decide(now);
-        let age = |at: Timestamp| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let mut report = PartReport::default();
-        let mut room = MAX_PARTS_PER_REPORT;
-        for (part, known) in &mut self.quarantined {
-            if room > 0 && known.reports_left > 0 {
-                known.reports_left -= 1;
-                room -= 1;
-                report.quarantined.push((*part, age(known.since)));
-            }
-        }
-        for (part, (at, left)) in &mut self.answer_reports {
-            if room > 0 {
-                *left -= 1;
-                room -= 1;
-                report.answered.push((*part, age(*at)));
-            }
-        }
+        self.judge(now);
+        let quarantined = self.report_quarantined(MAX_PARTS_PER_REPORT, now);
+        let room = MAX_PARTS_PER_REPORT - quarantined.len();
+        let answered = self.report_answers(room, now);
+        let crashes = self.report_crashes(room - answered.len(), now);
+        let report = PartReport { crashes, answered, quarantined };
+        (!report.is_empty()).then_some(report)
+    }
+
+    fn report_quarantined(&mut self, room: usize, now: Timestamp) -> Vec<(PartId, u32)> {
+        let changed = self.quarantined.iter_mut().filter(|(_, known)| known.reports_left > 0);
+        let report = |(part, known): (&PartId, &mut QuarantinedPart)| {
+            known.reports_left -= 1;
+            (*part, age_millis(known.since, now))
+        };
+        changed.take(room).map(report).collect()
+    }
+
+    fn report_answers(&mut self, room: usize, now: Timestamp) -> Vec<(PartId, u32)> {
+        let report = |(part, (at, left)): (&PartId, &mut (Timestamp, u32))| {
+            *left -= 1;
+            (*part, age_millis(*at, now))
+        };
+        let reports = self.answer_reports.iter_mut().take(room).map(report).collect();
         self.answer_reports.retain(|_, (_, left)| *left > 0);
-        let mut changed: Vec<&mut Crash> =
-            self.evidence.crashes_mut().filter(|crash| crash.reports_left > 0).collect();
+        reports
+    }
+
+    /// Reports whole crashes, those first that have been reported the least.
+    fn report_crashes(&mut self, mut room: usize, now: Timestamp) -> Vec<ReportedCrash> {
+        let changed = self.evidence.crashes_mut().filter(|crash| crash.reports_left > 0);
+        let mut changed: Vec<&mut Crash> = changed.collect();
         changed.sort_by_key(|crash| Reverse((crash.reports_left, crash.at)));
+        let mut reports = Vec::new();
         for crash in changed.into_iter().take(MAX_CRASHES_PER_REPORT) {
             if crash.suspects.len() > room {
                 break;
             }
             room -= crash.suspects.len();
             crash.reports_left -= 1;
-            report.crashes.push(ReportedCrash {
+            reports.push(ReportedCrash {
                 server: crash.server,
-                age: age(crash.at),
+                age: age_millis(crash.at, now),
                 suspects: crash.suspects.clone(),
             });
         }
-        (!report.is_empty()).then_some(report)
+        reports
     }
 
     /// Schedules what is quarantined and recent crashes to be reported again, for a node that has
--- a/crates/cometmoor-core/src/gateway/quarantine/parts.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/parts.rs
@@ -83,7 +83,7 @@
 impl PartQuarantine {
     /// Whether requests with these parts may be sent to servers at `now`.
     pub fn status(&mut self, parts: &[PartId], now: Timestamp) -> QuarantineStatus {
-        self.decide(now);
+        self.judge(now);
         let quarantined = parts.iter().filter_map(|part| self.quarantined.get(part));
         let retry_after = quarantined.filter_map(|known| known.retry_after(now)).max();
         retry_after.map_or(QuarantineStatus::Allowed, QuarantineStatus::Quarantined)
@@ -131,7 +131,7 @@
     /// Whether the pending crash checks, or crashes of which nodes are still learning, may lead to
     /// the quarantine of one of these parts.
     pub fn is_decision_pending(&mut self, parts: &[PartId], now: Timestamp) -> bool {
-        self.decide(now);
+        self.judge(now);
         parts.iter().any(|part| self.may_be_quarantined_soon(*part, now))
     }
 
@@ -170,7 +170,7 @@
         self.evidence.add_own(server, &suspects, at, now);
         self.judge_soon(now);
         suspects.iter().for_each(|part| self.renew_quarantine(*part, at, now));
-        self.decide(now);
+        self.judge(now);
         CrashSummary { suspects, answered }
     }
 
@@ -245,7 +245,7 @@
 
     /// Quarantines the parts that the crashes point to. A crash counts once nodes have learned what
     /// was in flight.
-    pub(super) fn decide(&mut self, now: Timestamp) {
+    pub(super) fn judge(&mut self, now: Timestamp) {
         if self.judge_at.is_none_or(|at| now < at) {
             return;
         }
--- a/crates/cometmoor-core/src/gateway/quarantine/quarantined_part.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/quarantined_part.rs
@@ -27,7 +27,7 @@
     /// Number of messages that are still to carry it.
     pub(super) reports_left: u32,
     failed_trials: u32,
-    trial_begun: Option<Timestamp>,
+    trial_begun_at: Option<Timestamp>,
 }
 
 impl QuarantinedPart {
@@ -40,7 +40,7 @@
             is_stored: false,
             reports_left: REPORT_REPEATS,
             failed_trials: 0,
-            trial_begun: None,
+            trial_begun_at: None,
         }
     }
 
@@ -70,7 +70,7 @@
 
     /// Records a crash.
     pub(super) fn renew_reported(&mut self, at: Timestamp) {
-        if self.trial_begun.take().is_some() {
+        if self.trial_begun_at.take().is_some() {
             self.failed_trials += 1;
         }
         self.since = self.since.max(at);
@@ -83,11 +83,11 @@
     }
 
     pub(super) fn is_trial_due(&self, now: Timestamp) -> bool {
-        let is_running = self.trial_begun.is_some_and(|begun| now.since(begun) < TRIAL_TIMEOUT);
+        let is_running = self.trial_begun_at.is_some_and(|begun| now.since(begun) < TRIAL_TIMEOUT);
         now.since(self.since) >= self.trial_delay() && !is_running
     }
 
     pub(super) fn begin_trial(&mut self, now: Timestamp) {
-        self.trial_begun = Some(now);
+        self.trial_begun_at = Some(now);
     }
 }
--- a/crates/cometmoor-gateway/src/forward/crash_check.rs
+++ b/crates/cometmoor-gateway/src/forward/crash_check.rs
@@ -10,12 +10,11 @@
 use std::time::Duration;
 
 use cometmoor_core::gateway::links::Path;
-use cometmoor_core::gateway::quarantine::{CrashVerdict, Fingerprint, PartId, QuarantineStatus};
+use cometmoor_core::gateway::quarantine::{CrashVerdict, Fingerprint, PartId};
 use cometmoor_core::time::BootInstant;
 use spdlog::{info, warn};
 
 use super::ForwardedRequest;
-use super::outcome::Refusal;
 use crate::clock;
 use crate::connector::{Connector, DECISIVE_PROBE_OPEN_TIME, PROBE_OPEN_TIME};
 use crate::http::connection::connect;
@@ -35,13 +34,8 @@
 /// Longest time that a retry waits for a crash check; an address that refuses connections does
 /// so within a millisecond.
 const MAX_CRASH_CHECK_WAIT: Duration = Duration::from_millis(50);
-/// Longest time that a request which may have crashed three servers waits for the verdict: the
-/// time of several probes.
-const MAX_VERDICT_WAIT: Duration = Duration::from_millis(250);
-/// Pause between two looks at whether a request that waits for a server is quarantined by now.
-const QUARANTINE_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Events of a stream from which on its server has not crashed when it began to answer: the first
-/// one may be sent before the server crashes.
+/// Number of events of a stream that show that its server has not crashed when it began to answer: the
+/// first one may be sent before the crash.
 pub(super) const MIN_EVENTS_OF_BEGUN_ANSWER: u64 = 2;
 
 impl ForwardedRequest<'_> {
@@ -91,56 +85,6 @@
     pub(super) async fn wait_for_crash_check(&self, server: &Server) {
         let _ = clock::timeout(MAX_CRASH_CHECK_WAIT, server.wait_for_probe()).await;
     }
-
-    /// Waits briefly for the verdict if the request may have crashed enough servers to be
-    /// quarantined.
-    pub(super) async fn wait_for_verdict(&self) {
-        let _ = clock::timeout(
-            MAX_VERDICT_WAIT,
-            self.traffic.quarantine.wait_for_decision(self.content, &self.parts),
-        )
-        .await;
-    }
-
-    /// Why the request must not be sent to any server now, and when it may be; `None` if it may be
-    /// sent. The leading node sends a request at times to find out whether its parts still crash
-    /// servers.
-    pub(super) fn quarantine_refusal(&self) -> Option<(Refusal, Duration)> {
-        let quarantine = &self.traffic.quarantine;
-        if let QuarantineStatus::Quarantined(left) = quarantine.status(self.content) {
-            return Some((Refusal::Quarantined, left));
-        }
-        let QuarantineStatus::Quarantined(left) = quarantine.parts.status(&self.parts) else {
-            return None;
-        };
-        if !self.is_trial.get() && self.traffic.board.fleet.load().leads {
-            self.is_trial.set(quarantine.parts.begin_trial(&self.parts, &self.metadata.id));
-        }
-        (!self.is_trial.get()).then_some((Refusal::PartQuarantined, left))
-    }
-
-    /// Whether the request must not be sent to any server.
-    pub(super) fn is_quarantined(&self) -> bool {
-        self.quarantine_refusal().is_some()
-    }
-
-    /// Waits until the request must not be sent to any server.
-    pub(super) async fn wait_for_quarantine(&self) {
-        while !self.is_quarantined() {
-            clock::sleep(QUARANTINE_POLL_INTERVAL).await;
-        }
-    }
-
-    /// Records that a server has answered the request, or goes on after it has begun to: none of
-    /// the parts of its prompt crashes servers.
-    pub(super) fn record_harmless_parts(&self) {
-        self.traffic.quarantine.parts.note_answer(&self.parts);
-    }
-
-    /// Records a complete response, which clears the request of suspicion.
-    pub(super) fn record_complete_response(&self) {
-        self.traffic.quarantine.note_answer(self.content);
-    }
 }
 
 fn is_end_of_connection(error: &io::Error) -> bool {
--- a/crates/cometmoor-gateway/src/forward/mod.rs
+++ b/crates/cometmoor-gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod migration;
 mod outcome;
 mod permit;
+mod quarantine;
 mod queue;
 mod queue_log;
 mod relay;
@@ -31,7 +32,7 @@
 use cometmoor_core::gateway::admission::{DEFAULT_RETRY_AFTER, cap_retry_after, retry_after_queue};
 use cometmoor_core::gateway::attempts::{Attempts, Progress, SendFailure};
 use cometmoor_core::gateway::configuration::Route;
-use cometmoor_core::gateway::quarantine::{Fingerprint, MAX_PARTS_PER_REQUEST, PartId};
+use cometmoor_core::gateway::quarantine::{Fingerprint, PartId};
 use cometmoor_core::gateway::tenants::Tenant;
 use cometmoor_core::time::BootInstant;
 use spdlog::info;
@@ -42,6 +43,7 @@
 use self::migration::Continuation;
 use self::outcome::Refusal;
 pub use self::outcome::{ConnectionAction, LocalResponse};
+use self::quarantine::shared_parts;
 use self::queue::QueueContext;
 use self::send::SendOutcome;
 use self::server_selection::{Estimate, Selection};
@@ -69,17 +71,6 @@
 /// up, before the request is refused.
 const MAX_ON_HOLD: usize = 8;
 
-/// The parts of a prompt that other requests may share, without duplicates.
-fn shared_parts(metadata: &RequestMetadata) -> Rc<[PartId]> {
-    let mut parts: Vec<PartId> = Vec::new();
-    for part in metadata.shared_parts().iter().map(|part| PartId(part.id)) {
-        if parts.len() < MAX_PARTS_PER_REQUEST && !parts.contains(&part) {
-            parts.push(part);
-        }
-    }
-    parts.into()
-}
-
 /// A client's request that is being forwarded.
 pub struct ForwardedRequest<'a> {
     /// State that the requests share.
