--- a/crates/cometmoor-core/src/gateway/quarantine/evidence.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/evidence.rs
@@ -11,8 +11,8 @@
 /// With two, a part whose requests are retried once would be quarantined after two unrelated
 /// crashes.
 pub const PART_CRASH_LIMIT: usize = 3;
-/// The same for a part that was answered before, or that cannot be told apart from another one. It
-/// is the number of crashes from which on operators count.
+/// The same for a part that was answered before, or that was present at the same incidents as another
+/// one. It is the number of crashes after which operators count further sends.
 pub const DOUBTFUL_PART_CRASH_LIMIT: usize = 5;
 /// The same where most incidents since the part's first one happened without it. If a tenth of all
 /// requests is lost to unrelated crashes, one sound request in a million is lost to so many in a
@@ -224,7 +224,7 @@
     let mut culprits: Vec<PartId> =
         suspects.filter(|(_, tally)| tally.count == most).map(|(part, _)| *part).collect();
     culprits.sort_unstable();
-    // Parts that came together so far may be told apart by an answer or by the next crash.
+    // An answer or the next crash may show which of several equal suspects is the cause.
     let may_differ = culprits.len() > 1 && most < DOUBTFUL_PART_CRASH_LIMIT;
     if may_differ { Vec::new() } else { culprits }
 }
--- a/crates/cometmoor-core/src/gateway/quarantine/part_exchange.rs
+++ b/crates/cometmoor-core/src/gateway/quarantine/part_exchange.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    /// The report for the next message to other nodes; `None` if nothing has changed lately. What
+    /// The report for the next message to other nodes; `None` if no change is left to report. What
     /// has no room is reported in the next message.
     pub fn next_report(&mut self, now: Timestamp) -> Option<PartReport> {
         self.judge(now);
--- a/crates/cometmoor-gateway/src/forward/quarantine.rs
+++ b/crates/cometmoor-gateway/src/forward/quarantine.rs
@@ -55,7 +55,8 @@
         (!self.is_trial.get()).then_some((Refusal::PartQuarantined, left))
     }
 
-    /// Whether the request must not be sent to any server.
+    /// Whether the request must not be sent to any server. Like
+    /// [`ForwardedRequest::quarantine_refusal`], it may begin a trial.
     pub(super) fn is_quarantined(&self) -> bool {
         self.quarantine_refusal().is_some()
     }
--- a/crates/cometmoor-gateway/src/quarantine/parts.rs
+++ b/crates/cometmoor-gateway/src/quarantine/parts.rs
@@ -151,7 +151,7 @@
         self.with_source("peer", |quarantine, now| quarantine.merge(report, now));
     }
 
-    /// The report for the next message to other nodes; `None` if nothing has changed lately.
+    /// The report for the next message to other nodes; `None` if no change is left to report.
     pub fn next_report(&self) -> Option<PartReport> {
         self.with(PartQuarantine::next_report)
     }
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -27,6 +27,10 @@
 const SMALL_FLEET_HEARTBEAT_STEPS: u64 = 4;
 /// The same in the largest fleets, which have the longest intervals.
 const LARGE_FLEET_HEARTBEAT_STEPS: u64 = 8;
+/// The same in fleets of up to 400 nodes.
+pub const FLEET_OF_400_HEARTBEAT_STEPS: u64 = 4;
+/// A link of 20 Mbit/s with the queue of a small switch's port.
+pub const SMALL_LINK: Link = Link { bytes_per_step: 125_000, queue_bytes: 128 * 1024 };
 /// Steps between two ticks of a node.
 const TICK_STEPS: u64 = 5;
 /// Default number of zones.
--- a/crates/cometmoor-lab/tests/soak.rs
+++ b/crates/cometmoor-lab/tests/soak.rs
@@ -43,3 +43,10 @@
 fn a_tenant_within_its_limit_is_not_refused_at_one_of_six_nodes_for_seconds() {
     check_seed(23, 15, 6);
 }
+
+/// Guards against callers of a node that has lost its links to the servers being served far less
+/// often than others.
+#[test]
+fn callers_of_nodes_without_server_links_are_served_in_two_soak_seeds() {
+    [124, 143].into_iter().for_each(|seed| drop(check_seed(seed, 12, 4)));
+}
