Planner: idle models make way for requested ones in a fleet that can't hold all

Cause: the last copy of a model is never evicted, whatever its demand. Change: where the servers can't hold all models, and only there, the last copy of a model that hardly any requests arrive for may be evicted for one that is in demand. Idle models never replace one another. Ruled out: rejected orders (none of 110), the load rate (18 loads were left). The test plans for 1, 300 and 1,000 servers and fails on the code before.

--- a/crates/cometmoor-core/src/gateway/planner/mod.rs
+++ b/crates/cometmoor-core/src/gateway/planner/mod.rs
@@ -4,7 +4,8 @@
 //! from scratch from the contents of the servers and the demand. A move is a load with the unload
 //! that makes room for it. By one strategy, its value is the number of requests that it saves over
 //! the lifetime of the demand, less the requests missed for lack of the evicted copy; the other one
-//! balances the utilization of the servers. Every model keeps a copy.
+//! balances the utilization of the servers. Every model keeps a copy, unless the servers can't hold
+//! all models: then the last copies of idle models make way for models in demand.
 
 mod adapters;
 mod adapters_on_demand;
@@ -264,6 +265,8 @@
     coverage: Coverage,
     /// Memory reserved for adapters on each server, in megabytes.
     adapter_reserve: f64,
+    /// Whether the servers can't hold a copy of each model at once.
+    is_oversubscribed: bool,
     /// Number of loads from the weight store that may still be planned.
     loads_left: usize,
     plan: Vec<PlannedOrder>,
@@ -301,6 +304,7 @@
         coverage: Coverage::new(model_demand, &inventories),
         inventories,
         adapter_reserve: profile.adapter_reserve(),
+        is_oversubscribed: is_oversubscribed(profile, servers.len()),
         loads_left: loads_left.saturating_sub(pending_store_loads),
         plan: Vec::new(),
     };
@@ -319,6 +323,14 @@
     Plan { orders: planner.plan, highest_pressure }
 }
 
+/// Whether a number of servers has fewer places for models than there are models. All models count
+/// as being as large as the largest one.
+fn is_oversubscribed(profile: &EngineProfile, servers: usize) -> bool {
+    let largest = profile.models.iter().map(|model| model.weights_megabytes).fold(0.0, f64::max);
+    let places = ((profile.weights_megabytes - profile.adapter_reserve()) / largest).floor();
+    places * (servers as f64) < profile.models.len() as f64
+}
+
 /// Whether memory is being freed for a model that has to come from the weight store.
 fn has_pending_store_load(inventory: &ServerInventory) -> bool {
     !inventory.is_idle
--- a/crates/cometmoor-core/src/gateway/planner/models.rs
+++ b/crates/cometmoor-core/src/gateway/planner/models.rs
@@ -9,6 +9,12 @@
 const MOVE_COST: f64 = 4.0;
 /// Share of a model's requests that may be late before the model needs another copy.
 const MAX_MISSED_SHARE: f64 = 0.02;
+/// Requests per second below which a model is idle: the average falls below it about nine seconds
+/// after a single request.
+const IDLE_REQUESTS_PER_SECOND: f64 = 0.01;
+/// Cost of the eviction of an idle model's last copy, relative to that of a model in demand: it is
+/// less likely to be requested soon.
+const IDLE_LAST_COPY_WEIGHT: f64 = 0.25;
 /// Weight of the requests saved by the model for which memory was freed, relative to other models
 /// that could use the memory.
 const PENDING_LOAD_WEIGHT: f64 = 2.0;
@@ -151,8 +157,9 @@
         if bound - MOVE_COST <= min_saved {
             return None;
         }
-        for victim in inventory.serving.iter().filter(|victim| self.may_evict(server, **victim)) {
-            let eviction_cost = self.coverage.eviction_cost(server, *victim);
+        let evictable = |victim: &&ModelIndex| self.may_evict(server, **victim, model);
+        for victim in inventory.serving.iter().filter(evictable) {
+            let eviction_cost = self.eviction_cost(server, *victim);
             if bound - eviction_cost - MOVE_COST <= min_saved {
                 continue;
             }
@@ -182,11 +189,27 @@
         Move { server, model, victim, ready_in, saved }
     }
 
-    /// Whether a serving copy may be evicted. The last one may not. Only serving copies count,
-    /// since a load in progress may take long or fail.
-    fn may_evict(&self, server: ServerIndex, victim: ModelIndex) -> bool {
-        let was_recently_loaded = self.inventories[server].recently_loaded.contains(&victim);
-        !was_recently_loaded && self.coverage.models[victim].serving > 1
+    /// Whether a serving copy may be evicted for a model. Only serving copies count, since a load in
+    /// progress may take long or fail. The last copy may be evicted only if the servers can't hold
+    /// all models, and requests arrive for the model that takes its place but not for its own.
+    fn may_evict(&self, server: ServerIndex, victim: ModelIndex, model: ModelIndex) -> bool {
+        if self.inventories[server].recently_loaded.contains(&victim) {
+            return false;
+        }
+        let has_other_copy = self.coverage.models[victim].serving > 1;
+        has_other_copy || (self.is_oversubscribed && self.is_idle(victim) && !self.is_idle(model))
+    }
+
+    /// Whether hardly any requests arrive for a model.
+    fn is_idle(&self, model: ModelIndex) -> bool {
+        self.coverage.models[model].demand.requests_per_second < IDLE_REQUESTS_PER_SECOND
+    }
+
+    /// Requests expected to be missed because a copy is evicted.
+    fn eviction_cost(&self, server: ServerIndex, victim: ModelIndex) -> f64 {
+        let cost = self.coverage.eviction_cost(server, victim);
+        let is_idle_last_copy = self.coverage.models[victim].serving == 1 && self.is_idle(victim);
+        if is_idle_last_copy { cost * IDLE_LAST_COPY_WEIGHT } else { cost }
     }
 
     /// Whether a model fits into a server's memory beside everything that it holds or may hold.
--- a/crates/cometmoor-core/tests/gateway_planner.rs
+++ b/crates/cometmoor-core/tests/gateway_planner.rs
@@ -231,6 +231,41 @@
     }
 }
 
+/// A fleet with fewer places than models left those in demand without any copy.
+#[test]
+fn a_requested_model_replaces_an_idle_one_where_the_servers_cannot_hold_all_models() {
+    for (servers, models) in [(1, 4), (300, 901), (1_000, 3_001)] {
+        let mut profile = profile();
+        let first = profile.models[1].clone();
+        let model = |index: usize| ModelProfile { name: format!("m{index}"), ..first.clone() };
+        profile.models = (0..models).map(model).collect();
+        let servers: Vec<PlannedServer> = (0..servers)
+            .map(|index| server(index, &[3 * index, 3 * index + 1, 3 * index + 2]))
+            .collect();
+        let missing = models - 1;
+        let of = |requests_per_second| ModelDemand {
+            offered_load: requests_per_second / 10.0,
+            requests_per_second,
+            ..ModelDemand::default()
+        };
+        let mut demand = FleetDemand { has_enough_history: true, ..FleetDemand::default() };
+        let nothing_requested = plan(&profile, &servers, &demand, 5, SavedRequests);
+        assert_eq!(nothing_requested, Vec::new(), "idle models replace one another");
+        demand.models.insert(format!("m{missing}"), of(0.4));
+        for busy in (0..missing).filter(|model| model % 3 != 1) {
+            demand.models.insert(format!("m{busy}"), of(0.4));
+        }
+        let orders = plan(&profile, &servers, &demand, 5, SavedRequests);
+        let unloads: Vec<usize> = orders
+            .iter()
+            .filter(|planned| planned.makes_room_for == Some(format!("m{missing}")))
+            .map(|planned| planned.order.weights.model[1..].parse().unwrap())
+            .collect();
+        assert_eq!(unloads.len(), 1, "{orders:?}");
+        assert_eq!(unloads[0] % 3, 1, "a busy model is unloaded: {orders:?}");
+    }
+}
+
 /// While one of two copies was being unloaded, the next round unloaded the other one: 191 requests
 /// found no server with their model (tnpto-ride, quiet-1).
 #[test]
