Publish the list of servers without building it again each time

Cause: each node published its state four times a second and at each change, and built the list of all servers each time: two hashes, a lock and a set entry for each server, and then the table of the traffic thread. That grows with the servers and not with what changes.

--- a/crates/cometmoor-core/src/gateway/signals/mod.rs
+++ b/crates/cometmoor-core/src/gateway/signals/mod.rs
@@ -312,6 +312,12 @@
         self.servers.get(&server).is_some_and(|known| known.is_leaving())
     }
 
+    /// The servers that have announced that they are leaving.
+    pub fn leaving_servers(&self) -> impl Iterator<Item = IncarnationHash> {
+        let leaving = self.servers.iter().filter(|(_, known)| known.is_leaving());
+        leaving.map(|(server, _)| *server)
+    }
+
     /// Why this node currently sends a server no requests; `None` if it may send some.
     pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
         self.servers.get(&server)?.hold(now)
--- a/crates/cometmoor-core/src/gateway/stream_origins.rs
+++ b/crates/cometmoor-core/src/gateway/stream_origins.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::configuration::{GatewayConfiguration, RetryPolicy};
-use super::registry::{ServerRecord, SoftwareHash};
+use super::registry::SoftwareHash;
 use crate::time::BootInstant;
 
 /// Number of nodes, besides the one that serves the stream, that record its origin.
@@ -163,15 +163,14 @@
 
     /// Records the versions in the registry, and forgets those that were last there before the
     /// return time.
-    pub fn record<'a>(
+    pub fn record(
         &mut self,
-        servers: impl Iterator<Item = &'a ServerRecord>,
+        software: impl Iterator<Item = (ServiceHash, SoftwareHash)>,
         return_time: Duration,
         now: BootInstant,
     ) {
-        for server in servers {
-            let versions = self.last_seen.entry(ServiceHash::of(&server.service)).or_default();
-            versions.insert(server.software_hash(), now);
+        for (service, version) in software {
+            self.last_seen.entry(service).or_default().insert(version, now);
         }
         for versions in self.last_seen.values_mut() {
             versions.retain(|_, seen| now.since(*seen) <= return_time);
--- a/crates/cometmoor-core/tests/gateway_stream_origins.rs
+++ b/crates/cometmoor-core/tests/gateway_stream_origins.rs
@@ -123,7 +123,8 @@
 fn record(history: &mut VersionHistory, versions: &[&str], from: u64, until: u64) {
     let servers: Vec<ServerRecord> = versions.iter().map(|version| server(version)).collect();
     for second in from..=until {
-        history.record(servers.iter(), RETURN_TIME, at(second));
+        let software = |server: &ServerRecord| (ServiceHash::of(SERVICE), server.software_hash());
+        history.record(servers.iter().map(software), RETURN_TIME, at(second));
     }
 }
 
--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod messages;
 mod proofs;
+mod published_servers;
 mod waits;
 
 use std::collections::{BTreeSet, HashMap};
@@ -16,9 +17,7 @@
 use actix::{Actor, AsyncContext, Context};
 use cometmoor_core::gateway::configuration::ActiveConfiguration;
 use cometmoor_core::gateway::proof::{ProofLimits, ProofRequests};
-use cometmoor_core::gateway::registry::{ServerEntry, ServerRecord, ServerState};
 use cometmoor_core::gateway::restored_registry::ServersByIncarnation;
-use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::gateway::staleness::{CopyView, StalenessLimits};
 use cometmoor_core::gateway::stream_origins::{VersionHistory, return_time};
 use cometmoor_core::time::{BootInstant, Timestamp};
@@ -33,6 +32,7 @@
     SetPlacement, StopAcceptingRequests, StoreCallFailed,
 };
 pub use self::proofs::GetProof;
+pub use self::published_servers::PublishedServers;
 use self::waits::WaitState;
 pub use self::waits::{GetUrgentMessages, NotifyWaitingNodes};
 use super::ControlContext;
@@ -79,6 +79,7 @@
     lost_version: Option<u64>,
     entries: ServerEntries,
     servers: ServersByIncarnation,
+    published_servers: PublishedServers,
     versions: VersionHistory,
     remote_load_updated: Timestamp,
     servers_fetched: Option<Timestamp>,
@@ -123,6 +124,7 @@
             lost_version: None,
             entries: ServerEntries::new(heartbeat),
             servers: HashMap::new(),
+            published_servers: PublishedServers::default(),
             versions: VersionHistory::new(history_begins_at),
             remote_load_updated: Timestamp(0),
             servers_fetched: None,
@@ -221,14 +223,16 @@
         }
         self.log_server_changes(&effective.servers);
         self.servers = effective.servers;
+        self.published_servers.replace(&self.servers);
     }
 
     fn publish(&mut self) {
         let now = self.now();
         self.generation += 1;
         let return_time = return_time(self.configuration.get().map(Arc::as_ref));
-        let servers = self.servers.values().map(|entry| &*entry.record);
-        self.versions.record(servers, return_time, clock::now());
+        let leaving = self.context.signals.leaving_servers();
+        self.published_servers.set_leaving(leaving, &self.servers);
+        self.versions.record(self.published_servers.software(), return_time, clock::now());
         let copy = &self.copies[&StorePrefix::Configuration];
         let snapshot = FleetSnapshot {
             generation: self.generation,
@@ -238,7 +242,7 @@
             proof_limits: self.proof_limits,
             is_known_behind: copy.is_known_behind(),
             ignored_entries: self.entries.ignored_count(),
-            servers: self.servers.values().map(|entry| self.with_own_state(entry)).collect(),
+            servers: self.published_servers.list().clone(),
             versions: self.versions.clone(),
             nodes: self.client_endpoints(),
             configuration_confirmed: copy.confirmed,
@@ -254,16 +258,6 @@
         self.context.board.fleet.store(Arc::new(snapshot));
     }
 
-    /// A server's record, as leaving if the server reports that itself, because the store may
-    /// deliver that change many seconds later.
-    fn with_own_state(&self, entry: &ServerEntry) -> Arc<ServerRecord> {
-        let record = &entry.record;
-        if !self.context.signals.is_leaving(IncarnationHash::of(&record.incarnation)) {
-            return record.clone();
-        }
-        Arc::new(ServerRecord { state: ServerState::Draining, ..ServerRecord::clone(record) })
-    }
-
     /// Addresses for clients of the nodes that are ready, in order of address.
     fn client_endpoints(&self) -> Vec<NodeEndpoint> {
         let ready = self.peers.members().iter().filter(|member| member.is_ready());
--- a/crates/cometmoor-gateway/src/node.rs
+++ b/crates/cometmoor-gateway/src/node.rs
@@ -364,7 +364,7 @@
 
 fn update_software_versions(gauges: &Family<ServiceLabels, Gauge>, fleet: &FleetSnapshot) {
     let mut versions: HashMap<&str, HashSet<&str>> = HashMap::new();
-    for server in &fleet.servers {
+    for server in fleet.servers.iter() {
         versions.entry(&server.service).or_default().insert(&server.software);
     }
     gauges.clear();
--- a/crates/cometmoor-gateway/src/published.rs
+++ b/crates/cometmoor-gateway/src/published.rs
@@ -70,8 +70,8 @@
     pub is_known_behind: bool,
     /// Number of registry entries that describe no usable server.
     pub ignored_entries: usize,
-    /// Servers in the registry.
-    pub servers: Vec<Arc<ServerRecord>>,
+    /// Servers in the registry. Successive snapshots share the list until it changes.
+    pub servers: Arc<Vec<Arc<ServerRecord>>>,
     /// The software versions that services have had recently.
     pub versions: VersionHistory,
     /// Nodes that accept requests, including this one.
--- a/crates/cometmoor-gateway/src/servers.rs
+++ b/crates/cometmoor-gateway/src/servers.rs
@@ -403,7 +403,8 @@
 /// All servers in the registry, by incarnation and by service.
 pub struct ServerTable {
     signals: SignalBoard,
-    generation: u64,
+    /// The list from which the table was last updated.
+    list: Arc<Vec<Arc<ServerRecord>>>,
     by_incarnation: HashMap<Arc<str>, Rc<Server>>,
     by_service: HashMap<String, Vec<Rc<Server>>>,
 }
@@ -412,19 +413,19 @@
     /// Creates an empty table.
     pub fn new(signals: SignalBoard) -> ServerTable {
         let (by_incarnation, by_service) = (HashMap::new(), HashMap::new());
-        ServerTable { signals, generation: 0, by_incarnation, by_service }
+        ServerTable { signals, list: Arc::default(), by_incarnation, by_service }
     }
 
-    /// Updates the table from a fleet snapshot, unless it already has that generation. Servers that
-    /// are still in the registry keep their state and connections.
+    /// Updates the table from a fleet snapshot, unless its list of servers is still the same. Servers
+    /// that are still in the registry keep their state and connections.
     pub fn update(&mut self, fleet: &FleetSnapshot) {
-        if fleet.generation == self.generation {
+        if Arc::ptr_eq(&self.list, &fleet.servers) {
             return;
         }
-        self.generation = fleet.generation;
+        self.list = fleet.servers.clone();
         let mut by_incarnation = HashMap::with_capacity(fleet.servers.len());
         let mut by_service: HashMap<String, Vec<Rc<Server>>> = HashMap::new();
-        for record in &fleet.servers {
+        for record in fleet.servers.iter() {
             let server = match self.by_incarnation.remove(&record.incarnation) {
                 Some(server) => {
                     server.update_record(record);
--- a/crates/cometmoor-gateway/src/signals.rs
+++ b/crates/cometmoor-gateway/src/signals.rs
@@ -1,5 +1,6 @@
 //! Signals that servers send in their responses, shared by the node's threads.
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cometmoor_core::gateway::quota::VersionedLimit;
@@ -91,6 +92,11 @@
         self.with(|table, _| table.is_leaving(server))
     }
 
+    /// The servers that have announced that they are leaving.
+    pub fn leaving_servers(&self) -> HashSet<IncarnationHash> {
+        self.with(|table, _| table.leaving_servers().collect())
+    }
+
     /// Why this node sends a server no requests at `now`; `None` if it may send some.
     pub fn hold(&self, server: IncarnationHash, now: BootInstant) -> Option<Hold> {
         self.with(|table, _| table.hold(server, now))
--- a/crates/cometmoor-gateway/tests/servers.rs
+++ b/crates/cometmoor-gateway/tests/servers.rs
@@ -30,9 +30,9 @@
     }
 }
 
-fn publish(table: &mut ServerTable, generation: u64, models: &[&str]) {
-    let servers = vec![Arc::new(record(models))];
-    table.update(&FleetSnapshot { generation, servers, ..FleetSnapshot::default() });
+fn publish(table: &mut ServerTable, models: &[&str]) {
+    let servers = Arc::new(vec![Arc::new(record(models))]);
+    table.update(&FleetSnapshot { servers, ..FleetSnapshot::default() });
 }
 
 /// While the store is down, a server's entry still lists a model that was unloaded. Requests for it
@@ -40,7 +40,7 @@
 #[test]
 fn a_model_repeatedly_reported_missing_is_tried_at_growing_intervals() {
     let mut table = ServerTable::new(SignalBoard::new(Arc::default()));
-    publish(&mut table, 1, &["m", "n"]);
+    publish(&mut table, &["m", "n"]);
     let server = table.of_service("app")[0].clone();
     let model = ModelName { model: "m".to_owned(), adapter: None };
     let view = PlacementView::default();
@@ -57,7 +57,7 @@
     assert!((4..=6).contains(&tries), "{tries} tries in 20 s; 28 with a fixed interval of 0.7 s");
     let other = ModelName { model: "n".to_owned(), adapter: None };
     assert!(server.holds(&other, &view, now));
-    publish(&mut table, 2, &["m"]);
+    publish(&mut table, &["m"]);
     assert!(server.holds(&model, &view, now), "the entry is newer than the report");
 }
 
@@ -65,7 +65,7 @@
 #[test]
 fn a_reported_slowdown_counts_for_a_quarter_of_a_second() {
     let mut table = ServerTable::new(SignalBoard::new(Arc::default()));
-    publish(&mut table, 1, &["m"]);
+    publish(&mut table, &["m"]);
     let server = table.of_service("app")[0].clone();
     let now = cometmoor_gateway::clock::now();
     assert_eq!(server.reported_slowdown(now), None);
