Leader: few calls to servers at once, few connections, pauses after rounds

Cause, by reading and a scene in virtual time: a new leader asked every server for a report at once and kept a connection to each, and rounds of planning followed one another after 10 ms. With thousands of servers the calls exceed their timeout of 0.8 s on an eighth of a core and are repeated after 150 ms; 4,000 connections meet 4,100 descriptors. Change: at most 128 calls are in progress, those never made first; idle connections are kept to the 256 servers called last; a round is followed by a pause as long as itself. Calls that have to wait are counted (deferred_server_calls). Fleets of up to 256 servers keep their connections. Whether this is what the fleet loses by is not shown yet.

--- a/crates/cometmoor-core/src/gateway/mod.rs
+++ b/crates/cometmoor-core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod restored_registry;
 pub mod retry_budget;
 pub mod selection;
+pub mod server_calls;
 pub mod server_speed;
 pub mod signals;
 pub mod staleness;
--- a/crates/cometmoor-gateway/src/control/leader/calls.rs
+++ b/crates/cometmoor-gateway/src/control/leader/calls.rs
@@ -71,8 +71,8 @@
     ) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        state.record_call_ended(id);
         let Some(engine) = state.engines.get_mut(id) else { return };
-        engine.call_in_progress = false;
         match report {
             Ok(report) if engine.is_from_other_incarnation(&report) => {
                 engine.record_other_incarnation(&report);
@@ -180,8 +180,8 @@
         log_order(id, order, &result, token, self.order_cause(id, order));
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        state.record_call_ended(id);
         let Some(engine) = state.engines.get_mut(id) else { return };
-        engine.call_in_progress = false;
         match result {
             Ok(OrderResponse::Accepted) => {
                 engine.ledger.record_accepted(now);
--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -25,6 +25,9 @@
     PlannedOrder, PlannedServer, WITHDRAWAL_DELAY, plan_round,
 };
 use cometmoor_core::gateway::registry::{ServerRecord, ServerState};
+use cometmoor_core::gateway::server_calls::{
+    ConnectedServers, MAX_CONCURRENT_CALLS, next_calls, pause_after_round,
+};
 use cometmoor_core::gateway::signals::IncarnationHash;
 use cometmoor_core::gateway::store_position::StoreEra;
 use cometmoor_core::time::{BootInstant, Timestamp};
@@ -68,6 +71,7 @@
     acquired_at: Timestamp,
     /// By incarnation.
     engines: HashMap<Arc<str>, Engine>,
+    connected: ConnectedServers<Arc<str>>,
     withdrawals: Vec<Withdrawal>,
     announcements: Announcements,
     load_rates: HashMap<String, LoadRateLimiter>,
@@ -93,6 +97,22 @@
         is_stable || self.first_round.is_some_and(|first| now.since(first) >= MAX_SETTLE_TIME)
     }
 
+    /// Number of calls to servers that have not ended.
+    fn calls_in_progress(&self) -> usize {
+        self.engines.values().filter(|engine| engine.call_in_progress).count()
+    }
+
+    /// Records that a call to a server has ended, and closes idle connections that are too many.
+    fn record_call_ended(&mut self, server: &Arc<str>) {
+        if let Some(engine) = self.engines.get_mut(server) {
+            engine.call_in_progress = false;
+        }
+        let closed = self.connected.record_call(server);
+        if let Some(engine) = closed.and_then(|server| self.engines.get(&server)) {
+            engine.client.close_idle();
+        }
+    }
+
     /// The placement to announce. Weights stay withdrawn for as long as their unload is open.
     fn placement(&mut self, leader: SocketAddrV4, token: u64, now: Timestamp) -> Placement {
         for (id, engine) in &self.engines {
@@ -227,8 +247,10 @@
 
     async fn run(self: Rc<Leader>) {
         loop {
+            let began = clock::now();
             self.round().await;
-            clock::sleep(MIN_ROUND_INTERVAL).await;
+            let took = clock::elapsed(began);
+            clock::sleep(pause_after_round(took, MIN_ROUND_INTERVAL)).await;
             let _ = clock::timeout(MAX_PLAN_INTERVAL, self.context.plan_wanted.notified()).await;
         }
     }
@@ -295,6 +317,7 @@
     fn continue_orders(self: &Rc<Leader>, token: Option<u64>) {
         let now = self.now();
         let mut steps = Vec::new();
+        let mut reports = Vec::new();
         for (id, engine) in &self.state.borrow().engines {
             if !engine.call_in_progress && !engine.is_replaced {
                 steps.push((id.clone(), engine.ledger.next_step(now), engine.last_call));
@@ -303,7 +326,7 @@
         for (id, step, last_call) in steps {
             let is_due = last_call.is_none_or(|called_at| now.since(called_at) >= REPORT_INTERVAL);
             match step {
-                NextStep::RequestReport if is_due => self.spawn_report(id),
+                NextStep::RequestReport if is_due => reports.push((last_call, id)),
                 NextStep::Resend { order, expected_count } if is_due => {
                     if let Some(token) = token {
                         self.spawn_order(id, order, expected_count, token);
@@ -312,6 +335,14 @@
                 _ => {}
             }
         }
+        let in_progress = self.state.borrow().calls_in_progress();
+        let due = reports.len();
+        let mut requested = 0;
+        for id in next_calls(reports, in_progress) {
+            self.spawn_report(id);
+            requested += 1;
+        }
+        self.context.metrics.placement.deferred_calls.inc_by((due - requested) as u64);
     }
 
     /// Orders the unloads that were announced long enough ago.
@@ -366,17 +397,24 @@
         let planned_round = plan_round(profile, &servers, &demand, loads_left, strategy);
         let metrics = &self.context.metrics.placement;
         metrics.set_highest_pressure(service, planned_round.highest_pressure);
+        let in_progress = self.state.borrow().calls_in_progress();
+        let mut calls_left = MAX_CONCURRENT_CALLS.saturating_sub(in_progress);
         for planned in planned_round.orders {
             if !moves_models && planned.order.weights.adapter.is_none() {
                 continue;
             }
+            let unloads_model =
+                planned.order.action == Action::Unload && planned.order.weights.adapter.is_none();
+            // Orders beyond the limit are planned again in the next round.
+            if !unloads_model && calls_left == 0 {
+                metrics.deferred_calls.inc();
+                continue;
+            }
             log_planned_order(&planned, loads_left, strategy);
             if planned.loads_model() {
                 metrics.record_move(reason_name(&planned, strategy));
             }
             let now = self.now();
-            let unloads_model =
-                planned.order.action == Action::Unload && planned.order.weights.adapter.is_none();
             if unloads_model {
                 self.withdraw(planned);
                 continue;
@@ -398,6 +436,7 @@
             if let Some(engine) = self.state.borrow_mut().engines.get_mut(&planned.server) {
                 engine.adapters.reason = planned.adapter_reason;
             }
+            calls_left -= 1;
             self.start_order(
                 planned.server,
                 planned.order,
--- a/crates/cometmoor-gateway/src/metrics.rs
+++ b/crates/cometmoor-gateway/src/metrics.rs
@@ -85,6 +85,8 @@
     /// Planned loads of models by reason: that of the move, or `saved_requests`.
     moves: Family<ReasonLabels, Counter>,
     highest_pressure: Family<ServiceLabels, FloatGauge>,
+    /// Reports and orders that had to wait because too many calls to servers were in progress.
+    pub deferred_calls: Counter,
 }
 
 impl PlacementMetrics {
@@ -94,6 +96,8 @@
         let pressure = self.highest_pressure.clone();
         let help = "Highest mean utilization of a model's servers";
         registry.register("highest_model_pressure", help, pressure);
+        let deferred = self.deferred_calls.clone();
+        registry.register("deferred_server_calls", "Calls beyond the leader's limit", deferred);
     }
 
     /// Counts a planned load of a model.
