Report demand until the leader's next heartbeat

Cause: heartbeats report the demand that changed within 1.2 s, and nodes of a large fleet send the leader one each 5 ms x nodes: 1.5 s at 300 nodes, 4.9 s at 984. Demand in between was never counted. A heartbeat that is sent early reports no demand, and counted as the one that was due. Change: a change is reported for two of these intervals and 1.2 s, and only a heartbeat that reports demand counts as sent to the leader. The test takes 30 to 2,000 nodes with one in twenty heartbeats lost: all 46 requests of a node are counted; on the code before it fails.

--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -371,7 +371,7 @@
     }
 
     fn recent_demand(&self) -> Vec<(ModelKey, ModelDemand)> {
-        self.context.loads.recent_demand(clock::now())
+        self.context.loads.recent_demand(clock::now(), self.peers.demand_report_period())
     }
 
     /// Whether the next heartbeat reports this node's load and demand, and records that it does.
--- a/crates/cometmoor-gateway/src/load.rs
+++ b/crates/cometmoor-gateway/src/load.rs
@@ -139,8 +139,6 @@
 ///
 /// [`QUEUE_POLL_INTERVAL`]: cometmoor_core::gateway::admission::QUEUE_POLL_INTERVAL
 const WAIT_IS_CURRENT_FOR: Duration = Duration::from_millis(100);
-/// How long a change of demand is reported to other nodes.
-const DEMAND_REPORTED_FOR: Duration = Duration::from_millis(1200);
 
 #[derive(Clone, Copy, Debug)]
 struct RecordedDemand {
@@ -194,13 +192,15 @@
         self.lock().servers.iter().map(|(id, load)| (server_key(id), *load)).collect()
     }
 
-    /// Demand for the models and adapters whose demand has changed recently.
-    pub fn recent_demand(&self, now: BootInstant) -> Vec<(ModelKey, ModelDemand)> {
+    /// Demand for the models and adapters whose demand has changed within `period`.
+    pub fn recent_demand(
+        &self,
+        now: BootInstant,
+        period: Duration,
+    ) -> Vec<(ModelKey, ModelDemand)> {
         let state = self.lock();
-        let recent = state
-            .models
-            .iter()
-            .filter(|(_, recorded)| now.since(recorded.changed_at) < DEMAND_REPORTED_FOR);
+        let recent =
+            state.models.iter().filter(|(_, recorded)| now.since(recorded.changed_at) < period);
         recent.map(|(key, recorded)| (*key, recorded.demand)).collect()
     }
 
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -24,6 +24,11 @@
 /// Time between two regular heartbeats to the leader, for each node of the fleet, so that the
 /// leader receives at most 200/s.
 const LEADER_INTERVAL_PER_NODE: Duration = Duration::from_millis(5);
+/// Minimum time for which a change of demand is reported.
+const MIN_DEMAND_REPORT_PERIOD: Duration = Duration::from_millis(1200);
+/// Number of intervals of the heartbeats to the leader for which a change of demand is reported, so
+/// that a lost heartbeat is made up for by the next one.
+const DEMAND_REPORT_INTERVALS: u32 = 2;
 
 /// A message and its recipients.
 #[derive(Clone, Debug, PartialEq)]
@@ -183,12 +188,27 @@
         remote.into_iter().find(|hub| !self.upstream.is_unresponsive(*hub))
     }
 
-    /// The leader, if a heartbeat to it is due. It is due at once if requests wait for models.
+    /// Time between two regular heartbeats to the leader.
+    fn leader_interval(&self) -> Duration {
+        LEADER_INTERVAL_PER_NODE * u32::try_from(self.members().len()).unwrap_or(u32::MAX)
+    }
+
+    /// How long heartbeats report a change of demand, so that the leader learns of it. The time
+    /// between two heartbeats to the leader grows with the fleet.
+    pub fn demand_report_period(&self) -> Duration {
+        match self.is_small_fleet() {
+            true => MIN_DEMAND_REPORT_PERIOD,
+            false => self.leader_interval() * DEMAND_REPORT_INTERVALS + MIN_DEMAND_REPORT_PERIOD,
+        }
+    }
+
+    /// The leader, if a heartbeat to it is due: one that reports demand, at an interval, or any if
+    /// requests wait for models.
     fn leader_due(&mut self, own: &Heartbeat, now: Timestamp) -> Option<SocketAddrV4> {
         let leader = self.placement(now)?.0.leader;
-        let interval =
-            LEADER_INTERVAL_PER_NODE * u32::try_from(self.members().len()).unwrap_or(u32::MAX);
-        let is_due = self.hub.leader_notified.is_none_or(|sent| now.since(sent) >= interval);
+        let interval = self.leader_interval();
+        let is_due = own.loads.is_some()
+            && self.hub.leader_notified.is_none_or(|sent| now.since(sent) >= interval);
         if leader == self.own || (!is_due && own.awaited_models.is_empty()) {
             return None;
         }
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -31,8 +31,8 @@
 pub use self::load_notices::{LoadNotice, LoadNotices, WaitReport};
 pub use self::message::{
     CopyAge, CopyVersions, Digest, DigestRequest, Heartbeat, MemberEntry, Message, PeerPhase,
-    Placement, PlacementVersion, ProofAnswer, ProofRequest, RosterUpdate, RosterVersion,
-    ZoneMembers,
+    Placement, PlacementVersion, ProofAnswer, ProofRequest, RelayedPlacement, RosterUpdate,
+    RosterVersion, ZoneMembers,
 };
 use self::peers::{DirectPeers, SUSPECT_AFTER};
 pub use self::peers::{Member, PeerChange, Rank};
--- /dev/null
+++ b/crates/cometmoor-gateway/tests/leader_demand.rs
@@ -0,0 +1,145 @@
+//! The leader learns of all demand, however rarely each node of a large fleet sends it a heartbeat.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use cometmoor_core::time::{BootInstant, Timestamp};
+use cometmoor_gateway::load::{LoadBoard, ModelKey, RequestDemand};
+use cometmoor_gateway::membership::{
+    CopyVersions, Digest, Heartbeat, MemberEntry, Membership, OutgoingMessage, PeerPhase,
+    Placement, RelayedPlacement, RosterUpdate, ZoneMembers,
+};
+
+/// Time between two heartbeats of a node of a fleet of more than 840 nodes, in milliseconds.
+const HEARTBEAT_MILLIS: u64 = 420;
+/// Time for which requests arrive, in milliseconds.
+const TRAFFIC_MILLIS: u64 = 60_000;
+/// Time between two requests at a node, in milliseconds.
+const REQUEST_MILLIS: u64 = 1_300;
+/// Number of models for which requests arrive.
+const MODELS: u64 = 60;
+/// One in so many heartbeats is lost.
+const LOST_ONE_IN: u64 = 20;
+const ZONES: usize = 5;
+
+fn address(index: usize) -> SocketAddrV4 {
+    let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, (index % ZONES) as u8, high, low), 7000)
+}
+
+fn zone(index: usize) -> String {
+    format!("zone-{}", index % ZONES)
+}
+
+/// A hub's digest that lists all nodes of a fleet and names its leader.
+fn digest(nodes: usize, leader: SocketAddrV4, sequence: u64) -> Digest {
+    let entry = |index: usize| MemberEntry {
+        peer_address: address(index),
+        client_address: address(index),
+        phase: PeerPhase::Ready,
+        reads_store: false,
+        store_fails: false,
+    };
+    let members = |of_zone: usize| (of_zone..nodes).step_by(ZONES).map(entry).collect();
+    let zones = (0..ZONES).map(|index| ZoneMembers { zone: zone(index), members: members(index) });
+    let placement =
+        Placement { token: 1, sequence: 1, leader, added: Vec::new(), withdrawn: Vec::new() };
+    Digest {
+        hub: address(0),
+        zone: zone(0),
+        incarnation: 1,
+        sequence,
+        versions: CopyVersions::default(),
+        zones: None,
+        roster: Some(RosterUpdate {
+            version: 1,
+            base_version: None,
+            updated: zones.collect(),
+            removed: Vec::new(),
+        }),
+        loads: None,
+        placement: Some(RelayedPlacement {
+            leader,
+            version: placement.version(),
+            age_millis: 0,
+            placement: Some(placement),
+        }),
+        suspects: Vec::new(),
+        signals: Vec::new(),
+    }
+}
+
+fn heartbeat(
+    sequence: u64,
+    membership: &Membership,
+    loads: &LoadBoard,
+    now: BootInstant,
+) -> Heartbeat {
+    // Every third heartbeat is sent early and reports neither load nor demand.
+    let reports_loads = !sequence.is_multiple_of(3);
+    let period = membership.demand_report_period();
+    Heartbeat {
+        node: "node-1".to_owned(),
+        incarnation: 1,
+        sequence,
+        zone: zone(1),
+        client_address: address(1),
+        peer_address: address(1),
+        phase: PeerPhase::Ready,
+        versions: CopyVersions::default(),
+        reads_store: false,
+        store_fails: false,
+        loads: reports_loads.then(Vec::new),
+        demand: if reports_loads { loads.recent_demand(now, period) } else { Vec::new() },
+        awaited_models: Vec::new(),
+        suspects: Vec::new(),
+        signals: Vec::new(),
+        placement: None,
+        member_count: membership.member_count(),
+        known_peers: Vec::new(),
+    }
+}
+
+/// Heartbeats to the leader of 984 nodes are 4.9 s apart and reported only the demand that had
+/// changed within 1.2 s before.
+#[test]
+fn the_leader_of_a_large_fleet_learns_of_every_request() {
+    for nodes in [30, 300, 1_000, 2_000] {
+        let leader = address(nodes - 1);
+        let mut membership = Membership::new(address(1), &zone(1));
+        let loads = LoadBoard::default();
+        let request = RequestDemand { prefill: Duration::from_millis(90), ..Default::default() };
+        let (mut known, mut sent_to_leader) = (HashMap::<ModelKey, u64>::new(), 0);
+        let mut requests = 0;
+        for sequence in 1.. {
+            let millis = sequence * HEARTBEAT_MILLIS;
+            let (now, at) =
+                (Timestamp(millis), BootInstant::after_boot(Duration::from_millis(millis)));
+            while requests < millis.min(TRAFFIC_MILLIS) / REQUEST_MILLIS {
+                requests += 1;
+                loads.record_demand((requests * 7 % MODELS) as ModelKey, request, at);
+            }
+            membership.receive_fleet_digest(digest(nodes, leader, sequence), now);
+            membership.tick(now);
+            let own = heartbeat(sequence, &membership, &loads, at);
+            let reaches_leader = |outgoing: &OutgoingMessage| outgoing.targets.contains(&leader);
+            if membership.outgoing(&own, now).iter().any(reaches_leader) {
+                sent_to_leader += 1;
+                if sent_to_leader % LOST_ONE_IN != 0 {
+                    known.extend(own.demand.iter().map(|(key, demand)| (*key, demand.requests)));
+                }
+            }
+            if millis > 2 * TRAFFIC_MILLIS {
+                break;
+            }
+        }
+        let counted: u64 = known.values().sum();
+        assert_eq!(counted, requests, "{nodes} nodes");
+        let limit = 2 * TRAFFIC_MILLIS / HEARTBEAT_MILLIS.max(5 * nodes as u64) + 1;
+        assert!(
+            sent_to_leader <= limit,
+            "{nodes} nodes: {sent_to_leader} heartbeats to the leader"
+        );
+    }
+}
