Hubs, readers of the store and leaders on the machines with the most capacity

Cause: the order of nodes by which hubs, readers and with them the leader are chosen is a hash of the address. What these roles do grows with the fleet, and in one of 984 nodes, 50 of them with four times the processor and ten times the link, nearly all roles fall to the small machines. Change: the settings name the machine's share of a core and link; nodes report a class (its scarcest resource, one more for twice as much) in heartbeats and rosters, in four bits, and the class comes first in the order. Where all machines are equal, or nothing is set, the order is as before.

--- a/crates/cometmoor-gateway/src/control/fleet/mod.rs
+++ b/crates/cometmoor-gateway/src/control/fleet/mod.rs
@@ -104,7 +104,8 @@
     /// The state of a node that has just started.
     pub fn new(context: Rc<ControlContext>) -> FleetState {
         let settings = &context.settings;
-        let mut peers = Membership::new(settings.peer_address, &settings.zone);
+        let mut peers =
+            Membership::new(settings.peer_address, &settings.zone, settings.machine.capacity());
         settings.seeds.iter().for_each(|seed| peers.add_contact(*seed, Timestamp(0)));
         let staleness = settings.staleness_limits();
         let proof_limits = settings.proof_limits();
@@ -333,6 +334,7 @@
             versions: self.versions(),
             reads_store,
             store_fails: self.is_store_failing(),
+            capacity: settings.machine.capacity(),
             loads: reports_loads.then(|| self.context.loads.server_loads()),
             demand: if reports_loads { self.recent_demand() } else { Vec::new() },
             awaited_models: self.context.loads.awaited_models(clock::now()),
--- a/crates/cometmoor-gateway/src/membership/digests.rs
+++ b/crates/cometmoor-gateway/src/membership/digests.rs
@@ -106,6 +106,7 @@
         phase: own.phase,
         reads_store: own.reads_store,
         store_fails: own.store_fails,
+        capacity: own.capacity,
     }
 }
 
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -7,6 +7,7 @@
 use cometmoor_core::time::Timestamp;
 
 use super::Membership;
+use super::capacity::CapacityClass;
 use super::hub_state::RosterPart;
 use super::message::{Digest, DigestRequest, Heartbeat, Message};
 use super::peers::{Member, Rank};
@@ -80,6 +81,13 @@
         contacts
     }
 
+    /// Rank of a node, which counts as being on a machine of unknown capacity if it is not known.
+    fn rank_of(&self, address: SocketAddrV4) -> Rank {
+        let known = self.members().binary_search_by_key(&address, Member::address);
+        let known = known.ok().map(|index| self.members()[index].rank);
+        known.unwrap_or_else(|| Rank::new(CapacityClass::default(), address))
+    }
+
     /// The hubs of all zones: the first nodes of each by rank, which may include this one.
     fn hubs(&self) -> Hubs {
         let mut ranks: BTreeMap<&str, Vec<(Rank, SocketAddrV4)>> = BTreeMap::new();
@@ -235,7 +243,7 @@
         // node knows yet that they have become hubs.
         let senders = self.zone_digests.values().flat_map(|received| {
             let mut senders: Vec<SocketAddrV4> = received.alive_hubs(now).collect();
-            senders.sort_unstable_by_key(|hub| Rank::of(*hub));
+            senders.sort_unstable_by_key(|hub| self.rank_of(*hub));
             senders.truncate(MAX_HUBS_PER_ZONE);
             senders
         });
--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -9,12 +9,13 @@
 use cometmoor_core::gateway::store_position::{StoreEra, StorePosition};
 use serde::{Deserialize, Serialize};
 
+use super::capacity::CapacityClass;
 use super::load_notices::{LoadNotice, WaitReport};
 use super::packed::PackedZone;
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the message format. Messages of another version are dropped.
-const FORMAT_VERSION: u8 = 19;
+const FORMAT_VERSION: u8 = 20;
 
 /// Phase of a node's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,6 +117,8 @@
     pub reads_store: bool,
     /// Whether the store does not answer it.
     pub store_fails: bool,
+    /// Capacity of its machine.
+    pub capacity: CapacityClass,
     /// Its load on the servers; `None` if it was sent recently.
     pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
     /// Counters of the work requested from models since its process started, for those that
@@ -148,6 +151,8 @@
     pub reads_store: bool,
     /// Whether the store does not answer it.
     pub store_fails: bool,
+    /// Capacity of its machine.
+    pub capacity: CapacityClass,
 }
 
 /// The nodes of one zone.
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! In a small fleet every node sends its heartbeat to every other one. In a large fleet a node
 //! sends it to the leader and to the hubs of its zone, which are the first nodes of the zone in
-//! an order on which all nodes agree. Hubs exchange digests of their zones, and send digests of
+//! an order on which all nodes agree; those on machines with the most capacity come first. Hubs exchange digests of their zones, and send digests of
 //! the fleet to the nodes of their own zone. A node sends digests to every node that requests
 //! them, so that nodes do not have to agree on which nodes are hubs. This module does no I/O.
 
+mod capacity;
 mod digests;
 mod hub_state;
 mod hubs;
@@ -26,6 +27,7 @@
 use cometmoor_core::gateway::server_speed::ReportRole;
 use cometmoor_core::time::Timestamp;
 
+pub use self::capacity::CapacityClass;
 pub use self::hubs::{OutgoingMessage, to_all_recipients};
 use self::leader_announcement::LeaderAnnouncement;
 pub use self::load_notices::{LoadNotice, LoadNotices, WaitReport};
@@ -82,10 +84,10 @@
 
 impl Membership {
     /// Creates the state of a node that knows no other node.
-    pub fn new(own: SocketAddrV4, zone: &str) -> Membership {
+    pub fn new(own: SocketAddrV4, zone: &str, capacity: CapacityClass) -> Membership {
         Membership {
             own,
-            own_rank: Rank::of(own),
+            own_rank: Rank::new(capacity, own),
             zone: zone.to_owned(),
             direct: DirectPeers::default(),
             zone_digests: BTreeMap::new(),
--- a/crates/cometmoor-gateway/src/membership/packed.rs
+++ b/crates/cometmoor-gateway/src/membership/packed.rs
@@ -7,11 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::capacity::CapacityClass;
 use super::message::{MemberEntry, PeerPhase, ZoneMembers};
 
 const PHASE_BITS: u8 = 0b11;
 const READS_STORE: u8 = 0b100;
 const STORE_FAILS: u8 = 0b1000;
+/// Low bits below those of the machine's capacity.
+const CAPACITY_SHIFT: u8 = 4;
 
 /// The nodes of one zone in compact form.
 #[derive(Clone, Serialize, Deserialize)]
@@ -54,6 +57,7 @@
                 phase: phase(flags),
                 reads_store: flags & READS_STORE != 0,
                 store_fails: flags & STORE_FAILS != 0,
+                capacity: CapacityClass::from_bits(flags >> CAPACITY_SHIFT),
             }
         };
         let members = zone.packed.into_iter().map(unpack).chain(zone.others).collect();
@@ -70,7 +74,7 @@
     };
     let reads_store = if entry.reads_store { READS_STORE } else { 0 };
     let store_fails = if entry.store_fails { STORE_FAILS } else { 0 };
-    phase | reads_store | store_fails
+    phase | reads_store | store_fails | entry.capacity.bits() << CAPACITY_SHIFT
 }
 
 fn phase(flags: u8) -> PeerPhase {
--- a/crates/cometmoor-gateway/src/membership/peers.rs
+++ b/crates/cometmoor-gateway/src/membership/peers.rs
@@ -1,11 +1,13 @@
 //! Nodes that this node knows, and those from which it receives heartbeats itself.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use cometmoor_core::time::Timestamp;
 
+use super::capacity::CapacityClass;
 use super::message::{Heartbeat, MemberEntry, PeerPhase};
 
 /// Silence after which a node is no longer offered to clients.
@@ -18,20 +20,27 @@
 /// Low bits of a rank's hash that do not affect its bucket.
 const BUCKET_SHIFT: u32 = 8;
 
-/// Position of a node in an order on which all nodes agree.
+/// Position of a node in an order on which all nodes agree. Nodes on machines with more capacity
+/// come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank(u64, SocketAddrV4);
+pub struct Rank {
+    capacity: Reverse<CapacityClass>,
+    /// Hash of the address.
+    hash: u64,
+    address: SocketAddrV4,
+}
 
 impl Rank {
-    /// Rank of the node with this address, from a hash of the address.
-    pub fn of(address: SocketAddrV4) -> Rank {
-        Rank(xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes()), address)
+    /// Rank of the node with this address on a machine of this class.
+    pub fn new(capacity: CapacityClass, address: SocketAddrV4) -> Rank {
+        let hash = xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes());
+        Rank { capacity: Reverse(capacity), hash, address }
     }
 
     /// The one of `buckets` buckets to which the node is assigned; 0 if there are none.
     pub(super) fn bucket(self, buckets: usize) -> usize {
         let buckets = u64::try_from(buckets.max(1)).unwrap_or(1);
-        usize::try_from((self.0 >> BUCKET_SHIFT) % buckets).unwrap_or(0)
+        usize::try_from((self.hash >> BUCKET_SHIFT) % buckets).unwrap_or(0)
     }
 }
 
@@ -67,6 +76,7 @@
             phase: self.heartbeat.phase,
             reads_store: self.heartbeat.reads_store,
             store_fails: self.heartbeat.store_fails,
+            capacity: self.heartbeat.capacity,
         }
     }
 
@@ -113,7 +123,9 @@
             Some(_) => PeerChange::None,
             None => PeerChange::Up,
         };
-        let rank = known.map_or_else(|| Rank::of(address), |peer| peer.rank);
+        let same_capacity = known.filter(|peer| peer.heartbeat.capacity == heartbeat.capacity);
+        let rank =
+            same_capacity.map_or_else(|| Rank::new(heartbeat.capacity, address), |peer| peer.rank);
         if let Some(peer) = known.filter(|peer| is_same_process(&peer.heartbeat, &heartbeat)) {
             heartbeat.loads = heartbeat.loads.or_else(|| peer.heartbeat.loads.clone());
         }
--- a/crates/cometmoor-gateway/src/membership/received_digests.rs
+++ b/crates/cometmoor-gateway/src/membership/received_digests.rs
@@ -161,7 +161,7 @@
 fn members_of(zones: &[ZoneMembers]) -> impl Iterator<Item = (SocketAddrV4, Member)> {
     zones.iter().flat_map(|zone| {
         zone.members.iter().map(|entry| {
-            let rank = Rank::of(entry.peer_address);
+            let rank = Rank::new(entry.capacity, entry.peer_address);
             let member = Member { zone: zone.zone.clone(), entry: *entry, rank };
             (entry.peer_address, member)
         })
--- a/crates/cometmoor-gateway/src/settings.rs
+++ b/crates/cometmoor-gateway/src/settings.rs
@@ -9,6 +9,8 @@
 use cometmoor_core::gateway::staleness::StalenessLimits;
 use serde::{Deserialize, Serialize};
 
+use crate::membership::CapacityClass;
+
 /// Why settings are rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SettingsError {
@@ -68,6 +70,9 @@
     pub fresh_fleet: bool,
     /// Bounds that the operator guarantees.
     pub bounds: BoundsSettings,
+    /// The machine that the node runs on.
+    #[serde(default)]
+    pub machine: MachineSettings,
     /// Maximum number of concurrent connections of clients.
     #[serde(default = "default_max_connections")]
     pub max_connections: usize,
@@ -80,6 +85,25 @@
     pub mechanisms: MechanismSettings,
 }
 
+/// What the node may use of its machine. In a fleet of different machines, hubs, the nodes that read
+/// the store and the leader are on those with the most capacity. All machines count as equal where
+/// nothing is set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct MachineSettings {
+    /// Share of a core that the process may use; above 1 for several cores.
+    pub cpu_share: Option<f64>,
+    /// Rate of the link, in Mbit/s.
+    pub link_megabits: Option<f64>,
+}
+
+impl MachineSettings {
+    /// Coarse capacity of the machine.
+    pub fn capacity(&self) -> CapacityClass {
+        CapacityClass::of(self.cpu_share, self.link_megabits)
+    }
+}
+
 /// Mechanisms of the policy, each of which is enabled by default. They are disabled only to
 /// measure their benefit: with any of them disabled, the node serves requests worse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -225,6 +249,8 @@
             ("bounds.revokeMillis", self.bounds.revoke_millis.unwrap_or(1) as f64),
             ("directoryLifetimeMillis", self.directory_lifetime_millis as f64),
             ("maxConnections", self.max_connections as f64),
+            ("machine.cpuShare", self.machine.cpu_share.unwrap_or(1.0)),
+            ("machine.linkMegabits", self.machine.link_megabits.unwrap_or(1.0)),
         ];
         for (name, value) in positive {
             let is_valid = value > 0.0 && Duration::try_from_secs_f64(value).is_ok();
--- a/crates/cometmoor-gateway/tests/leader_demand.rs
+++ b/crates/cometmoor-gateway/tests/leader_demand.rs
@@ -7,8 +7,8 @@
 use cometmoor_core::time::{BootInstant, Timestamp};
 use cometmoor_gateway::load::{LoadBoard, ModelKey, RequestDemand};
 use cometmoor_gateway::membership::{
-    CopyVersions, Digest, Heartbeat, MemberEntry, Membership, OutgoingMessage, PeerPhase,
-    Placement, RelayedPlacement, RosterUpdate, ZoneMembers,
+    CapacityClass, CopyVersions, Digest, Heartbeat, MemberEntry, Membership, OutgoingMessage,
+    PeerPhase, Placement, RelayedPlacement, RosterUpdate, ZoneMembers,
 };
 
 /// Time between two heartbeats of a node of a fleet of more than 840 nodes, in milliseconds.
@@ -40,6 +40,7 @@
         phase: PeerPhase::Ready,
         reads_store: false,
         store_fails: false,
+        capacity: CapacityClass::default(),
     };
     let members = |of_zone: usize| (of_zone..nodes).step_by(ZONES).map(entry).collect();
     let zones = (0..ZONES).map(|index| ZoneMembers { zone: zone(index), members: members(index) });
@@ -90,6 +91,7 @@
         versions: CopyVersions::default(),
         reads_store: false,
         store_fails: false,
+        capacity: CapacityClass::default(),
         loads: reports_loads.then(Vec::new),
         demand: if reports_loads { loads.recent_demand(now, period) } else { Vec::new() },
         awaited_models: Vec::new(),
@@ -107,7 +109,7 @@
 fn the_leader_of_a_large_fleet_learns_of_every_request() {
     for nodes in [30, 300, 1_000, 2_000] {
         let leader = address(nodes - 1);
-        let mut membership = Membership::new(address(1), &zone(1));
+        let mut membership = Membership::new(address(1), &zone(1), CapacityClass::default());
         let loads = LoadBoard::default();
         let request = RequestDemand { prefill: Duration::from_millis(90), ..Default::default() };
         let (mut known, mut sent_to_leader) = (HashMap::<ModelKey, u64>::new(), 0);
--- a/crates/cometmoor-gateway/tests/membership_at_scale.rs
+++ b/crates/cometmoor-gateway/tests/membership_at_scale.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
-use cometmoor_gateway::membership::{Member, Rank};
+use cometmoor_gateway::membership::{CapacityClass, Member, Rank};
 
 use world::{Link, STEP_MILLIS, World, zone_of};
 
@@ -66,7 +66,7 @@
 fn hubs_of(world: &World, zone: usize) -> Vec<SocketAddrV4> {
     let mut nodes: Vec<SocketAddrV4> =
         world.nodes.keys().copied().filter(|node| zone_of(*node) == zone).collect();
-    nodes.sort_unstable_by_key(|node| Rank::of(*node));
+    nodes.sort_unstable_by_key(|node| Rank::new(CapacityClass::default(), *node));
     nodes.truncate(nodes.len().div_ceil(NODES_PER_HUB).clamp(2, MAX_HUBS_PER_ZONE));
     nodes
 }
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -13,9 +13,10 @@
 use cometmoor_core::time::{BootInstant, Timestamp};
 use cometmoor_gateway::load::{ModelDemand, PendingPrefill, ServerLoad, model_key};
 use cometmoor_gateway::membership::{
-    CopyVersions, Heartbeat, Member, Membership, Message, PeerChange, PeerPhase, Placement,
-    speed_messages, to_all_recipients,
+    CapacityClass, CopyVersions, Heartbeat, Member, Membership, Message, PeerChange, PeerPhase,
+    Placement, speed_messages, to_all_recipients,
 };
+use cometmoor_gateway::settings::MachineSettings;
 
 /// Uptime of the machines when the simulation starts.
 const UPTIME_AT_START: Duration = Duration::from_secs(1000);
@@ -31,6 +32,13 @@
 pub const FLEET_OF_400_HEARTBEAT_STEPS: u64 = 4;
 /// A link of 20 Mbit/s with the queue of a small switch's port.
 pub const SMALL_LINK: Link = Link { bytes_per_step: 125_000, queue_bytes: 128 * 1024 };
+/// Machines of the two sizes of a fleet of different machines.
+const SMALL_MACHINE: MachineSettings =
+    MachineSettings { cpu_share: Some(0.12), link_megabits: Some(20.0) };
+const LARGE_MACHINE: MachineSettings =
+    MachineSettings { cpu_share: Some(0.5), link_megabits: Some(200.0) };
+/// Rate of a large machine's link relative to that of a small one.
+const LARGE_LINK_FACTOR: usize = 10;
 /// Steps between two ticks of a node.
 const TICK_STEPS: u64 = 5;
 /// Default number of zones.
@@ -48,6 +56,8 @@
 /// A simulated node.
 pub struct Node {
     pub membership: Membership,
+    /// Capacity of its machine.
+    pub capacity: CapacityClass,
     /// Its records of requests that crash servers.
     pub quarantine: Quarantine,
     /// Its records of parts of prompts that may crash servers.
@@ -121,6 +131,9 @@
     pub placement_sequence: u64,
     /// Zone whose nodes are partitioned from all others.
     pub isolated_zone: Option<usize>,
+    /// Number of nodes of each zone, the first ones, on machines with ten times the capacity and
+    /// link of the others; none if it is zero, and then all capacities are unknown.
+    pub large_nodes_per_zone: usize,
     random: u64,
 }
 
@@ -159,6 +172,7 @@
             omits_alternate_loads: false,
             placement_sequence: 1,
             isolated_zone: None,
+            large_nodes_per_zone: 0,
             random: seed | 1,
         }
     }
@@ -169,11 +183,13 @@
         contacts.extend((0..ZONES).map(|index| address_in(index, self.zones)));
         for index in indexes {
             let own = address_in(index, self.zones);
-            let mut membership = Membership::new(own, &format!("zone-{}", zone_of(own)));
+            let capacity = self.capacity_of(index);
+            let mut membership = Membership::new(own, &format!("zone-{}", zone_of(own)), capacity);
             let now = Timestamp(self.now);
             contacts.iter().for_each(|contact| membership.add_contact(*contact, now));
             let node = Node {
                 membership,
+                capacity,
                 quarantine: Quarantine::default(),
                 parts: PartQuarantine::default(),
                 signals: SignalTable::default(),
@@ -192,6 +208,14 @@
         }
     }
 
+    fn capacity_of(&self, index: usize) -> CapacityClass {
+        match (self.large_nodes_per_zone, index / self.zones < self.large_nodes_per_zone) {
+            (0, _) => CapacityClass::default(),
+            (_, true) => LARGE_MACHINE.capacity(),
+            (_, false) => SMALL_MACHINE.capacity(),
+        }
+    }
+
     /// Next random number below a bound (SplitMix64).
     pub fn random_below(&mut self, below: u64) -> u64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -231,6 +255,7 @@
             versions: CopyVersions::default(),
             reads_store: node.membership.is_reader(3),
             store_fails: false,
+            capacity: node.capacity,
             loads: includes_load.then_some(loads),
             demand: demand.collect(),
             awaited_models: Vec::new(),
@@ -251,8 +276,11 @@
     pub fn step(&mut self) {
         self.now += STEP_MILLIS;
         if let Some(link) = self.link {
-            let nodes = self.nodes.values_mut();
-            nodes.for_each(|node| node.backlog = node.backlog.saturating_sub(link.bytes_per_step));
+            for node in self.nodes.values_mut() {
+                let is_large = node.capacity == LARGE_MACHINE.capacity();
+                let factor = if is_large { LARGE_LINK_FACTOR } else { 1 };
+                node.backlog = node.backlog.saturating_sub(link.bytes_per_step * factor);
+            }
         }
         let step = self.now / STEP_MILLIS;
         let now = Timestamp(self.now);
