Two hubs of each other zone as sources of a hub's digests

Cause: each hub sent its digest of its zone to all hubs of all zones: 870 in an interval with the 30 hubs of 1,000 nodes, so bytes between zones grow with the square of the hubs. Change: by their ranks, two hubs of a zone send their digests to each hub of another zone; hubs that are not known as such still get answers. Zones with two hubs (up to 64 nodes) send as before. Ruled out: one source, since half of the hubs of a zone may die at once. Measured in virtual time: 13 recipients of each hub's digests at 1,000 and 2,000 nodes (29 before); 260 nodes in two zones of five hubs keep complete lists when two hubs of each zone die; the tests of 30 to 300 nodes pass as before.

--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -18,6 +18,8 @@
 const MAX_HUBS_PER_ZONE: usize = 6;
 /// Number of hubs from which a node requests digests.
 const UPSTREAM_HUBS: usize = 2;
+/// Number of hubs of a zone that send their digests to each hub of another zone.
+const DIGEST_SOURCES: usize = 2;
 /// Number of nodes of a zone for each hub.
 const NODES_PER_HUB: usize = 32;
 /// Maximum number of contacts that are tried at once, at which no node has been heard yet.
@@ -96,6 +98,7 @@
             ranks.entry(&member.zone).or_default().push((member.rank, member.address()));
         }
         let mut hubs = Hubs::default();
+        let mut remote_zones = Vec::new();
         for (zone, mut ranks) in ranks {
             ranks.sort_unstable();
             let count = hub_count(ranks.len());
@@ -103,10 +106,17 @@
                 hubs.bypassed = self.bypass_unresponsive(&mut ranks, count);
             }
             ranks.truncate(count);
-            let of_zone = if zone == self.zone { &mut hubs.local } else { &mut hubs.remote };
-            of_zone.extend(ranks.into_iter().map(|(_, address)| address));
+            let of_zone = ranks.into_iter().map(|(_, address)| address);
+            match zone == self.zone {
+                true => hubs.local.extend(of_zone),
+                false => remote_zones.push(of_zone.collect::<Vec<_>>()),
+            }
         }
-        hubs.includes_self = hubs.local.contains(&self.own);
+        let own_index = hubs.local.iter().position(|hub| *hub == self.own);
+        let place = own_index.map(|index| HubPlace { index, count: hubs.local.len() });
+        hubs.assigned = remote_zones.iter().flat_map(|zone| assigned_hubs(zone, place)).collect();
+        hubs.remote = remote_zones.into_iter().flatten().collect();
+        hubs.includes_self = own_index.is_some();
         hubs.local.retain(|hub| *hub != self.own);
         hubs
     }
@@ -247,12 +257,16 @@
             senders.truncate(MAX_HUBS_PER_ZONE);
             senders
         });
-        let others: BTreeSet<SocketAddrV4> =
-            hubs.local.into_iter().chain(hubs.remote).chain(senders).collect();
-        let others: Vec<SocketAddrV4> = others.into_iter().collect();
+        let known: BTreeSet<SocketAddrV4> =
+            hubs.local.iter().chain(&hubs.remote).copied().collect();
+        let new_hubs: BTreeSet<SocketAddrV4> =
+            senders.filter(|sender| !known.contains(sender)).collect();
+        let introduced: Vec<SocketAddrV4> = known.union(&new_hubs).copied().collect();
+        let recipients = hubs.local.into_iter().chain(hubs.assigned).chain(new_hubs);
+        let recipients: BTreeSet<SocketAddrV4> = recipients.collect();
         let uninformed = self.hub.next_uninformed(self.members.len(), now);
         let introductions = self.hub.next_introductions(now);
-        let introduction = Heartbeat { known_peers: others.clone(), ..own.clone() };
+        let introduction = Heartbeat { known_peers: introduced, ..own.clone() };
         push(outgoing, Message::Heartbeat(introduction), introductions);
         let base = self.base_digest(own, now);
         let for_hubs = self.hub.for_hubs(base.clone(), now);
@@ -261,7 +275,7 @@
             true => self.zone_digest(own, &for_hubs, now),
             false => for_hubs,
         };
-        push(outgoing, Message::ZoneDigest(zone), others);
+        push(outgoing, Message::ZoneDigest(zone), recipients.into_iter().collect());
         if has_recipients {
             let for_subscribers = self.hub.for_subscribers(base.clone(), now);
             self.send_fleet_digests(own, &uninformed, &base, &for_subscribers, now, outgoing);
@@ -311,10 +325,36 @@
     bypassed: Vec<SocketAddrV4>,
     /// Hubs of the other zones.
     remote: Vec<SocketAddrV4>,
+    /// Those of them to which this node sends the digests of its zone.
+    assigned: Vec<SocketAddrV4>,
     /// Whether this node is a hub.
     includes_self: bool,
 }
 
+/// Place of a hub among the hubs of its zone, in the order of their ranks.
+#[derive(Clone, Copy)]
+struct HubPlace {
+    index: usize,
+    count: usize,
+}
+
+/// The hubs of another zone to which the hub at a place sends digests. Each of them is sent the
+/// digests of two hubs, so that one may fail; if every hub sent its digests to every other one, their
+/// number would grow with the square of the fleet. A node that has no place, since it does not count
+/// as a hub, sends its digests to all.
+fn assigned_hubs(
+    zone: &[SocketAddrV4],
+    place: Option<HubPlace>,
+) -> impl Iterator<Item = SocketAddrV4> {
+    let is_assigned = move |hub: usize| {
+        place.is_none_or(|HubPlace { index, count }| {
+            (0..DIGEST_SOURCES).any(|source| (hub + source) % count == index)
+        })
+    };
+    let hubs = zone.iter().enumerate();
+    hubs.filter(move |(hub, _)| is_assigned(*hub)).map(|(_, address)| *address)
+}
+
 /// Number of hubs of a zone with this many nodes.
 fn hub_count(nodes: usize) -> usize {
     nodes.div_ceil(NODES_PER_HUB).clamp(MIN_HUBS_PER_ZONE, MAX_HUBS_PER_ZONE)
--- a/crates/cometmoor-gateway/tests/membership_at_scale.rs
+++ b/crates/cometmoor-gateway/tests/membership_at_scale.rs
@@ -155,3 +155,37 @@
     assert!(median <= NODE_BUDGET, "{median} bytes/s at the median node");
     assert!(highest <= HUB_BUDGET, "{highest} bytes/s at the busiest hub");
 }
+
+/// Guards against digests between hubs whose number grows with the square of the fleet: 30 hubs of
+/// 1,000 nodes sent 870 in each interval. Nodes keep their complete lists with two of the hubs of
+/// each other zone as sources, also when half of the hubs of each zone die at once.
+#[test]
+fn zones_with_many_hubs_send_each_other_few_digests() {
+    const NODES: usize = 260;
+    const MANY_HUB_ZONES: usize = 2;
+    /// Digests to each hub, in an interval: from the other hubs of its zone, and from two of the
+    /// other zone.
+    const DIGESTS_TO_EACH_HUB: usize = 4 + 2;
+    let mut world = World::new(9);
+    world.zones = MANY_HUB_ZONES;
+    world.servers = SERVERS;
+    world.link = Some(LINK);
+    world.large_fleet_heartbeat_steps = HEARTBEAT_STEPS;
+    world.start(0..NODES);
+    world.run(CONVERGENCE_MILLIS / 1000 + 4);
+    let hubs: Vec<SocketAddrV4> =
+        (0..MANY_HUB_ZONES).flat_map(|zone| hubs_of(&world, zone)).collect();
+    assert_eq!(hubs.len(), 5 * MANY_HUB_ZONES);
+    world.zone_digests_sent = 0;
+    world.run(4);
+    let intervals = 4_000 / STEP_MILLIS / HEARTBEAT_STEPS;
+    let allowed = (DIGESTS_TO_EACH_HUB * hubs.len()) as u64 * intervals;
+    let sent = world.zone_digests_sent;
+    assert!(sent <= allowed, "{sent} digests between hubs, {allowed} allowed");
+    for zone in 0..MANY_HUB_ZONES {
+        hubs_of(&world, zone).iter().take(2).for_each(|hub| drop(world.nodes.remove(hub)));
+    }
+    let incomplete = first_incomplete(&mut world, 8_000);
+    assert_eq!(incomplete, Vec::<String>::new(), "two hubs of each zone died");
+    assert_eq!(world.unconverged_after(6), Vec::<String>::new(), "dead nodes are dropped");
+}
--- a/crates/cometmoor-gateway/tests/leader_demand.rs
+++ b/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
@@ -1,4 +1,4 @@
-//! The leader learns of all demand, however rarely each node of a large fleet sends it a heartbeat.
+//! What a single node of a fleet of up to 2,000 nodes sends.
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -7,8 +7,8 @@
 use cometmoor_core::time::{BootInstant, Timestamp};
 use cometmoor_gateway::load::{LoadBoard, ModelKey, RequestDemand};
 use cometmoor_gateway::membership::{
-    CapacityClass, CopyVersions, Digest, Heartbeat, MemberEntry, Membership, OutgoingMessage,
-    PeerPhase, Placement, RelayedPlacement, RosterUpdate, ZoneMembers,
+    CapacityClass, CopyVersions, Digest, Heartbeat, MemberEntry, Membership, Message,
+    OutgoingMessage, PeerPhase, Placement, Rank, RelayedPlacement, RosterUpdate, ZoneMembers,
 };
 
 /// Time between two heartbeats of a node of a fleet of more than 840 nodes, in milliseconds.
@@ -145,3 +145,28 @@
         );
     }
 }
+
+/// Each hub sent its digests to all hubs of all zones.
+#[test]
+fn a_hub_sends_its_digests_to_a_third_of_the_hubs_of_zones_with_six() {
+    /// Other hubs of the hub's own zone, and two of each other zone.
+    const RECIPIENTS: usize = 5 + 2 * (ZONES - 1);
+    for nodes in [1_000, 2_000] {
+        let unknown = CapacityClass::default();
+        let in_zone = (1..nodes).step_by(ZONES).map(address);
+        let hub = in_zone.min_by_key(|node| Rank::new(unknown, *node)).unwrap();
+        let mut membership = Membership::new(hub, &zone(1), unknown);
+        let loads = LoadBoard::default();
+        let now = Timestamp(HEARTBEAT_MILLIS);
+        membership.receive_fleet_digest(digest(nodes, address(nodes - 1), 1), now);
+        membership.tick(now);
+        let own = Heartbeat {
+            peer_address: hub,
+            ..heartbeat(1, &membership, &loads, BootInstant::after_boot(Duration::ZERO))
+        };
+        let outgoing = membership.outgoing(&own, now);
+        let digests = outgoing.iter().filter(|sent| matches!(sent.message, Message::ZoneDigest(_)));
+        let recipients: usize = digests.map(|sent| sent.targets.len()).sum();
+        assert_eq!(recipients, RECIPIENTS, "{nodes} nodes");
+    }
+}
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -134,6 +134,8 @@
     /// Number of nodes of each zone, the first ones, on machines with ten times the capacity and
     /// link of the others; none if it is zero, and then all capacities are unknown.
     pub large_nodes_per_zone: usize,
+    /// Number of zone digests that were sent.
+    pub zone_digests_sent: u64,
     random: u64,
 }
 
@@ -173,6 +175,7 @@
             placement_sequence: 1,
             isolated_zone: None,
             large_nodes_per_zone: 0,
+            zone_digests_sent: 0,
             random: seed | 1,
         }
     }
@@ -324,6 +327,9 @@
         }
         for outgoing in outgoing {
             let bytes = outgoing.message.encode();
+            if let Message::ZoneDigest(_) = outgoing.message {
+                self.zone_digests_sent += outgoing.targets.len() as u64;
+            }
             for target in outgoing.targets {
                 assert_ne!(target, own, "a node sends a message to itself");
                 if self.enqueue(own, bytes.len()) && self.random_below(1000) >= LOSS_PER_MILLE {
