Tell joining nodes the hubs of their own zone first

Cause: a node accepts 16 addresses from a heartbeat, and an introduction listed all hubs by address: with 30 hubs, nodes of the last zones learned of none of their own and had to wait for one of the few full lists that the seeds send. Meanwhile they take themselves for readers of the store. Change: an introduction lists the hubs of the node's zone first. The last nodes still take 7 s and more; that part is not mended. The test takes 300, 1,000 and 2,000 nodes; with the former order it fails at 1,000.

--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -6,11 +6,11 @@
 
 use cometmoor_core::time::Timestamp;
 
-use super::Membership;
 use super::capacity::CapacityClass;
 use super::hub_state::RosterPart;
 use super::message::{Digest, DigestRequest, Heartbeat, Message};
 use super::peers::{Member, Rank};
+use super::{MAX_KNOWN_PEERS, Membership};
 
 /// Minimum number of hubs of a zone. They share its nodes, but each can serve all of them.
 const MIN_HUBS_PER_ZONE: usize = 2;
@@ -262,12 +262,11 @@
         let new_hubs: BTreeSet<SocketAddrV4> =
             senders.filter(|sender| !known.contains(sender)).collect();
         let introduced: Vec<SocketAddrV4> = known.union(&new_hubs).copied().collect();
+        let introductions = self.introductions(own, &introduced, now);
+        outgoing.extend(introductions);
         let recipients = hubs.local.into_iter().chain(hubs.assigned).chain(new_hubs);
         let recipients: BTreeSet<SocketAddrV4> = recipients.collect();
         let uninformed = self.hub.next_uninformed(self.members.len(), now);
-        let introductions = self.hub.next_introductions(now);
-        let introduction = Heartbeat { known_peers: introduced, ..own.clone() };
-        push(outgoing, Message::Heartbeat(introduction), introductions);
         let base = self.base_digest(own, now);
         let for_hubs = self.hub.for_hubs(base.clone(), now);
         // Other nodes' load is included whenever this node's own is.
@@ -282,6 +281,37 @@
         }
     }
 
+    /// Heartbeats that tell the hubs to uninformed nodes, to each first those of its own zone, which
+    /// send it digests: nodes accept a limited number of addresses from a heartbeat.
+    fn introductions(
+        &mut self,
+        own: &Heartbeat,
+        hubs: &[SocketAddrV4],
+        now: Timestamp,
+    ) -> Vec<OutgoingMessage> {
+        let mut by_zone: BTreeMap<Option<&str>, Vec<SocketAddrV4>> = BTreeMap::new();
+        for node in self.hub.next_introductions(now) {
+            let zone = self.direct.get(node).map(|peer| &*peer.heartbeat.zone);
+            by_zone.entry(zone).or_default().push(node);
+        }
+        let introduce = |(zone, targets): (Option<&str>, Vec<SocketAddrV4>)| {
+            let is_of_zone = |hub: &SocketAddrV4| self.zone_of(*hub) == zone;
+            let (mut known_peers, others): (Vec<SocketAddrV4>, Vec<SocketAddrV4>) =
+                hubs.iter().partition(|hub| is_of_zone(hub));
+            known_peers.extend(others);
+            known_peers.truncate(MAX_KNOWN_PEERS);
+            let message = Message::Heartbeat(Heartbeat { known_peers, ..own.clone() });
+            OutgoingMessage { message, targets }
+        };
+        by_zone.into_iter().map(introduce).collect()
+    }
+
+    /// Zone of a live node; `None` if the node is not known.
+    fn zone_of(&self, address: SocketAddrV4) -> Option<&str> {
+        let known = self.members().binary_search_by_key(&address, Member::address);
+        known.ok().map(|index| &*self.members()[index].zone)
+    }
+
     /// Sends digests of the fleet: to all nodes that requested them the fleet's load and the
     /// leader's announcement, to each the part of the roster that it lacks. Sent in full each
     /// time, the roster saturated the links of hubs at 300 nodes, and digests were lost.
--- a/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
+++ b/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
@@ -1,6 +1,6 @@
 //! What a single node of a fleet of up to 2,000 nodes sends.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
 const REQUEST_MILLIS: u64 = 1_300;
 /// Number of models for which requests arrive.
 const MODELS: u64 = 60;
+/// Number of hubs of a zone of more than 160 nodes.
+const HUBS_PER_ZONE: usize = 6;
 /// One in so many heartbeats is lost.
 const LOST_ONE_IN: u64 = 20;
 const ZONES: usize = 5;
@@ -146,27 +148,80 @@
     }
 }
 
+/// A hub of the second zone that knows all nodes of a fleet.
+fn hub_of(nodes: usize, now: Timestamp) -> (SocketAddrV4, Membership) {
+    let unknown = CapacityClass::default();
+    let hub = hubs_of(nodes, 1)[0];
+    let mut membership = Membership::new(hub, &zone(1), unknown);
+    membership.receive_fleet_digest(digest(nodes, address(nodes - 1), 1), now);
+    membership.tick(now);
+    (hub, membership)
+}
+
+/// The hubs of a zone of a fleet in which all machines are equal.
+fn hubs_of(nodes: usize, zone: usize) -> Vec<SocketAddrV4> {
+    let mut hubs: Vec<SocketAddrV4> = (zone..nodes).step_by(ZONES).map(address).collect();
+    hubs.sort_unstable_by_key(|node| Rank::new(CapacityClass::default(), *node));
+    hubs.truncate(HUBS_PER_ZONE);
+    hubs
+}
+
+fn heartbeat_of(node: SocketAddrV4, of_zone: usize, membership: &Membership) -> Heartbeat {
+    let at = BootInstant::after_boot(Duration::ZERO);
+    let own = heartbeat(1, membership, &LoadBoard::default(), at);
+    Heartbeat { peer_address: node, client_address: node, zone: zone(of_zone), ..own }
+}
+
 /// Each hub sent its digests to all hubs of all zones.
 #[test]
 fn a_hub_sends_its_digests_to_a_third_of_the_hubs_of_zones_with_six() {
     /// Other hubs of the hub's own zone, and two of each other zone.
     const RECIPIENTS: usize = 5 + 2 * (ZONES - 1);
     for nodes in [1_000, 2_000] {
-        let unknown = CapacityClass::default();
-        let in_zone = (1..nodes).step_by(ZONES).map(address);
-        let hub = in_zone.min_by_key(|node| Rank::new(unknown, *node)).unwrap();
-        let mut membership = Membership::new(hub, &zone(1), unknown);
-        let loads = LoadBoard::default();
         let now = Timestamp(HEARTBEAT_MILLIS);
-        membership.receive_fleet_digest(digest(nodes, address(nodes - 1), 1), now);
-        membership.tick(now);
-        let own = Heartbeat {
-            peer_address: hub,
-            ..heartbeat(1, &membership, &loads, BootInstant::after_boot(Duration::ZERO))
-        };
+        let (hub, mut membership) = hub_of(nodes, now);
+        let own = heartbeat_of(hub, 1, &membership);
         let outgoing = membership.outgoing(&own, now);
         let digests = outgoing.iter().filter(|sent| matches!(sent.message, Message::ZoneDigest(_)));
         let recipients: usize = digests.map(|sent| sent.targets.len()).sum();
         assert_eq!(recipients, RECIPIENTS, "{nodes} nodes");
     }
 }
+
+/// A node that starts was told the addresses of all hubs, sorted, and kept sixteen of them: with 30
+/// hubs, nodes of the last zones learned of none of their own, and a fleet of 1,000 nodes that
+/// starts at once took ten seconds to get to know itself.
+#[test]
+fn a_node_that_starts_learns_of_the_hubs_of_its_own_zone() {
+    for nodes in [300, 1_000, 2_000] {
+        let now = Timestamp(HEARTBEAT_MILLIS);
+        let (hub, mut membership) = hub_of(nodes, now);
+        for joining_zone in 0..ZONES {
+            let joining = address(nodes + joining_zone);
+            let mut joiner =
+                Membership::new(joining, &zone(joining_zone), CapacityClass::default());
+            let first = heartbeat_of(joining, joining_zone, &joiner);
+            membership.receive_heartbeat(first, now);
+            let own = heartbeat_of(hub, 1, &membership);
+            for sent in membership.outgoing(&own, now) {
+                if let (Message::Heartbeat(introduction), true) =
+                    (sent.message, sent.targets.contains(&joining))
+                {
+                    joiner.receive_heartbeat(introduction, now);
+                }
+            }
+            let mut contacted = BTreeSet::from([hub]);
+            for sequence in 1..=2 {
+                let own = Heartbeat { sequence, ..heartbeat_of(joining, joining_zone, &joiner) };
+                let outgoing = joiner.outgoing(&own, now);
+                contacted.extend(outgoing.into_iter().flat_map(|sent| sent.targets));
+            }
+            // The node may itself be one of the hubs of its zone.
+            contacted.insert(joining);
+            let hubs = hubs_of(nodes + ZONES, joining_zone);
+            let count = if nodes == 300 { 2 } else { HUBS_PER_ZONE };
+            let missed = hubs[..count].iter().filter(|hub| !contacted.contains(hub)).count();
+            assert_eq!(missed, 0, "{nodes} nodes: hubs of zone {joining_zone} are not contacted");
+        }
+    }
+}
