--- a/crates/cometmoor-gateway/src/control/leader/mod.rs
+++ b/crates/cometmoor-gateway/src/control/leader/mod.rs
@@ -71,6 +71,7 @@
     acquired_at: Timestamp,
     /// By incarnation.
     engines: HashMap<Arc<str>, Engine>,
+    /// Servers to which idle connections are kept, by incarnation.
     connected: ConnectedServers<Arc<str>>,
     withdrawals: Vec<Withdrawal>,
     announcements: Announcements,
--- a/crates/cometmoor-gateway/src/membership/hubs.rs
+++ b/crates/cometmoor-gateway/src/membership/hubs.rs
@@ -369,9 +369,9 @@
 }
 
 /// The hubs of another zone to which the hub at a place sends digests. Each of them is sent the
-/// digests of two hubs, so that one may fail; if every hub sent its digests to every other one, their
-/// number would grow with the square of the fleet. A node that has no place, since it does not count
-/// as a hub, sends its digests to all.
+/// digests of [`DIGEST_SOURCES`] hubs, so that one may fail; if every hub sent its digests to every
+/// other one, their number would grow with the square of the fleet. A node without a place, which
+/// does not count as a hub, sends its digests to all.
 fn assigned_hubs(
     zone: &[SocketAddrV4],
     place: Option<HubPlace>,
--- a/crates/cometmoor-gateway/src/membership/mod.rs
+++ b/crates/cometmoor-gateway/src/membership/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! In a small fleet every node sends its heartbeat to every other one. In a large fleet a node
 //! sends it to the leader and to the hubs of its zone, which are the first nodes of the zone in
-//! an order on which all nodes agree; those on machines with the most capacity come first. Hubs exchange digests of their zones, and send digests of
-//! the fleet to the nodes of their own zone. A node sends digests to every node that requests
-//! them, so that nodes do not have to agree on which nodes are hubs. This module does no I/O.
+//! an order on which all nodes agree; those on machines with the most capacity come first. Hubs
+//! exchange digests of their zones, and send digests of the fleet to the nodes of their own zone.
+//! A node sends digests to every node that requests them, so that nodes do not have to agree on
+//! which nodes are hubs. This module does no I/O.
 
 mod capacity;
 mod digests;
--- a/crates/cometmoor-gateway/src/membership/packed.rs
+++ b/crates/cometmoor-gateway/src/membership/packed.rs
@@ -13,7 +13,7 @@
 const PHASE_BITS: u8 = 0b11;
 const READS_STORE: u8 = 0b100;
 const STORE_FAILS: u8 = 0b1000;
-/// Low bits below those of the machine's capacity.
+/// Position of the class of the machine's capacity in the flags.
 const CAPACITY_SHIFT: u8 = 4;
 
 /// The nodes of one zone in compact form.
