--- a/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
+++ b/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
@@ -34,15 +34,25 @@
     format!("zone-{}", index % ZONES)
 }
 
-/// A hub's digest that lists all nodes of a fleet and names its leader.
+/// A hub's digest that lists all nodes of a fleet, on machines of unknown capacity, and names its
+/// leader.
 fn digest(nodes: usize, leader: SocketAddrV4, sequence: u64) -> Digest {
+    digest_of_machines(nodes, leader, sequence, |_| CapacityClass::default())
+}
+
+fn digest_of_machines(
+    nodes: usize,
+    leader: SocketAddrV4,
+    sequence: u64,
+    capacity: impl Fn(usize) -> CapacityClass,
+) -> Digest {
     let entry = |index: usize| MemberEntry {
         peer_address: address(index),
         client_address: address(index),
         phase: PeerPhase::Ready,
         reads_store: false,
         store_fails: false,
-        capacity: CapacityClass::default(),
+        capacity: capacity(index),
     };
     let members = |of_zone: usize| (of_zone..nodes).step_by(ZONES).map(entry).collect();
     let zones = (0..ZONES).map(|index| ZoneMembers { zone: zone(index), members: members(index) });
@@ -225,3 +235,32 @@
         }
     }
 }
+
+/// Of 1,000 nodes, of which 50 are on large machines, nearly all hubs and readers were on small ones.
+#[test]
+fn a_node_on_a_small_machine_uses_hubs_on_large_ones_and_reads_no_store() {
+    const LARGE_NODES: usize = 10 * ZONES;
+    const READERS: usize = 4;
+    let capacity = |index: usize| match index < LARGE_NODES {
+        true => CapacityClass::of(Some(0.5), Some(200.0)),
+        false => CapacityClass::of(Some(0.12), Some(20.0)),
+    };
+    let large: BTreeSet<SocketAddrV4> = (0..LARGE_NODES).map(address).collect();
+    for nodes in [1_000, 2_000] {
+        let now = Timestamp(HEARTBEAT_MILLIS);
+        let node = address(nodes - ZONES + 1);
+        let mut membership = Membership::new(node, &zone(1), capacity(nodes - ZONES + 1));
+        let digest = digest_of_machines(nodes, address(0), 1, capacity);
+        membership.receive_fleet_digest(digest, now);
+        membership.tick(now);
+        assert!(!membership.is_reader(READERS), "{nodes} nodes");
+        let own = heartbeat_of(node, 1, &membership);
+        let outgoing = membership.outgoing(&own, now);
+        let requests =
+            outgoing.iter().filter(|sent| matches!(sent.message, Message::HeartbeatToHub(..)));
+        let hubs: BTreeSet<SocketAddrV4> =
+            requests.flat_map(|sent| sent.targets.iter().copied()).collect();
+        assert_eq!(hubs.len(), 2, "{nodes} nodes");
+        assert!(hubs.is_subset(&large), "{nodes} nodes: hubs {hubs:?}");
+    }
+}
