Capacity of a machine after heartbeats, which older versions understand

Change: the format version is as before. The new test reads heartbeats with and without the byte; it fails where the byte is part of the heartbeat.

--- a/crates/cometmoor-gateway/src/membership/message.rs
+++ b/crates/cometmoor-gateway/src/membership/message.rs
@@ -15,7 +15,7 @@
 use crate::load::{ModelDemand, ModelKey, ServerKey, ServerLoad};
 
 /// Version of the message format. Messages of another version are dropped.
-const FORMAT_VERSION: u8 = 20;
+const FORMAT_VERSION: u8 = 19;
 
 /// Phase of a node's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,7 +117,9 @@
     pub reads_store: bool,
     /// Whether the store does not answer it.
     pub store_fails: bool,
-    /// Capacity of its machine.
+    /// Capacity of its machine. [`Message::encode`] appends it to the message, which nodes that do
+    /// not know it ignore.
+    #[serde(skip)]
     pub capacity: CapacityClass,
     /// Its load on the servers; `None` if it was sent recently.
     pub loads: Option<Vec<(ServerKey, ServerLoad)>>,
@@ -151,7 +153,8 @@
     pub reads_store: bool,
     /// Whether the store does not answer it.
     pub store_fails: bool,
-    /// Capacity of its machine.
+    /// Capacity of its machine; unknown in messages for nodes that use uncommon ports.
+    #[serde(skip)]
     pub capacity: CapacityClass,
 }
 
@@ -279,9 +282,14 @@
 }
 
 impl Message {
-    /// Encodes the format version and the message with `postcard`.
+    /// Encodes the format version and the message with `postcard`, and after a heartbeat the
+    /// capacity of its node's machine.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(FORMAT_VERSION, self)).unwrap_or_default()
+        let mut encoded = postcard::to_stdvec(&(FORMAT_VERSION, self)).unwrap_or_default();
+        if let Message::Heartbeat(heartbeat) | Message::HeartbeatToHub(heartbeat, _) = self {
+            encoded.push(heartbeat.capacity.bits());
+        }
+        encoded
     }
 
     /// Decodes a datagram; `None` if it is malformed or has another format version.
@@ -290,6 +298,12 @@
         if format != FORMAT_VERSION {
             return None;
         }
-        postcard::from_bytes(rest).ok()
+        let (mut message, rest) = postcard::take_from_bytes::<Message>(rest).ok()?;
+        if let Message::Heartbeat(heartbeat) | Message::HeartbeatToHub(heartbeat, _) = &mut message
+        {
+            heartbeat.capacity =
+                CapacityClass::from_bits(rest.first().copied().unwrap_or_default());
+        }
+        Some(message)
     }
 }
--- a/crates/cometmoor-gateway/tests/membership_capacity.rs
+++ b/crates/cometmoor-gateway/tests/membership_capacity.rs
@@ -3,7 +3,10 @@
 
 mod world;
 
-use cometmoor_gateway::membership::CapacityClass;
+use std::net::SocketAddrV4;
+
+use cometmoor_core::time::Timestamp;
+use cometmoor_gateway::membership::{CapacityClass, Message};
 use cometmoor_gateway::settings::MachineSettings;
 
 use world::{FLEET_OF_400_HEARTBEAT_STEPS, SMALL_LINK, World, zone_of};
@@ -30,6 +33,28 @@
     MachineSettings { cpu_share: Some(cpu_share), link_megabits: Some(link_megabits) }.capacity()
 }
 
+/// Guards against heartbeats that nodes of a version without capacities can't read, and the reverse:
+/// the class follows the message.
+#[test]
+fn heartbeats_with_and_without_the_capacity_of_a_machine_are_understood() {
+    let mut world = fleet(1, 1);
+    let (address, node) = world.nodes.iter_mut().next().unwrap();
+    node.membership.add_contact(SocketAddrV4::new(*address.ip(), 1), Timestamp(0));
+    world.run(1);
+    let heartbeat = world.last_heartbeat.take().unwrap();
+    let capacity = heartbeat.capacity;
+    assert_ne!(capacity, CapacityClass::default());
+    let mut encoded = Message::Heartbeat(heartbeat).encode();
+    let decoded = |bytes: &[u8]| match Message::decode(bytes) {
+        Some(Message::Heartbeat(heartbeat)) => heartbeat.capacity,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(decoded(&encoded), capacity);
+    // A version that does not know the class reads all but the last byte.
+    encoded.pop();
+    assert_eq!(decoded(&encoded), CapacityClass::default());
+}
+
 #[test]
 fn the_scarcest_resource_decides_on_the_class_of_a_machine() {
     assert!(machine(0.5, 200.0) > machine(0.12, 20.0));
--- a/crates/cometmoor-gateway/tests/world/mod.rs
+++ b/crates/cometmoor-gateway/tests/world/mod.rs
@@ -136,6 +136,8 @@
     pub large_nodes_per_zone: usize,
     /// Number of zone digests that were sent.
     pub zone_digests_sent: u64,
+    /// The latest heartbeat of any node.
+    pub last_heartbeat: Option<Heartbeat>,
     random: u64,
 }
 
@@ -176,6 +178,7 @@
             isolated_zone: None,
             large_nodes_per_zone: 0,
             zone_digests_sent: 0,
+            last_heartbeat: None,
             random: seed | 1,
         }
     }
@@ -309,6 +312,7 @@
 
     fn send(&mut self, own: SocketAddrV4, now: Timestamp) {
         let heartbeat = self.heartbeat(own);
+        self.last_heartbeat = Some(heartbeat.clone());
         let node = self.nodes.get_mut(&own).unwrap();
         let mut outgoing = node.membership.outgoing(&heartbeat, now);
         if heartbeat.loads.is_some()
