--- a/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
+++ b/crates/cometmoor-gateway/tests/thousands_of_nodes.rs
@@ -198,7 +198,7 @@
     }
 }
 
-/// A node that starts was told the addresses of all hubs, sorted, and kept sixteen of them: with 30
+/// A node that starts received the sorted addresses of all hubs and kept sixteen of them: with 30
 /// hubs, nodes of the last zones learned of none of their own, and a fleet of 1,000 nodes that
 /// starts at once took ten seconds to get to know itself.
 #[test]
