Review, case 2: bursts no longer than the site file's

Cause: three times the traffic comes for three seconds there, not for five.

Done: five bursts of three seconds.

--- a/review/rig/uploads.rs
+++ b/review/rig/uploads.rs
@@ -20,11 +20,12 @@
 /// Callers at each machine, each with one request in each period, whatever came of the last one.
 const CALLERS: usize = 12;
 const PERIOD: Duration = Duration::from_millis(2500);
-/// The largest dose of `burst` in the site file: three times the traffic, for five seconds.
+/// The largest dose of `burst` in the site file: three times the traffic of a class, for three
+/// seconds.
 const BURST_TIMES: usize = 3;
-const BURST: Duration = Duration::from_secs(5);
+const BURST: Duration = Duration::from_secs(3);
 const PAUSE_BETWEEN_BURSTS: Duration = Duration::from_secs(10);
-const BURSTS: u32 = 4;
+const BURSTS: u32 = 5;
 /// Time that a server works on a request.
 const WORK: Duration = Duration::from_secs(2);
 /// Pause before the platform starts an ended process again.
